--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: a fleet of plain processes and mixed traffic."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,160 @@
+"""``python -m demo run`` and ``python -m demo up``."""
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+
+from demo.fleet import (
+    EXAMPLES,
+    Fleet,
+    FleetSettings,
+    describe_endpoints,
+    start_fleet,
+)
+from demo.load import LOADS, LoadPlan, run_load
+from demo.report import print_report
+
+DEMO_FOLDER = Path('.demo')
+_BURST_S = 15.0
+
+
+async def read_json(url: str) -> dict:
+    """Read a JSON document."""
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as resp:
+            return await resp.json()
+
+
+async def read_computed(fleet: Fleet) -> int:
+    """Return the tokens that all engines have computed."""
+    total = 0
+    for upstream in fleet.upstreams:
+        if upstream['kind'] == 'model':
+            stats = await read_json(f'{upstream["url"]}/stats')
+            total += stats['tokens']
+    return total
+
+
+async def find_broken_promises(fleet: Fleet, plan: LoadPlan) -> list[str]:
+    """Compare what callers were told with what upstreams did."""
+    broken = list(plan.problems)
+    targets = {each['name']: each for each in plan.endpoints['classes']}
+    for sample in plan.samples:
+        if sample.outcome == 'cut':
+            broken.append(f'{sample.service_class}: a stream was cut off')
+        protected = targets[sample.service_class]['protected']
+        if protected and sample.outcome == 'not_run':
+            broken.append(f'{sample.service_class}: protected, but shed')
+    for name in {sample.service_class for sample in plan.samples}:
+        group = [each for each in plan.samples if each.service_class == name]
+        if not any(each.outcome == 'completed' for each in group):
+            broken.append(f'{name}: no request was completed')
+    executed: list[str] = []
+    for upstream in fleet.upstreams:
+        if upstream['kind'] == 'service':
+            audit = await read_json(f'{upstream["url"]}/audit')
+            executed.extend(each['body_sha256'] for each in audit['executions'])
+    if len(executed) != len(set(executed)):
+        broken.append('an operation was executed twice')
+    for req_id, digest in plan.operations.items():
+        if digest not in executed:
+            broken.append(f'{req_id}: confirmed, but not executed')
+    return broken
+
+
+async def run_one(name: str, seed: int) -> list[str]:
+    """Run one co-operative's burst; return the promises that broke."""
+    print(f'\n{EXAMPLES[name]}: starting 4 data centres with 2 VMs each')
+    fleet = await start_fleet(FleetSettings(name, DEMO_FOLDER / name))
+    try:
+        plan = LoadPlan(
+            describe_endpoints(fleet),
+            LOADS[name],
+            _BURST_S,
+            seed,
+        )
+        print(f'{EXAMPLES[name]}: sending a mixed burst for {_BURST_S:.0f} s')
+        await run_load(plan)
+        computed = await read_computed(fleet)
+        broken = await find_broken_promises(fleet, plan)
+        codes = await asyncio.to_thread(fleet.stop_vms)
+    finally:
+        await asyncio.to_thread(fleet.stop_all)
+    print_report(plan.samples, plan.endpoints['classes'], _BURST_S)
+    delivered = sum(each.tokens for each in plan.samples if each.whole)
+    streams = [each for each in plan.samples if each.whole and each.tokens > 1]
+    # The end mark of each stream is an event, but not a computed token.
+    useful = sum(each.tokens - 1 for each in streams)
+    wasted = max(0, computed - useful)
+    print(
+        f'computed {computed} tokens, delivered whole {delivered}, '
+        f'wasted {wasted / max(1, computed):.4f}',
+    )
+    for vm, code in codes.items():
+        if code != 0:
+            broken.append(f'{vm}: stopped with exit code {code}')
+    return broken
+
+
+async def run_all(seed: int) -> int:
+    """Run the bursts of both co-operatives, one after the other."""
+    broken = []
+    for name in EXAMPLES:
+        broken.extend(await run_one(name, seed))
+    for problem in broken:
+        print(f'BROKEN: {problem}')
+    print('\nbroken promises:', len(broken))
+    return 1 if broken else 0
+
+
+async def stay_up(name: str, seed: int) -> int:
+    """Run one fleet until Ctrl-C."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    fleet = await start_fleet(FleetSettings(name, DEMO_FOLDER / name))
+    endpoints = describe_endpoints(fleet)
+    endpoints['seed'] = seed
+    write_endpoints(endpoints)
+    print(f'{len(fleet.vms)} VMs are ready; see .demo/endpoints.json')
+    print(f'first entry: {fleet.vms[0].url}; Ctrl-C stops', flush=True)
+    await stop.wait()
+    print('stopping gracefully', flush=True)
+    codes = await asyncio.to_thread(fleet.stop_all)
+    (DEMO_FOLDER / 'endpoints.json').unlink(missing_ok=True)
+    return max(codes.values(), default=0)
+
+
+def write_endpoints(endpoints: dict) -> None:
+    """Write the endpoints file whole."""
+    DEMO_FOLDER.mkdir(exist_ok=True)
+    with tempfile.NamedTemporaryFile(
+        'w',
+        dir=DEMO_FOLDER,
+        delete=False,
+    ) as part:
+        json.dump(endpoints, part, indent=2)
+    Path(part.name).rename(DEMO_FOLDER / 'endpoints.json')
+
+
+def main() -> int:
+    """Parse arguments and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('action', choices=('run', 'up'))
+    parser.add_argument('--fleet', choices=sorted(EXAMPLES), default='xela')
+    parser.add_argument('--seed', type=int, default=1)
+    args = parser.parse_args()
+    if args.action == 'run':
+        return asyncio.run(run_all(args.seed))
+    return asyncio.run(stay_up(args.fleet, args.seed))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the router."""
--- /dev/null
+++ b/fakes/answers.py
@@ -0,0 +1,112 @@
+"""Deterministic answers of the model engine stand-in."""
+
+import hashlib
+import json
+import math
+import random
+from dataclasses import dataclass
+
+_WORDS = (
+    'desk',
+    'shift',
+    'ticket',
+    'school',
+    'river',
+    'seal',
+    'evening',
+    'editor',
+    'counter',
+    'group',
+    'market',
+    'bridge',
+    'morning',
+    'reserve',
+    'gallery',
+    'radio',
+)
+_MEDIAN_TOKENS = 60
+_SIGMA = 0.8
+_MAX_TOKENS = 800
+
+
+@dataclass(frozen=True)
+class PlannedAnswer:
+    """An answer as the engine will produce it, one token an event."""
+
+    tokens: tuple[str, ...]
+
+    @property
+    def text(self) -> str:
+        """The whole text."""
+        return ''.join(self.tokens)
+
+
+def plan_answer(messages: list, max_tokens: int | None) -> PlannedAnswer:
+    """Return the answer to a prompt; its length is heavy-tailed."""
+    raw = json.dumps(messages, sort_keys=True).encode()
+    seed = int.from_bytes(hashlib.sha256(raw).digest()[:8], 'big')
+    source = random.Random(seed)
+    length = int(source.lognormvariate(math.log(_MEDIAN_TOKENS), _SIGMA))
+    length = max(1, min(length, _MAX_TOKENS, max_tokens or _MAX_TOKENS))
+    tokens = tuple(
+        f'{source.choice(_WORDS)}{source.randrange(1000)} '
+        for _ in range(length)
+    )
+    return PlannedAnswer(tokens)
+
+
+def encode_events(
+    answer: PlannedAnswer,
+    model: str,
+    req_id: str,
+) -> list[bytes]:
+    """Return the server-sent events of an answer, without its end mark."""
+    events = []
+    for index, token in enumerate(answer.tokens):
+        delta = {'content': token}
+        if index == 0:
+            delta = {'role': 'assistant', 'content': token}
+        events.append(_encode(model, req_id, delta, None))
+    events.append(_encode(model, req_id, {}, 'stop'))
+    return events
+
+
+def encode_whole(answer: PlannedAnswer, model: str, req_id: str) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    document = {
+        'id': f'chatcmpl-{req_id}',
+        'object': 'chat.completion',
+        'created': 0,
+        'model': model,
+        'choices': [
+            {
+                'index': 0,
+                'message': {'role': 'assistant', 'content': answer.text},
+                'finish_reason': 'stop',
+            },
+        ],
+        'usage': {
+            'prompt_tokens': 0,
+            'completion_tokens': len(answer.tokens),
+            'total_tokens': len(answer.tokens),
+        },
+    }
+    return json.dumps(document).encode()
+
+
+def _encode(
+    model: str,
+    req_id: str,
+    delta: dict,
+    finish_reason: str | None,
+) -> bytes:
+    document = {
+        'id': f'chatcmpl-{req_id}',
+        'object': 'chat.completion.chunk',
+        'created': 0,
+        'model': model,
+        'choices': [
+            {'index': 0, 'delta': delta, 'finish_reason': finish_reason},
+        ],
+    }
+    return b'data: ' + json.dumps(document).encode() + b'\n\n'
--- /dev/null
+++ b/fakes/platform.py
@@ -0,0 +1,154 @@
+"""Stand-in for the platform: configuration service, VM list, weight store."""
+
+import asyncio
+import hashlib
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from fakes.serving import make_parser, serve
+
+_VALUE_LIMIT_BYTES = 1_000_000
+_WATCH_STEP_S = 0.02
+_EMPTY_LIST = b'{"vms":[]}'
+
+
+@dataclass
+class Platform:
+    """Values and modes. ``mode`` is ``up``, ``down`` or ``stale``."""
+
+    reads_per_s: int = 2000
+    weights_per_s: int = 4
+    list_lag_s: float = 1.0
+    mode: str = 'up'
+    values: dict[str, bytes] = field(default_factory=dict)
+    stale_values: dict[str, bytes] = field(default_factory=dict)
+    lists: deque = field(default_factory=deque)
+    calls: Counter = field(default_factory=Counter)
+    recent: deque = field(default_factory=deque)
+    recent_weights: deque = field(default_factory=deque)
+
+    def read(self, name: str) -> bytes | None:
+        """Return a value; an old one in stale mode."""
+        if self.mode == 'stale':
+            return self.stale_values.get(name, self.values.get(name))
+        return self.values.get(name)
+
+    def set_mode(self, mode: str) -> None:
+        """Change the mode; stale mode freezes the values as they are."""
+        if mode == 'stale':
+            self.stale_values = dict(self.values)
+        self.mode = mode
+
+    def listed(self) -> bytes:
+        """Return the list of VMs as it was before its lag."""
+        limit = time.monotonic() - self.list_lag_s
+        while len(self.lists) > 1 and self.lists[1][0] <= limit:
+            self.lists.popleft()
+        if not self.lists or self.lists[0][0] > limit:
+            return _EMPTY_LIST
+        return self.lists[0][1]
+
+    def admit(self, kind: str) -> bool:
+        """Count a call; tell whether it is within the rate."""
+        self.calls[kind] += 1
+        recent, limit = self.recent, self.reads_per_s
+        if kind == 'weights':
+            recent, limit = self.recent_weights, self.weights_per_s
+        now = time.monotonic()
+        while recent and recent[0] < now - 1:
+            recent.popleft()
+        if len(recent) >= limit:
+            self.calls['limited'] += 1
+            return False
+        recent.append(now)
+        return True
+
+
+def make_app(platform: Platform) -> Starlette:
+    """Return the application of the platform."""
+
+    def check(kind: str) -> Response | None:
+        if not platform.admit(kind):
+            return JSONResponse({'error': 'rate limited'}, 429)
+        if platform.mode == 'down':
+            return JSONResponse({'error': 'down'}, 503)
+        return None
+
+    async def read_value(request: Request) -> Response:
+        refused = check('read')
+        if refused:
+            return refused
+        raw = platform.read(request.path_params['name'])
+        if raw is None:
+            return JSONResponse({'error': 'no such value'}, 404)
+        return Response(raw)
+
+    async def watch_value(request: Request) -> Response:
+        refused = check('watch')
+        if refused:
+            return refused
+        name = request.path_params['name']
+        known = request.query_params.get('digest', '')
+        limit = time.monotonic() + float(request.query_params['wait_s'])
+        while time.monotonic() < limit and platform.mode != 'down':
+            raw = platform.read(name)
+            if raw is not None:
+                if hashlib.sha256(raw).hexdigest() != known:
+                    return Response(raw)
+            await asyncio.sleep(_WATCH_STEP_S)
+        return Response(status_code=204)
+
+    async def list_vms(request: Request) -> Response:
+        return check('vms') or Response(platform.listed())
+
+    async def read_weights(request: Request) -> Response:
+        return check('weights') or Response(b'weights')
+
+    async def put_value(request: Request) -> Response:
+        raw = await request.body()
+        if len(raw) > _VALUE_LIMIT_BYTES:
+            return JSONResponse({'error': 'over 1 MB'}, 413)
+        platform.values[request.path_params['name']] = raw
+        return JSONResponse({'stored': len(raw)})
+
+    async def put_vms(request: Request) -> Response:
+        platform.lists.append((time.monotonic(), await request.body()))
+        return JSONResponse({'stored': True})
+
+    async def put_mode(request: Request) -> Response:
+        platform.set_mode((await request.json())['mode'])
+        return JSONResponse({'mode': platform.mode})
+
+    async def show_stats(request: Request) -> Response:
+        return JSONResponse(dict(platform.calls))
+
+    return Starlette(
+        routes=[
+            Route('/v1/values/{name}', read_value),
+            Route('/v1/watch/{name}', watch_value),
+            Route('/v1/vms', list_vms),
+            Route('/v1/weights/{name}', read_weights),
+            Route('/admin/values/{name}', put_value, methods=['PUT']),
+            Route('/admin/vms', put_vms, methods=['PUT']),
+            Route('/admin/mode', put_mode, methods=['PUT']),
+            Route('/admin/stats', show_stats),
+        ],
+    )
+
+
+def main() -> None:
+    """Run the platform."""
+    parser = make_parser(__doc__)
+    parser.add_argument('--list-lag-s', type=float, default=1.0)
+    args = parser.parse_args()
+    serve(make_app(Platform(list_lag_s=args.list_lag_s)), args)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/bilberryspoke/__init__.py
@@ -0,0 +1,3 @@
+"""Router for language-model traffic with service levels and priorities."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/src/bilberryspoke/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of bilberryspoke; nothing here is a stable interface."""
--- /dev/null
+++ b/src/bilberryspoke/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the two programs."""
--- /dev/null
+++ b/src/bilberryspoke/_internal/commands/explain.py
@@ -0,0 +1,63 @@
+"""``bilberryspoke explain``."""
+
+import sys
+
+from bilberryspoke._internal.commands.fleet import find_urls, read_all
+from bilberryspoke._internal.commands.output import print_json
+from bilberryspoke._internal.commands.registry import ExitCode, command
+from bilberryspoke._internal.commands.status import (
+    NO_ADDRESS,
+    report_problems,
+)
+
+
+@command('explain')
+def explain_request(
+    request_id: str,
+    admin: str | None = None,
+    json: bool = False,
+) -> int:
+    """Explain what became of a request and why.
+
+    Exit codes: 0 found, 2 no address given, 3 not found and a VM did not
+    answer, 4 not found on any VM.
+
+    Example:
+        bilberryspoke explain 4f1c2d
+
+    Args:
+        request_id: the X-Request-Id of the request.
+        admin: operators' addresses, separated by commas.
+        json: print the record as JSON.
+    """
+    urls = find_urls(admin)
+    if not urls:
+        print(NO_ADDRESS, file=sys.stderr)
+        return ExitCode.usage
+    replies = read_all(urls, f'/admin/requests/{request_id}')
+    report_problems(replies)
+    found = [reply for reply in replies if reply.status == 200]
+    if not found:
+        print(f'no VM has a record of {request_id}', file=sys.stderr)
+        silent = any(reply.problem for reply in replies)
+        return ExitCode.unreachable if silent else ExitCode.not_found
+    for reply in found:
+        if json:
+            print_json(reply.document)
+        else:
+            _print_record(reply.url, reply.document)
+    return ExitCode.ok
+
+
+def _print_record(url: str, record: dict) -> None:
+    print(f'request {record["req_id"]} at {url}')
+    for name in ('workspace', 'service_class', 'pool', 'outcome', 'reason'):
+        print(f'  {name}: {record[name] or "-"}')
+    print(f'  queued: {record["queue_s"] * 1000:.0f} ms')
+    if record['first_token_s'] is not None:
+        print(f'  first token: {record["first_token_s"] * 1000:.0f} ms')
+    print(f'  total: {record["total_s"] * 1000:.0f} ms')
+    print(f'  tokens: {record["tokens"]}, attempts: {record["attempts"]}')
+    for step in record['trail']:
+        at_ms = step['at'] * 1000
+        print(f'  {at_ms:8.0f} ms  {step["what"]} {step["detail"]}'.rstrip())
--- /dev/null
+++ b/src/bilberryspoke/_internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, operator objects and bundles: the validated border."""
--- /dev/null
+++ b/src/bilberryspoke/_internal/config/bundles.py
@@ -0,0 +1,254 @@
+"""Bundles: values named by digest and one manifest that joins them."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bilberryspoke._internal.config.objects import (
+    ApprovalObject,
+    ClassObject,
+    PoolObject,
+    UpstreamObject,
+    WorkspaceObject,
+)
+from bilberryspoke._internal.config.validation import (
+    ObjectSet,
+    RawObject,
+    has_errors,
+    validate_objects,
+)
+from bilberryspoke._internal.models.catalog import (
+    Approval,
+    Catalog,
+    Pool,
+    ServiceClass,
+    Upstream,
+    Workspace,
+)
+from bilberryspoke._internal.models.findings import Finding
+
+MANIFEST_NAME = 'manifest'
+VALUE_LIMIT_BYTES = 1_000_000
+_CHUNK_BYTES = 900_000
+_FORMAT = 1
+
+
+class Manifest(msgspec.Struct, forbid_unknown_fields=True):
+    """The value whose single write publishes a configuration."""
+
+    format: int
+    revision: int
+    values: list[str]
+
+
+class WireBundle(msgspec.Struct, array_like=True):
+    """A bundle as VMs pass it on."""
+
+    manifest: bytes
+    values: dict[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Bundle:
+    """A manifest and the values it names by digest, as bytes."""
+
+    manifest: bytes
+    values: dict[str, bytes] = field(default_factory=dict)
+
+    @property
+    def digest(self) -> str:
+        """Digest of the manifest, and so of all values."""
+        return digest_bytes(self.manifest)
+
+    def encode(self) -> bytes:
+        """Encode for passing to another VM."""
+        return msgspec.msgpack.encode(WireBundle(self.manifest, self.values))
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedBundle:
+    """A bundle that passed every check."""
+
+    bundle: Bundle
+    catalog: Catalog
+
+
+def digest_bytes(raw: bytes) -> str:
+    """Return the hex SHA-256 digest by which a value is named."""
+    return hashlib.sha256(raw).hexdigest()
+
+
+def make_bundle(objects: ObjectSet, revision: int) -> Bundle:
+    """Encode checked objects as values below the platform's limit."""
+    values = {}
+    chunk: list[bytes] = []
+    size = 0
+    for raw in _encode_objects(objects):
+        if chunk and size + len(raw) > _CHUNK_BYTES:
+            _add_value(values, chunk)
+            chunk, size = [], 0
+        chunk.append(raw)
+        size += len(raw) + 1
+    _add_value(values, chunk)
+    manifest = {
+        'format': _FORMAT,
+        'revision': revision,
+        'values': list(values),
+    }
+    encoded = json.dumps(manifest, sort_keys=True).encode()
+    return Bundle(encoded, values)
+
+
+def parse_manifest(raw: bytes) -> Result[Manifest, Finding]:
+    """Parse a manifest."""
+    try:
+        manifest = msgspec.json.decode(raw, type=Manifest)
+    except msgspec.MsgspecError as exc:
+        return Error(Finding(MANIFEST_NAME, '', str(exc)))
+    if manifest.format != _FORMAT:
+        message = f'format {manifest.format} is not known here'
+        return Error(Finding(MANIFEST_NAME, 'format', message))
+    if manifest.revision < 1:
+        return Error(Finding(MANIFEST_NAME, 'revision', 'must be at least 1'))
+    return Ok(manifest)
+
+
+def decode_bundle(raw: bytes) -> Result[Bundle, Finding]:
+    """Decode a bundle passed on by another VM."""
+    try:
+        wire = msgspec.msgpack.decode(raw, type=WireBundle)
+    except msgspec.MsgspecError as exc:
+        return Error(Finding('bundle', '', str(exc)))
+    return Ok(Bundle(wire.manifest, wire.values))
+
+
+def load_bundle(bundle: Bundle) -> Result[LoadedBundle, list[Finding]]:
+    """Check a bundle whole: manifest, digests and objects."""
+    parsed = parse_manifest(bundle.manifest)
+    if parsed.is_error():
+        return Error([parsed.error])
+    manifest = parsed.ok
+    findings: list[Finding] = []
+    raw_objects: list[RawObject] = []
+    for digest in manifest.values:
+        raw_objects.extend(_read_value(bundle, digest, findings))
+    objects = validate_objects(raw_objects)
+    findings.extend(objects.findings)
+    if has_errors(findings):
+        return Error(findings)
+    catalog = build_catalog(objects, manifest.revision, bundle.digest)
+    return Ok(LoadedBundle(bundle, catalog))
+
+
+def build_catalog(objects: ObjectSet, revision: int, digest: str) -> Catalog:
+    """Index checked objects for the request path."""
+    return Catalog(
+        revision=revision,
+        digest=digest,
+        data_centres=tuple(sorted(objects.of_kind('data_centre'))),
+        workspaces=_convert(objects, 'workspace', _to_workspace),
+        classes=_convert(objects, 'class', _to_class),
+        upstreams=_convert(objects, 'upstream', _to_upstream),
+        pools=_convert(objects, 'pool', _to_pool),
+        approvals=tuple(
+            _to_approval(each) for each in objects.of_kind('approval').values()
+        ),
+    )
+
+
+def _read_value(
+    bundle: Bundle,
+    digest: str,
+    findings: list[Finding],
+) -> list[RawObject]:
+    raw = bundle.values.get(digest)
+    if raw is None:
+        findings.append(Finding(digest, '', 'value is missing'))
+        return []
+    if digest_bytes(raw) != digest:
+        findings.append(Finding(digest, '', 'value has another digest'))
+        return []
+    if len(raw) > VALUE_LIMIT_BYTES:
+        findings.append(Finding(digest, '', 'value is over 1 MB'))
+        return []
+    try:
+        items = msgspec.json.decode(raw, type=list[Any])
+    except msgspec.MsgspecError as exc:
+        findings.append(Finding(digest, '', str(exc)))
+        return []
+    return [
+        RawObject(digest, f'[{index}]', each)
+        for index, each in enumerate(items)
+    ]
+
+
+def _encode_objects(objects: ObjectSet) -> list[bytes]:
+    encoded = []
+    for kind in sorted(objects.items):
+        for name in sorted(objects.items[kind]):
+            item = objects.items[kind][name]
+            fields = item.model_dump(
+                mode='json',
+                by_alias=True,
+                exclude_defaults=True,
+            )
+            fields['kind'] = kind
+            encoded.append(json.dumps(fields, sort_keys=True).encode())
+    return encoded
+
+
+def _add_value(values: dict[str, bytes], chunk: list[bytes]) -> None:
+    raw = b'[' + b','.join(chunk) + b']'
+    values[digest_bytes(raw)] = raw
+
+
+def _convert(objects: ObjectSet, kind: str, convert: Any) -> dict[str, Any]:
+    return {name: convert(item) for name, item in objects.of_kind(kind).items()}
+
+
+def _to_workspace(item: WorkspaceObject) -> Workspace:
+    return Workspace(item.name, item.key_digests, item.weight)
+
+
+def _to_class(item: ClassObject) -> ServiceClass:
+    return ServiceClass(
+        name=item.name,
+        tier=item.tier,
+        protected=item.protected,
+        first_token_ms=item.first_token_ms,
+        total_ms=item.total_ms,
+        minimum_share=item.minimum_share,
+        repeatable=item.repeatable,
+        max_wait_ms=item.max_wait_ms,
+    )
+
+
+def _to_upstream(item: UpstreamObject) -> Upstream:
+    return Upstream(
+        name=item.name,
+        serves=item.serves,
+        data_centre=item.data_centre,
+        url=item.url,
+        slots=item.slots,
+        leaving=item.leaving,
+        deduplicates=item.deduplicates,
+        fencing=item.fencing,
+    )
+
+
+def _to_pool(item: PoolObject) -> Pool:
+    return Pool(item.name, item.serves, item.offers, item.upstreams)
+
+
+def _to_approval(item: ApprovalObject) -> Approval:
+    return Approval(
+        workspace=item.workspace,
+        service_class=item.service_class,
+        pool=item.pool,
+        default=item.default,
+        requests_per_s=item.requests_per_s,
+    )
--- /dev/null
+++ b/src/bilberryspoke/_internal/config/settings.py
@@ -0,0 +1,150 @@
+"""Settings of the daemon: a file of JSON with comments."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from bilberryspoke._internal.config.jsonc import read_jsonc
+from bilberryspoke._internal.config.objects import Name
+from bilberryspoke._internal.config.validation import describe_errors
+from bilberryspoke._internal.models.findings import Finding
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+
+
+class SettingsModel(BaseModel):
+    """Base of all parts of the settings."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class Listener(SettingsModel):
+    """An address to listen on; port 0 lets the system choose."""
+
+    host: str = Field(default='127.0.0.1', min_length=1)
+    port: Port = 0
+
+
+class TlsFiles(SettingsModel):
+    """Files of the certificate chain and the private key, in PEM."""
+
+    certificate: str
+    key: str
+
+
+class Seed(SettingsModel):
+    """Another VM known from the start."""
+
+    name: Name
+    address: str = Field(pattern='^[^:\\s]+:[0-9]+$')
+
+
+class PeerSettings(SettingsModel):
+    """How VMs reach one another."""
+
+    host: str = Field(default='127.0.0.1', min_length=1)
+    port: Port = 0
+    seeds: tuple[Seed, ...] = ()
+
+
+class PlatformSettings(SettingsModel):
+    """The platform's configuration service, which is only read."""
+
+    url: str = Field(default='', pattern='^(https?://\\S+)?$')
+    watchers: int = Field(
+        default=2,
+        ge=1,
+        le=8,
+        description='VMs of a data centre that hold a watch.',
+    )
+    watch_s: float = Field(default=20, gt=0, le=300)
+    retry_s: float = Field(default=0.5, gt=0, le=60)
+    list_s: float = Field(default=1, gt=0, le=60)
+
+
+class LimitSettings(SettingsModel):
+    """Limits towards callers. Durations are in seconds."""
+
+    body_bytes: int = Field(default=4_000_000, ge=1, le=1_000_000_000)
+    header_bytes: int = Field(default=32_768, ge=256, le=1_000_000)
+    connections: int = Field(default=5000, ge=1, le=100_000)
+    body_timeout_s: float = Field(default=15, gt=0, le=3600)
+    request_timeout_s: float = Field(default=300, gt=0, le=86_400)
+    upstream_connect_s: float = Field(default=2, gt=0, le=60)
+    upstream_idle_s: float = Field(default=30, gt=0, le=3600)
+    send_timeout_s: float = Field(
+        default=30,
+        gt=0,
+        le=3600,
+        description='How long a caller may take no bytes of its answer.',
+    )
+    queue_length: int = Field(default=5000, ge=1, le=1_000_000)
+    retry_share: float = Field(default=0.2, ge=0, le=1)
+
+
+class StopSettings(SettingsModel):
+    """Graceful stop. Durations are in seconds."""
+
+    settle_s: float = Field(
+        default=1,
+        ge=0,
+        le=60,
+        description='New requests are still taken for this long.',
+    )
+    limit_s: float = Field(default=120, gt=0, le=86_400)
+
+
+class Settings(SettingsModel):
+    """All settings of one daemon."""
+
+    vm: Name
+    data_centre: Name
+    entry: Listener = Listener()
+    admin: Listener = Listener()
+    peers: PeerSettings = PeerSettings()
+    platform: PlatformSettings = PlatformSettings()
+    limits: LimitSettings = LimitSettings()
+    stop: StopSettings = StopSettings()
+    tls: TlsFiles | None = None
+    policy: Literal[
+        'slot_owner',
+        'static_share',
+        'two_choices',
+        'least_load',
+        'round_robin',
+    ] = 'slot_owner'
+
+
+def read_settings(path: Path) -> Result[Settings, list[Finding]]:
+    """Read and check a settings file; all findings come at once."""
+    found = read_jsonc(path)
+    if found.is_error():
+        return Error([found.error])
+    return parse_settings(found.ok, source=str(path))
+
+
+def parse_settings(
+    document: object,
+    *,
+    source: str,
+) -> Result[Settings, list[Finding]]:
+    """Check parsed settings."""
+    try:
+        settings = Settings.model_validate(document)
+    except ValidationError as exc:
+        return Error(describe_errors(exc, source=source, prefix=''))
+    findings = _check_files(settings, source)
+    return Error(findings) if findings else Ok(settings)
+
+
+def _check_files(settings: Settings, source: str) -> list[Finding]:
+    if settings.tls is None:
+        return []
+    findings = []
+    for name in ('certificate', 'key'):
+        path = getattr(settings.tls, name)
+        if not Path(path).is_file():
+            findings.append(Finding(source, f'tls.{name}', f'no file {path}'))
+    return findings
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/__init__.py
@@ -0,0 +1,19 @@
+"""Pure decisions: state, events and effects without I/O, clock or chance.
+
+Importing this package registers all handlers and policies.
+"""
+
+from bilberryspoke._internal.core import entry, owner, upkeep
+from bilberryspoke._internal.core.policies import immediate, queued
+from bilberryspoke._internal.core.reducer import Core
+from bilberryspoke._internal.core.state import CoreSettings
+
+__all__ = (
+    'Core',
+    'CoreSettings',
+    'entry',
+    'immediate',
+    'owner',
+    'queued',
+    'upkeep',
+)
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/membership.py
@@ -0,0 +1,123 @@
+"""Which VMs are alive, from the platform's list and direct heartbeats."""
+
+from dataclasses import dataclass, field
+
+from bilberryspoke._internal.models.messages import Heartbeat
+from bilberryspoke._internal.utils.hashing import rank_members
+
+
+@dataclass(slots=True)
+class Member:
+    """Another VM. ``heard_at`` is a time of this VM's boot-time clock."""
+
+    name: str
+    data_centre: str = ''
+    incarnation: int = 0
+    heard_at: float = -1e9
+    stopping: bool = False
+    listed_leaving: bool = False
+    revision: int = 0
+    digest: str = ''
+    entry_url: str = ''
+    admin_url: str = ''
+    peer_address: str = ''
+    leaving: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Membership:
+    """View of the fleet held by one VM.
+
+    A member counts as alive while its last heartbeat is younger than
+    ``dead_after_s``. Messages of an incarnation older than the newest one
+    seen are dropped: incarnations of a VM grow with its start time.
+    """
+
+    own_name: str
+    dead_after_s: float
+    members: dict[str, Member] = field(default_factory=dict)
+
+    def admit(self, sender: str, incarnation: int) -> bool:
+        """Tell whether a message comes from the newest known incarnation."""
+        member = self.members.get(sender)
+        if member is None:
+            self.members[sender] = Member(sender, incarnation=incarnation)
+            return True
+        if incarnation < member.incarnation:
+            return False
+        if incarnation > member.incarnation:
+            member.incarnation = incarnation
+            member.stopping = False
+        return True
+
+    def hear(self, sender: str, beat: Heartbeat, now: float) -> None:
+        """Take a heartbeat that was admitted."""
+        member = self.members.setdefault(sender, Member(sender))
+        member.heard_at = now
+        member.data_centre = beat.data_centre
+        member.stopping = beat.stopping
+        member.revision = beat.revision
+        member.digest = beat.digest
+        member.entry_url = beat.entry_url
+        member.admin_url = beat.admin_url
+        member.leaving = frozenset(beat.leaving)
+        if beat.peer_address:
+            member.peer_address = beat.peer_address
+
+    def lose(self, name: str) -> None:
+        """Take the news that the connection to a VM broke."""
+        member = self.members.get(name)
+        if member is not None:
+            member.heard_at = -1e9
+
+    def is_alive(self, name: str, now: float) -> bool:
+        """Tell whether a VM was heard of recently enough."""
+        if name == self.own_name:
+            return True
+        member = self.members.get(name)
+        if member is None:
+            return False
+        return now - member.heard_at <= self.dead_after_s
+
+    def list_alive(self, now: float) -> list[str]:
+        """Return the other VMs that are alive, stopping ones included."""
+        return [name for name in self.members if self.is_alive(name, now)]
+
+    def list_leaving(self, now: float) -> frozenset[str]:
+        """Return the upstreams that VMs alive read as leaving."""
+        reported = [self.members[name].leaving for name in self.list_alive(now)]
+        return frozenset().union(*reported)
+
+    def choose_owner(
+        self, subject: str, now: float, *, self_stops: bool
+    ) -> str:
+        """Return the VM that owns a subject in this VM's view."""
+        candidates = [
+            name for name in self.list_alive(now) if not self._is_going(name)
+        ]
+        if not self_stops:
+            candidates.append(self.own_name)
+        if not candidates:
+            return self.own_name
+        return rank_members(subject, candidates)[0]
+
+    def is_watcher(
+        self,
+        data_centre: str,
+        now: float,
+        *,
+        watchers: int,
+    ) -> bool:
+        """Tell whether this VM reads the platform for its data centre."""
+        names = [
+            name
+            for name in self.list_alive(now)
+            if self.members[name].data_centre == data_centre
+        ]
+        names.append(self.own_name)
+        ranked = rank_members(f'watch:{data_centre}', names)
+        return self.own_name in ranked[:watchers]
+
+    def _is_going(self, name: str) -> bool:
+        member = self.members[name]
+        return member.stopping or member.listed_leaving
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/ordering.py
@@ -0,0 +1,118 @@
+"""Order of waiting asks: by deadline, and fair between workspaces."""
+
+import bisect
+from dataclasses import dataclass, field
+
+from bilberryspoke._internal.models.messages import Ask
+
+
+@dataclass(slots=True)
+class WaitingAsk:
+    """An ask queued at an owner; times are of the owner's boot-time clock.
+
+    ``start_by`` is the latest start that can still meet the class's target.
+    """
+
+    ask: Ask
+    entry: str
+    arrived_at: float
+    queued_at: float
+    start_by: float
+    weight: float = 1.0
+
+
+@dataclass(slots=True)
+class Lane:
+    """Asks of one workspace, oldest first, split by whether they can meet
+    their target."""
+
+    fresh: list[WaitingAsk] = field(default_factory=list)
+    late: list[WaitingAsk] = field(default_factory=list)
+    virtual_time: float = 0.0
+
+    @property
+    def size(self) -> int:
+        """Number of asks in the lane."""
+        return len(self.fresh) + len(self.late)
+
+    def add(self, waiting: WaitingAsk) -> None:
+        """Insert an ask at its place by arrival."""
+        bisect.insort(self.fresh, waiting, key=_arrival)
+
+    def remove(self, waiting: WaitingAsk) -> None:
+        """Take out an ask; absent asks are ignored."""
+        for asks in (self.fresh, self.late):
+            if waiting in asks:
+                asks.remove(waiting)
+
+    def demote_late(self, now: float) -> None:
+        """Move asks that can no longer meet their target behind the others."""
+        while self.fresh and self.fresh[0].start_by < now:
+            bisect.insort(self.late, self.fresh.pop(0), key=_arrival)
+
+
+@dataclass(slots=True)
+class ClassQueue:
+    """Waiting asks of one class; virtual time is in tokens over weight."""
+
+    lanes: dict[str, Lane] = field(default_factory=dict)
+    clock: float = 0.0
+
+    @property
+    def size(self) -> int:
+        """Number of asks that wait."""
+        return sum(lane.size for lane in self.lanes.values())
+
+    def add(self, waiting: WaitingAsk) -> None:
+        """Queue an ask."""
+        lane = self.lanes.get(waiting.ask.workspace)
+        if lane is None:
+            lane = Lane(virtual_time=self.clock)
+            self.lanes[waiting.ask.workspace] = lane
+        elif lane.size == 0:
+            lane.virtual_time = max(lane.virtual_time, self.clock)
+        lane.add(waiting)
+
+    def remove(self, waiting: WaitingAsk) -> None:
+        """Take out an ask."""
+        lane = self.lanes.get(waiting.ask.workspace)
+        if lane is not None:
+            lane.remove(waiting)
+
+    def head(self, now: float) -> WaitingAsk | None:
+        """Return the next ask without removing it."""
+        lanes = list(self.lanes.values())
+        for lane in lanes:
+            lane.demote_late(now)
+        fresh = [each for each in lanes if each.fresh]
+        if fresh:
+            return min(fresh, key=_virtual_time).fresh[0]
+        late = [each for each in lanes if each.late]
+        if late:
+            return min(late, key=_virtual_time).late[0]
+        return None
+
+    def charge(self, workspace: str, cost: float, weight: float) -> None:
+        """Account for tokens granted to a workspace."""
+        lane = self.lanes.setdefault(workspace, Lane(virtual_time=self.clock))
+        lane.virtual_time += cost / weight
+        busy = [
+            other.virtual_time for other in self.lanes.values() if other.size
+        ]
+        self.clock = max(self.clock, min(busy, default=lane.virtual_time))
+
+    def list_asks(self) -> list[WaitingAsk]:
+        """Return all waiting asks in no particular order."""
+        return [
+            waiting
+            for lane in self.lanes.values()
+            for waiting in lane.fresh + lane.late
+        ]
+
+
+def _arrival(waiting: WaitingAsk) -> float:
+    return waiting.arrived_at
+
+
+def _virtual_time(lane: Lane) -> float:
+    return lane.virtual_time
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/policies/queued.py
@@ -0,0 +1,73 @@
+"""Policies with a queue at an owner: one for the fleet, or one for each VM."""
+
+from bilberryspoke._internal.core.policies.registry import (
+    SharingPolicy,
+    register_policy,
+)
+from bilberryspoke._internal.core.sending import send
+from bilberryspoke._internal.core.state import NodeState
+from bilberryspoke._internal.core.tickets import Ticket
+from bilberryspoke._internal.models.messages import Ask, Release
+
+
+@register_policy('slot_owner')
+class SlotOwner(SharingPolicy):
+    """One VM keeps the queue of a pool and grants its slots.
+
+    The owner follows from rendezvous hashing over the VMs alive in the view
+    of the asking VM. Two owners for a moment grant too many slots, which the
+    upstream's own priorities resolve.
+    """
+
+    def seek(self, state: NodeState, ticket: Ticket, now: float) -> None:
+        """Send an ask to the owner of the pool."""
+        req = ticket.req
+        ticket.owner = self.find_owner(state, req.pool, now)
+        send(
+            state,
+            ticket.owner,
+            Ask(
+                req_id=req.req_id,
+                attempt=ticket.attempt,
+                pool=req.pool,
+                service_class=req.service_class,
+                workspace=req.workspace,
+                age_s=now - req.arrived_at,
+                prompt_tokens=req.prompt_tokens,
+                prefix=req.prefix,
+                offset=ticket.offset,
+                resumable=req.resumable,
+                excluded=list(ticket.excluded),
+            ),
+        )
+
+    def give_back(
+        self,
+        state: NodeState,
+        ticket: Ticket,
+        release: Release,
+        now: float,
+    ) -> None:
+        """Report the end of an attempt to the owner."""
+        send(state, ticket.owner, release)
+
+    def find_owner(self, state: NodeState, pool: str, now: float) -> str:
+        """Return the owner of a pool in this VM's view."""
+        return state.membership.choose_owner(
+            f'pool:{pool}',
+            now,
+            self_stops=state.stopping,
+        )
+
+
+@register_policy('static_share')
+class StaticShare(SlotOwner):
+    """Each VM queues for itself and uses an equal share of every upstream."""
+
+    def share_of_slots(self, state: NodeState, now: float) -> float:
+        """Return one part in as many as there are VMs alive."""
+        return 1 / (1 + len(state.membership.list_alive(now)))
+
+    def find_owner(self, state: NodeState, pool: str, now: float) -> str:
+        """Return this VM."""
+        return state.vm
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/policies/registry.py
@@ -0,0 +1,59 @@
+"""Registry of sharing policies, filled by a decorator."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bilberryspoke._internal.core.state import NodeState
+    from bilberryspoke._internal.core.tickets import Ticket
+    from bilberryspoke._internal.models.messages import Release
+
+
+class SharingPolicy(ABC):
+    """How an entry VM obtains a slot and gives it back."""
+
+    @abstractmethod
+    def seek(self, state: 'NodeState', ticket: 'Ticket', now: float) -> None:
+        """Ask for a slot for a request's next attempt."""
+
+    @abstractmethod
+    def give_back(
+        self,
+        state: 'NodeState',
+        ticket: 'Ticket',
+        release: 'Release',
+        now: float,
+    ) -> None:
+        """Report the end of an attempt."""
+
+    def share_of_slots(self, state: 'NodeState', now: float) -> float:
+        """Return the part of each upstream's slots an owner may grant."""
+        return 1.0
+
+    def find_owner(self, state: 'NodeState', pool: str, now: float) -> str:
+        """Return the VM whose queue serves a pool for this VM."""
+        return state.vm
+
+
+_POLICIES: dict[str, SharingPolicy] = {}
+
+
+def register_policy(name: str) -> Callable[[type], type]:
+    """Register a sharing policy class under a name."""
+
+    def register(policy_type: type) -> type:
+        _POLICIES[name] = policy_type()
+        return policy_type
+
+    return register
+
+
+def find_policy(name: str) -> SharingPolicy:
+    """Return the policy registered under a name."""
+    return _POLICIES[name]
+
+
+def list_policies() -> list[str]:
+    """Return the names of all registered policies."""
+    return sorted(_POLICIES)
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/poolqueue.py
@@ -0,0 +1,113 @@
+"""Owner-side state of one pool: its queue, its held slots, its estimates."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from bilberryspoke._internal.core.limits import LimitTable
+from bilberryspoke._internal.core.ordering import ClassQueue, WaitingAsk
+
+_STATS_WEIGHT = 0.05
+_RATE_WINDOW_S = 5.0
+_UNSEEN_TOKENS = 150.0
+_UNSEEN_FIRST_TOKEN_S = 0.2
+
+
+@dataclass(slots=True)
+class HeldSlot:
+    """A slot granted to an entry VM, from the grant to its release."""
+
+    req_id: str
+    attempt: int
+    entry: str
+    upstream: str
+    service_class: str
+    workspace: str
+    granted_at: float
+    seen_at: float
+    tokens: int = 0
+    charged: float = 0.0
+    resumable: bool = False
+    preempting: bool = False
+
+
+@dataclass(slots=True)
+class ClassStats:
+    """Learned estimates of one class at one owner."""
+
+    tokens: float = _UNSEEN_TOKENS
+    run_s: float = 0.0
+    first_token_s: float = _UNSEEN_FIRST_TOKEN_S
+    grants: deque[float] = field(default_factory=deque)
+
+    def learn(self, tokens: int, run_s: float, first_token_s: float) -> None:
+        """Learn from a finished attempt."""
+        self.tokens += _STATS_WEIGHT * (tokens - self.tokens)
+        if self.run_s:
+            self.run_s += _STATS_WEIGHT * (run_s - self.run_s)
+        else:
+            self.run_s = run_s
+        if first_token_s > 0:
+            delta = first_token_s - self.first_token_s
+            self.first_token_s += _STATS_WEIGHT * delta
+
+    def note_grant(self, now: float) -> None:
+        """Count a grant for the grant rate."""
+        self.grants.append(now)
+
+    def grant_rate(self, now: float) -> float:
+        """Return the grants a second over the last window."""
+        while self.grants and self.grants[0] < now - _RATE_WINDOW_S:
+            self.grants.popleft()
+        return max(0.5, len(self.grants)) / _RATE_WINDOW_S
+
+
+@dataclass(slots=True)
+class PoolOwner:
+    """Everything an owner keeps for a pool."""
+
+    pool: str
+    waiting: dict[str, WaitingAsk] = field(default_factory=dict)
+    queues: dict[str, ClassQueue] = field(default_factory=dict)
+    held: dict[str, HeldSlot] = field(default_factory=dict)
+    stats: dict[str, ClassStats] = field(default_factory=dict)
+    limits: LimitTable = field(default_factory=LimitTable)
+    released_at: deque[float] = field(default_factory=deque)
+    running: dict[str, int] = field(default_factory=dict)
+
+    def find_stats(self, service_class: str) -> ClassStats:
+        """Return the estimates of a class."""
+        return self.stats.setdefault(service_class, ClassStats())
+
+    def enqueue(self, waiting: WaitingAsk) -> None:
+        """Queue an ask, replacing an older one of the same request."""
+        self.dequeue(waiting.ask.req_id)
+        self.waiting[waiting.ask.req_id] = waiting
+        queue = self.queues.setdefault(waiting.ask.service_class, ClassQueue())
+        queue.add(waiting)
+
+    def dequeue(self, req_id: str) -> WaitingAsk | None:
+        """Take an ask out of the queue, if it is there."""
+        waiting = self.waiting.pop(req_id, None)
+        if waiting is not None:
+            self.queues[waiting.ask.service_class].remove(waiting)
+        return waiting
+
+    def hold(self, slot: HeldSlot) -> None:
+        """Account for a granted slot."""
+        self.held[slot.req_id] = slot
+        count = self.running.get(slot.service_class, 0)
+        self.running[slot.service_class] = count + 1
+
+    def drop(self, req_id: str, now: float) -> HeldSlot | None:
+        """Account for a slot given back; ``None`` if it was not held."""
+        slot = self.held.pop(req_id, None)
+        if slot is not None:
+            self.running[slot.service_class] -= 1
+            self.released_at.append(now)
+        return slot
+
+    def release_rate(self, now: float) -> float:
+        """Return the slots given back a second over the last window."""
+        while self.released_at and (self.released_at[0] < now - _RATE_WINDOW_S):
+            self.released_at.popleft()
+        return len(self.released_at) / _RATE_WINDOW_S
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/upstreamload.py
@@ -0,0 +1,105 @@
+"""What one VM knows of an upstream's load and speed."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+_SPEED_WEIGHT = 0.2
+_UNSEEN_S_PER_TOKEN = 0.03
+_REPORT_TRUST_S = 5.0
+_PREFIX_LIMIT = 64
+_HISTORY_S = 4.0
+_PAUSE_MIN_S = 0.25
+_PAUSE_MAX_S = 8.0
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """Lagging reports of an upstream, corrected by what is known here.
+
+    ``s_per_token`` is a moving average in seconds. ``failures`` counts
+    failures since the last success; ``avoid_until`` is a boot-clock time.
+    """
+
+    name: str
+    running: int = 0
+    waiting: int = 0
+    reported_at: float = -1e9
+    own: int = 0
+    s_per_token: float = _UNSEEN_S_PER_TOKEN
+    observed: bool = False
+    failures: int = 0
+    avoid_until: float = 0.0
+    prefixes: deque[int] = field(
+        default_factory=lambda: deque(maxlen=_PREFIX_LIMIT),
+    )
+    own_history: deque[tuple[float, int]] = field(default_factory=deque)
+
+    def report(self, running: int, waiting: int, now: float) -> None:
+        """Take a load report."""
+        self.running = running
+        self.waiting = waiting
+        self.reported_at = now
+
+    def observe_speed(self, run_s: float, tokens: int) -> None:
+        """Learn from an attempt that produced tokens for a duration."""
+        if tokens <= 0 or run_s <= 0:
+            return
+        sample = run_s / tokens
+        if self.observed:
+            delta = sample - self.s_per_token
+            self.s_per_token += _SPEED_WEIGHT * delta
+        else:
+            self.s_per_token = sample
+            self.observed = True
+
+    def start(self, now: float) -> None:
+        """Count a slot as taken by this owner."""
+        self.own += 1
+        self._remember(now)
+
+    def finish(self, now: float) -> None:
+        """Count a slot as given back to this owner."""
+        self.own = max(0, self.own - 1)
+        self._remember(now)
+
+    def estimate_foreign(self, now: float) -> int:
+        """Return the slots taken by others, from the lagging report.
+
+        The report is compared with the most that this owner held while the
+        report could have been made, so that own work is not counted twice.
+        """
+        if now - self.reported_at > _REPORT_TRUST_S:
+            return 0
+        own = self._highest_own(self.reported_at - _HISTORY_S)
+        return max(0, self.running + self.waiting - own)
+
+    def estimate_load(self, now: float) -> int:
+        """Return the slots taken by anyone."""
+        return self.own + self.estimate_foreign(now)
+
+    def succeed(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.avoid_until = 0.0
+
+    def fail(self, now: float) -> None:
+        """Avoid the upstream for a time that doubles with each failure."""
+        self.failures += 1
+        pause_s = min(_PAUSE_MAX_S, _PAUSE_MIN_S * 2 ** min(self.failures, 6))
+        self.avoid_until = now + pause_s
+
+    def learn_prefix(self, prefix: int) -> None:
+        """Remember that the upstream may hold a prompt prefix."""
+        if prefix and prefix not in self.prefixes:
+            self.prefixes.append(prefix)
+
+    def _remember(self, now: float) -> None:
+        self.own_history.append((now, self.own))
+        while len(self.own_history) > 2 and (
+            self.own_history[1][0] < now - 2 * _HISTORY_S
+        ):
+            self.own_history.popleft()
+
+    def _highest_own(self, since: float) -> int:
+        recent = [own for at, own in self.own_history if at >= since]
+        return max(recent, default=self.own) if recent else self.own
--- /dev/null
+++ b/src/bilberryspoke/_internal/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and latency histograms."""
--- /dev/null
+++ b/src/bilberryspoke/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes shared by all other packages."""
--- /dev/null
+++ b/src/bilberryspoke/_internal/models/events.py
@@ -0,0 +1,118 @@
+"""Events that the core reduces."""
+
+from dataclasses import dataclass
+
+from bilberryspoke._internal.models.catalog import Catalog
+from bilberryspoke._internal.models.messages import PeerMessage
+from bilberryspoke._internal.models.requests import AttemptStatus, Request
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A call was authenticated, approved and read whole."""
+
+    req: Request
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before the answer was complete."""
+
+    req_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptProgressed:
+    """An attempt has delivered ``tokens`` tokens of the answer so far."""
+
+    req_id: str
+    attempt: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt ended; ``tokens`` counts the answer delivered so far."""
+
+    req_id: str
+    attempt: int
+    status: AttemptStatus
+    tokens: int
+    detail: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReceived:
+    """A message of another VM arrived."""
+
+    sender: str
+    incarnation: int
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """The transport saw the connection to a VM break."""
+
+    peer: str
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """An upstream reported its load; it may describe the past."""
+
+    upstream: str
+    running: int
+    waiting: int
+    prefixes: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ListedVm:
+    """One line of the platform's list of VMs."""
+
+    name: str
+    role: str
+    data_centre: str
+    leaving: bool
+    peer_address: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class VmsListed:
+    """The platform's list of VMs was read."""
+
+    vms: tuple[ListedVm, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogOffered:
+    """A whole configuration was read and has passed every check."""
+
+    catalog: Catalog
+    bundle: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The process was told to stop gracefully."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; the core looks for whatever became due."""
+
+
+Event = (
+    RequestArrived
+    | CallerGone
+    | AttemptProgressed
+    | AttemptEnded
+    | PeerReceived
+    | PeerLost
+    | LoadReported
+    | VmsListed
+    | CatalogOffered
+    | StopRequested
+    | Tick
+)
--- /dev/null
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -0,0 +1,149 @@
+"""Messages between VMs, encoded as MessagePack by msgspec.
+
+Times are sent as ages or durations, since the clocks of VMs differ.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+
+class Ask(msgspec.Struct, tag='ask', array_like=True):
+    """Request for a slot, sent by an entry VM to the owner of a pool."""
+
+    req_id: str
+    attempt: int
+    pool: str
+    service_class: str
+    workspace: str
+    age_s: float
+    prompt_tokens: int = 0
+    prefix: int = 0
+    offset: int = 0
+    resumable: bool = False
+    excluded: list[str] = []
+
+
+class Granted(msgspec.Struct, tag='grant', array_like=True):
+    """Permission to dispatch one attempt to one upstream within the lease."""
+
+    req_id: str
+    attempt: int
+    upstream: str
+    lease_s: float
+
+
+class Refused(msgspec.Struct, tag='refuse', array_like=True):
+    """Final answer to an ask that will not be granted."""
+
+    req_id: str
+    attempt: int
+    reason: str
+    retry_after_s: float
+
+
+class Preempted(msgspec.Struct, tag='preempt', array_like=True):
+    """Order to cancel a running attempt and to ask again at its offset."""
+
+    req_id: str
+    attempt: int
+    reason: str
+
+
+class Release(msgspec.Struct, tag='release', array_like=True):
+    """Report that a granted attempt ended or will not be dispatched."""
+
+    req_id: str
+    attempt: int
+    pool: str
+    upstream: str
+    status: str
+    tokens: int
+    run_s: float
+    first_token_s: float
+
+
+class Withdraw(msgspec.Struct, tag='withdraw', array_like=True):
+    """Removal of a queued ask whose caller has gone."""
+
+    req_id: str
+    pool: str
+
+
+class HeldAttempt(msgspec.Struct, array_like=True):
+    """One running attempt, as an entry VM reports it to the owner."""
+
+    req_id: str
+    attempt: int
+    upstream: str
+    service_class: str
+    workspace: str
+    run_s: float
+    tokens: int
+    resumable: bool
+
+
+class Holding(msgspec.Struct, tag='holding', array_like=True):
+    """Everything an entry VM holds of and waits for at one owner."""
+
+    pool: str
+    running: list[HeldAttempt]
+    waiting: list[str]
+
+
+class Missing(msgspec.Struct, tag='missing', array_like=True):
+    """Asks the owner does not know and which must be sent again."""
+
+    pool: str
+    req_ids: list[str]
+
+
+class Heartbeat(msgspec.Struct, tag='heartbeat', array_like=True):
+    """Sign of life with what every VM must learn within seconds."""
+
+    data_centre: str
+    incarnation: int
+    revision: int
+    digest: str
+    stopping: bool
+    leaving: list[str]
+    entry_url: str = ''
+    admin_url: str = ''
+    peer_address: str = ''
+
+
+class Pull(msgspec.Struct, tag='pull', array_like=True):
+    """Request for the sender's accepted configuration."""
+
+    revision: int
+
+
+class Push(msgspec.Struct, tag='push', array_like=True):
+    """An accepted configuration: manifest and all its values, encoded."""
+
+    revision: int
+    digest: str
+    bundle: bytes
+
+
+PeerMessage: TypeAlias = (
+    Ask
+    | Granted
+    | Refused
+    | Preempted
+    | Release
+    | Withdraw
+    | Holding
+    | Missing
+    | Heartbeat
+    | Pull
+    | Push
+)
+
+
+class Envelope(msgspec.Struct, array_like=True):
+    """All messages of one flush from one process to one peer."""
+
+    sender: str
+    incarnation: int
+    messages: list[PeerMessage]
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""The asyncio shell around the core."""
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/admin.py
@@ -0,0 +1,93 @@
+"""The operators' interface of one VM."""
+
+import dataclasses
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.health import (
+    find_unreadiness,
+    health_routes,
+)
+from bilberryspoke._internal.network.runtime import Runtime
+
+
+def make_admin_app(runtime: Runtime) -> Starlette:
+    """Return the application for operators."""
+
+    async def show_status(request: Request) -> Any:
+        return JSONResponse(describe_status(runtime))
+
+    async def show_histograms(request: Request) -> Any:
+        return JSONResponse(
+            {
+                'counters': runtime.counters.dump(),
+                'histograms': runtime.histograms.dump(),
+            }
+        )
+
+    async def show_request(request: Request) -> Any:
+        req_id = request.path_params['req_id']
+        record = runtime.records.find(req_id)
+        if record is None:
+            return JSONResponse({'request_id': req_id}, status_code=404)
+        return JSONResponse(dataclasses.asdict(record))
+
+    return Starlette(
+        routes=[
+            Route('/admin/status', show_status),
+            Route('/admin/histograms', show_histograms),
+            Route('/admin/requests/{req_id}', show_request),
+            *health_routes(runtime, kinds=('class', 'workspace')),
+        ],
+    )
+
+
+def describe_status(runtime: Runtime) -> dict[str, Any]:
+    """Describe a VM: configuration, peers, owner roles and upstreams."""
+    state = runtime.core.state
+    now = read_boottime()
+    catalog = state.catalog
+    return {
+        'vm': state.vm,
+        'data_centre': state.settings.data_centre,
+        'incarnation': state.settings.incarnation,
+        'ready': not find_unreadiness(runtime),
+        'reason': find_unreadiness(runtime),
+        'revision': catalog.revision if catalog else 0,
+        'digest': catalog.digest if catalog else '',
+        'requests_open': len(state.tickets),
+        'peers_alive': sorted(state.membership.list_alive(now)),
+        'owner_of': dict(sorted(state.owner_of.items())),
+        'upstreams_leaving': sorted(state.leaving),
+        'queues': _describe_queues(runtime),
+        'upstreams': _describe_upstreams(runtime, now),
+    }
+
+
+def _describe_queues(runtime: Runtime) -> dict[str, Any]:
+    return {
+        pool: {
+            'waiting': {
+                name: queue.size for name, queue in owner.queues.items()
+            },
+            'held': dict(owner.running),
+        }
+        for pool, owner in runtime.core.state.owned.items()
+    }
+
+
+def _describe_upstreams(runtime: Runtime, now: float) -> dict[str, Any]:
+    return {
+        name: {
+            'granted': load.own,
+            'reported': load.running + load.waiting,
+            'ms_per_token': round(load.s_per_token * 1000, 2),
+            'avoided': load.avoid_until > now,
+        }
+        for name, load in sorted(runtime.core.state.loads.items())
+    }
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/bodies.py
@@ -0,0 +1,84 @@
+"""Reading of callers' requests within their limits."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bilberryspoke._internal.config.settings import LimitSettings
+from bilberryspoke._internal.core.admission import Refusal
+from bilberryspoke._internal.utils.hashing import hash_prefix
+
+_CHARACTERS_PER_TOKEN = 4
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection while it sent its request."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChatSummary:
+    """What the router needs to know of a completion request."""
+
+    model: str
+    stream: bool
+    prompt_tokens: int
+    prefix: int
+
+
+class _ChatRequest(msgspec.Struct):
+    model: str
+    messages: list[dict[str, Any]]
+    stream: bool | None = False
+
+
+async def read_body(
+    receive: Any,
+    limits: LimitSettings,
+) -> Result[bytes, Refusal]:
+    """Read a request's body; too large or too slow ones are refused."""
+    try:
+        async with asyncio.timeout(limits.body_timeout_s):
+            return await _collect(receive, limits.body_bytes)
+    except TimeoutError:
+        message = f'the body did not arrive within {limits.body_timeout_s:g} s'
+        return Error(Refusal(408, 'body_timeout', message))
+
+
+def summarize_chat(body: bytes) -> Result[ChatSummary, Refusal]:
+    """Check a completion request and take from it what routing needs."""
+    try:
+        parsed = msgspec.json.decode(body, type=_ChatRequest)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        return Error(Refusal(400, 'malformed', str(exc) or 'malformed body'))
+    if not parsed.messages:
+        message = 'messages must not be empty - at `$.messages`'
+        return Error(Refusal(400, 'malformed', message))
+    beginning = str(parsed.messages[0].get('content', ''))
+    return Ok(
+        ChatSummary(
+            model=parsed.model,
+            stream=bool(parsed.stream),
+            prompt_tokens=len(body) // _CHARACTERS_PER_TOKEN,
+            prefix=hash_prefix(beginning),
+        ),
+    )
+
+
+async def _collect(receive: Any, limit: int) -> Result[bytes, Refusal]:
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerGoneError
+        chunk = message.get('body', b'')
+        size += len(chunk)
+        if size > limit:
+            text = f'the body is over {limit} bytes'
+            return Error(Refusal(413, 'too_large', text))
+        chunks.append(chunk)
+        if not message.get('more_body', False):
+            return Ok(b''.join(chunks))
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/front.py
@@ -0,0 +1,305 @@
+"""The callers' interface."""
+
+import re
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from bilberryspoke._internal.config.settings import LimitSettings
+from bilberryspoke._internal.core.admission import (
+    Admitted,
+    Refusal,
+    admit,
+    authenticate,
+    list_offers,
+)
+from bilberryspoke._internal.models.catalog import Catalog, Workspace
+from bilberryspoke._internal.models.requests import Outcome, Request
+from bilberryspoke._internal.network.bodies import (
+    CallerGoneError,
+    read_body,
+    summarize_chat,
+)
+from bilberryspoke._internal.network.calls import Call
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.exchange import Exchange
+from bilberryspoke._internal.network.health import health_routes
+from bilberryspoke._internal.network.responses import (
+    REQUEST_ID_HEADER,
+    send_error,
+    send_json,
+)
+from bilberryspoke._internal.network.runtime import Runtime
+
+CLASS_HEADER = 'x-request-class'
+_REQUEST_ID = re.compile('^[A-Za-z0-9._:-]{1,128}$')
+_SERVICE_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+_BEARER = 'bearer '
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """An authenticated caller of one request."""
+
+    catalog: Catalog
+    workspace: Workspace
+    headers: Mapping[str, str]
+    req_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Front:
+    """What the endpoints share."""
+
+    runtime: Runtime
+    exchange: Exchange
+    limits: LimitSettings
+
+    def find_caller(
+        self,
+        headers: Mapping[str, str],
+        req_id: str,
+    ) -> Result[Caller, Refusal]:
+        """Authenticate a request."""
+        catalog = self.runtime.core.state.catalog
+        if catalog is None:
+            text = 'no configuration is held yet'
+            return Error(Refusal(503, 'not_ready', text))
+        credentials = headers.get('authorization', '')
+        if not credentials.lower().startswith(_BEARER):
+            text = 'Authorization: Bearer KEY is missing'
+            return Error(Refusal(401, 'unknown_key', text))
+        found = authenticate(catalog, credentials[len(_BEARER) :].strip())
+        if found.is_error():
+            return Error(found.error)
+        return Ok(Caller(catalog, found.ok, headers, req_id))
+
+
+class Endpoint:
+    """Base of the endpoints: authentication, limits and errors."""
+
+    def __init__(self, front: Front) -> None:
+        """Create the endpoint."""
+        self._front = front
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request as an ASGI application."""
+        headers = _decode_headers(scope)
+        req_id = headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        if not _REQUEST_ID.match(req_id):
+            text = f'{REQUEST_ID_HEADER} must match {_REQUEST_ID.pattern}'
+            refusal = Refusal(400, 'malformed', text)
+            await refuse(send, refusal, uuid.uuid4().hex)
+            return
+        found = self._front.find_caller(headers, req_id)
+        if found.is_error():
+            await refuse(send, found.error, req_id)
+            return
+        try:
+            await self.serve(found.ok, scope, receive, send)
+        except CallerGoneError:
+            self._front.runtime.counters.add('callers_gone_early')
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Serve an authenticated request."""
+        raise NotImplementedError
+
+    async def read(
+        self,
+        caller: Caller,
+        receive: Any,
+        send: Any,
+    ) -> bytes | None:
+        """Read the body; answer the caller and return None if refused."""
+        found = await read_body(receive, self._front.limits)
+        if found.is_error():
+            await refuse(send, found.error, caller.req_id)
+            return None
+        return found.ok
+
+    async def admit(
+        self,
+        caller: Caller,
+        serves: str,
+        offer: str,
+        send: Any,
+    ) -> Admitted | None:
+        """Check the approval; answer the caller and return None if refused."""
+        found = admit(
+            caller.catalog,
+            caller.workspace,
+            serves=serves,
+            offer=offer,
+            class_name=caller.headers.get(CLASS_HEADER),
+        )
+        if found.is_error():
+            self._front.runtime.counters.add('refused', found.error.kind)
+            await refuse(send, found.error, caller.req_id)
+            return None
+        return found.ok
+
+
+class ChatCompletions(Endpoint):
+    """``POST /v1/chat/completions``."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Route a completion request."""
+        body = await self.read(caller, receive, send)
+        if body is None:
+            return
+        found = summarize_chat(body)
+        if found.is_error():
+            await refuse(send, found.error, caller.req_id)
+            return
+        summary = found.ok
+        admitted = await self.admit(caller, 'model', summary.model, send)
+        if admitted is None:
+            return
+        req = Request(
+            req_id=caller.req_id,
+            workspace=admitted.workspace.name,
+            service_class=admitted.service_class.name,
+            pool=admitted.pool.name,
+            arrived_at=read_boottime(),
+            prompt_tokens=summary.prompt_tokens,
+            prefix=summary.prefix,
+            resumable=summary.stream,
+            repeatable=admitted.service_class.repeatable,
+        )
+        call = Call(
+            req=req,
+            method='POST',
+            path='/v1/chat/completions',
+            body=body,
+            headers=caller.headers,
+            stream=summary.stream,
+            send=send,
+        )
+        await self._front.exchange.serve(call, receive)
+
+
+class ServiceCalls(Endpoint):
+    """``/v1/services/NAME/PATH`` with any method."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Route a call of a plain service."""
+        body = await self.read(caller, receive, send)
+        if body is None:
+            return
+        name = scope['path_params']['name']
+        admitted = await self.admit(caller, 'service', name, send)
+        if admitted is None:
+            return
+        call = Call(
+            req=Request(
+                req_id=caller.req_id,
+                workspace=admitted.workspace.name,
+                service_class=admitted.service_class.name,
+                pool=admitted.pool.name,
+                arrived_at=read_boottime(),
+                repeatable=admitted.service_class.repeatable,
+            ),
+            method=scope['method'],
+            path=_service_path(scope),
+            body=body,
+            headers=caller.headers,
+            stream=False,
+            send=send,
+        )
+        await self._front.exchange.serve(call, receive)
+
+
+class Models(Endpoint):
+    """``GET /v1/models``."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """List the models the caller is approved for."""
+        offers = list_offers(caller.catalog, caller.workspace)
+        models = [
+            {
+                'id': offer,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'bilberryspoke',
+            }
+            for offer in offers
+        ]
+        await send_json(send, 200, {'object': 'list', 'data': models})
+
+
+async def refuse(send: Any, refusal: Refusal, req_id: str) -> None:
+    """Answer a request that is turned away before any dispatch."""
+    await send_error(
+        send,
+        refusal.status,
+        refusal.kind,
+        refusal.message,
+        outcome=Outcome.not_run,
+        req_id=req_id,
+        retry_after_s=1 if refusal.status == 503 else None,
+    )
+
+
+def make_entry_app(front: Front) -> Starlette:
+    """Return the application for callers."""
+    return Starlette(
+        routes=[
+            Route(
+                '/v1/chat/completions',
+                ChatCompletions(front),
+                methods=['POST'],
+            ),
+            Route('/v1/models', Models(front), methods=['GET']),
+            Route(
+                '/v1/services/{name}/{path:path}',
+                ServiceCalls(front),
+                methods=list(_SERVICE_METHODS),
+            ),
+            *health_routes(front.runtime, kinds=('class',)),
+        ],
+    )
+
+
+def _decode_headers(scope: Any) -> dict[str, str]:
+    return {
+        name.decode('latin-1').lower(): text.decode('latin-1')
+        for name, text in scope['headers']
+    }
+
+
+def _service_path(scope: Any) -> str:
+    raw_path = scope.get('raw_path') or scope['path'].encode()
+    parts = raw_path.split(b'?')[0].decode('latin-1').split('/', 4)
+    path = '/' + '/'.join(parts[4:])
+    query = scope.get('query_string', b'')
+    suffix = '?' + query.decode('latin-1') if query else ''
+    return path + suffix
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/health.py
@@ -0,0 +1,44 @@
+"""Probes and metrics, served to the balancer and to operators."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse
+from starlette.routing import Route
+
+from bilberryspoke._internal.network.runtime import Runtime
+
+
+def health_routes(runtime: Runtime, *, kinds: Iterable[str]) -> list[Route]:
+    """Return the probe routes; ``kinds`` selects the histograms shown."""
+    shown = tuple(kinds)
+
+    async def show_live(request: Request) -> Any:
+        return JSONResponse({'live': True})
+
+    async def show_ready(request: Request) -> Any:
+        reason = find_unreadiness(runtime)
+        status = 503 if reason else 200
+        document = {'ready': not reason, 'reason': reason}
+        return JSONResponse(document, status_code=status)
+
+    async def show_metrics(request: Request) -> Any:
+        lines = runtime.counters.render() + runtime.histograms.render(shown)
+        return PlainTextResponse('\n'.join([*lines, '']))
+
+    return [
+        Route('/livez', show_live),
+        Route('/readyz', show_ready),
+        Route('/metrics', show_metrics),
+    ]
+
+
+def find_unreadiness(runtime: Runtime) -> str:
+    """Return why a VM is not ready, or an empty string."""
+    state = runtime.core.state
+    if state.stopping:
+        return 'stopping'
+    if state.catalog is None:
+        return 'no configuration'
+    return ''
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/listeners.py
@@ -0,0 +1,82 @@
+"""Listening sockets and the HTTP servers on them."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import uvicorn
+
+from bilberryspoke._internal.config.settings import Listener, Settings
+from bilberryspoke._internal.exceptions import AddressInUseError
+
+_BACKLOG = 2048
+_IDLE_S = 30
+
+
+@dataclass(slots=True)
+class Sockets:
+    """Listening sockets, bound before anything else starts."""
+
+    entry: socket.socket
+    admin: socket.socket
+
+    @property
+    def entry_address(self) -> str:
+        """The entry address as ``host:port``."""
+        return _address_of(self.entry)
+
+    @property
+    def admin_address(self) -> str:
+        """The operators' address as ``host:port``."""
+        return _address_of(self.admin)
+
+
+class QuietServer(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers."""
+        yield
+
+
+def bind_listener(listener: Listener) -> socket.socket:
+    """Bind a listening socket."""
+    family = socket.AF_INET6 if ':' in listener.host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((listener.host, listener.port))
+    except OSError as exc:
+        bound.close()
+        address = f'{listener.host}:{listener.port}'
+        raise AddressInUseError(address, str(exc)) from exc
+    bound.listen(_BACKLOG)
+    bound.setblocking(False)
+    return bound
+
+
+def make_server(app: Any, settings: Settings, *, tls: bool) -> QuietServer:
+    """Return a server for an application within the callers' limits."""
+    files = settings.tls if tls else None
+    config = uvicorn.Config(
+        app,
+        log_level='warning',
+        access_log=False,
+        lifespan='off',
+        ws='none',
+        limit_concurrency=settings.limits.connections,
+        h11_max_incomplete_event_size=settings.limits.header_bytes,
+        server_header=False,
+        timeout_keep_alive=_IDLE_S,
+        ssl_certfile=files.certificate if files else None,
+        ssl_keyfile=files.key if files else None,
+    )
+    return QuietServer(config)
+
+
+def _address_of(bound: socket.socket) -> str:
+    host, port = bound.getsockname()[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/loads.py
@@ -0,0 +1,63 @@
+"""Reading of the model engines' load reports."""
+
+import asyncio
+
+import aiohttp
+
+from bilberryspoke._internal.core.policies.registry import find_policy
+from bilberryspoke._internal.models.events import LoadReported
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.runtime import Runtime
+from bilberryspoke._internal.network.upstreams import UpstreamClient
+
+_POLL_S = 0.5
+
+
+class LoadPoller:
+    """Reads load reports and passes them to the core."""
+
+    def __init__(self, runtime: Runtime, client: UpstreamClient) -> None:
+        """Create the poller of a VM."""
+        self._runtime = runtime
+        self._client = client
+
+    async def run(self) -> None:
+        """Read all reports at an interval until cancelled."""
+        while True:
+            urls = list_polled(self._runtime)
+            await asyncio.gather(*(self._poll(*each) for each in urls.items()))
+            await asyncio.sleep(_POLL_S)
+
+    async def _poll(self, name: str, url: str) -> None:
+        try:
+            report = await self._client.read_load(url, _POLL_S)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            self._runtime.counters.add('load_report_errors', name)
+            return
+        self._runtime.submit(
+            LoadReported(
+                name,
+                report.running,
+                report.waiting,
+                tuple(report.prefixes),
+            ),
+        )
+
+
+def list_polled(runtime: Runtime) -> dict[str, str]:
+    """Return the URLs of the model engines whose load this VM reads.
+
+    An owner reads those of its pools; without owners every VM reads all.
+    """
+    state = runtime.core.state
+    if state.catalog is None:
+        return {}
+    policy = find_policy(state.settings.policy)
+    now = read_boottime()
+    return {
+        upstream.name: upstream.url
+        for pool in state.catalog.pools.values()
+        if pool.serves == 'model'
+        and policy.find_owner(state, pool.name, now) == state.vm
+        for upstream in state.catalog.list_upstreams(pool.name)
+    }
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -0,0 +1,188 @@
+"""Carries out the effects of the core."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+
+from bilberryspoke._internal.core import Core
+from bilberryspoke._internal.metrics.counters import Counters
+from bilberryspoke._internal.metrics.histograms import HistogramTable
+from bilberryspoke._internal.metrics.records import RecordRing
+from bilberryspoke._internal.models.effects import (
+    Adopt,
+    Answer,
+    CancelAttempt,
+    Count,
+    Dispatch,
+    Effect,
+    Log,
+    Record,
+    SendPeer,
+)
+from bilberryspoke._internal.models.events import (
+    AttemptProgressed,
+    CallerGone,
+    Event,
+    PeerReceived,
+)
+from bilberryspoke._internal.models.messages import Envelope, Push
+from bilberryspoke._internal.models.requests import RequestRecord
+from bilberryspoke._internal.network.calls import Call
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.peers import PeerTransport
+
+logger = structlog.get_logger()
+
+_EXECUTORS: dict[type, Callable[['Runtime', Any], None]] = {}
+
+
+def executes(effect_type: type) -> Callable[..., Any]:
+    """Register the function that carries out an effect type."""
+
+    def register(
+        executor: Callable[['Runtime', Any], None],
+    ) -> Callable[['Runtime', Any], None]:
+        _EXECUTORS[effect_type] = executor
+        return executor
+
+    return register
+
+
+@dataclass(slots=True)
+class Runtime:
+    """A core together with the means to carry out its effects."""
+
+    core: Core
+    counters: Counters = field(default_factory=Counters)
+    histograms: HistogramTable = field(default_factory=HistogramTable)
+    records: RecordRing = field(default_factory=RecordRing)
+    calls: dict[str, Call] = field(default_factory=dict)
+    peers: PeerTransport | None = None
+    on_push: Callable[[Push], None] | None = None
+    adopted: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def submit(self, event: Event) -> None:
+        """Reduce an event now and carry out its effects."""
+        for effect in self.core.handle(event, now=read_boottime()):
+            self.execute(effect)
+
+    def execute(self, effect: Effect) -> None:
+        """Carry out one effect."""
+        _EXECUTORS[type(effect)](self, effect)
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take the messages of a peer."""
+        for message in envelope.messages:
+            if isinstance(message, Push):
+                self._take_push(message)
+                continue
+            self.submit(
+                PeerReceived(envelope.sender, envelope.incarnation, message),
+            )
+
+    def report_progress(self) -> None:
+        """Tell the core how far each running answer has come."""
+        for call in list(self.calls.values()):
+            if call.delivered != call.reported:
+                call.reported = call.delivered
+                self.submit(
+                    AttemptProgressed(
+                        call.req.req_id,
+                        call.attempt,
+                        call.delivered,
+                    ),
+                )
+
+    def drop_stuck_callers(self, timeout_s: float) -> None:
+        """Give up on callers that take no bytes of their answer."""
+        limit = read_boottime() - timeout_s
+        for call in list(self.calls.values()):
+            if call.sending_since and call.sending_since < limit:
+                self.counters.add('stuck_callers', call.req.service_class)
+                self.submit(CallerGone(call.req.req_id))
+
+    def _take_push(self, message: Push) -> None:
+        if self.on_push is not None:
+            self.on_push(message)
+
+
+@executes(SendPeer)
+def send_peer(runtime: Runtime, effect: SendPeer) -> None:
+    """Send a message to another VM."""
+    if runtime.peers is not None:
+        runtime.peers.send(effect.peer, effect.message)
+
+
+@executes(Dispatch)
+def start_dispatch(runtime: Runtime, effect: Dispatch) -> None:
+    """Pass a dispatch to the call it belongs to."""
+    call = runtime.calls.get(effect.req_id)
+    if call is not None:
+        call.commands.put_nowait(effect)
+
+
+@executes(Answer)
+def give_answer(runtime: Runtime, effect: Answer) -> None:
+    """Pass the final word to the call it belongs to."""
+    call = runtime.calls.get(effect.req_id)
+    if call is not None:
+        call.commands.put_nowait(effect)
+
+
+@executes(CancelAttempt)
+def cancel_attempt(runtime: Runtime, effect: CancelAttempt) -> None:
+    """Stop a running attempt."""
+    call = runtime.calls.get(effect.req_id)
+    if call is None:
+        return
+    call.cancelled_attempt = effect.attempt
+    if call.attempt_task is not None and call.attempt == effect.attempt:
+        call.attempt_task.cancel()
+
+
+@executes(Record)
+def keep_record(runtime: Runtime, effect: Record) -> None:
+    """Keep an explanation and record its durations."""
+    record = effect.record
+    runtime.records.keep(record)
+    _record_durations(runtime, record)
+
+
+@executes(Count)
+def add_count(runtime: Runtime, effect: Count) -> None:
+    """Add to a counter."""
+    runtime.counters.add(effect.name, effect.label, effect.amount)
+
+
+@executes(Log)
+def write_log(runtime: Runtime, effect: Log) -> None:
+    """Write one line."""
+    logger.info(effect.event, detail=effect.detail)
+
+
+@executes(Adopt)
+def note_adoption(runtime: Runtime, effect: Adopt) -> None:
+    """Note that a configuration is in force."""
+    runtime.adopted.set()
+    runtime.counters.add('config_adoptions')
+    logger.info(
+        'config_adopted',
+        revision=effect.revision,
+        digest=effect.digest,
+    )
+
+
+def _record_durations(runtime: Runtime, record: RequestRecord) -> None:
+    durations = {'queue': record.queue_s, 'total': record.total_s}
+    if record.first_token_s is not None:
+        durations['first_token'] = record.first_token_s
+    groups = {
+        'class': record.service_class,
+        'workspace': record.workspace,
+    }
+    for kind, group in groups.items():
+        for measure, seconds in durations.items():
+            runtime.histograms.record(kind, group, measure, seconds)
--- /dev/null
+++ b/src/bilberryspoke/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without knowledge of the domain."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the project."""
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: unit."""
