--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on a virtual clock and on real processes."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,165 @@
+"""``python -m bench``: policies side by side on the same seeds."""
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import statistics
+import subprocess
+import sys
+from pathlib import Path
+
+from bench.measures import Measures
+from bench.runs import OMNISCIENT, RunKey, run_once
+from bench.scenarios import list_scenarios
+from bench.workload import MIXES, load_catalog
+from bilberryspoke._internal.commands.output import print_table
+
+RESULTS = Path(__file__).parent / 'results'
+POLICIES = (
+    'slot_owner',
+    'static_share',
+    'two_choices',
+    'least_load',
+    'round_robin',
+    OMNISCIENT,
+)
+PAIRS = (
+    'burst_low+engine_slow',
+    'burst_low+vm_killed',
+    'engine_crash+late_reports',
+    'dc_cut+burst_low',
+    'vm_paused+engine_crash',
+    'planned_stop+asymmetric_cut',
+)
+_WORKERS = 6
+
+Results = dict[RunKey, Measures]
+
+
+def run_all(keys: list[RunKey]) -> Results:
+    """Run all keys in a few processes."""
+    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
+        measured = pool.map(run_once, keys, chunksize=1)
+        return dict(zip(keys, measured, strict=True))
+
+
+def summarize(results: Results, fleet: str, scenario: str) -> list[list]:
+    """Return one row a policy: medians over the seeds, worst in brackets."""
+    catalog = load_catalog(fleet)
+    names = sorted(
+        MIXES[fleet],
+        key=lambda name: catalog.classes[name].tier,
+    )
+    rows = []
+    for policy in POLICIES:
+        group = [
+            measures
+            for key, measures in results.items()
+            if (key.fleet, key.scenario, key.policy)
+            == (fleet, scenario, policy)
+        ]
+        if group:
+            rows.append([policy, *_summarize_group(group, names)])
+    return rows
+
+
+def _summarize_group(group: list[Measures], names: list[str]) -> list[str]:
+    cells = [
+        _show([each.attainment.get(name, 1.0) for each in group], min)
+        for name in names
+    ]
+    cells.append(_show([each.goodput for each in group], min, '.0f'))
+    cells.append(_show([each.wasted for each in group], max))
+    cells.append(_show([each.fairness for each in group], min))
+    cells.append(str(sum(sum(each.sheds.values()) for each in group)))
+    cells.append(_show([each.worst_wait_s for each in group], max, '.1f'))
+    broken = sum(sum(each.violations.values()) for each in group)
+    cells.append(str(broken))
+    return cells
+
+
+def _show(samples: list[float], worst, form: str = '.3f') -> str:
+    median = statistics.median(samples)
+    return f'{median:{form}}({worst(samples):{form}})'
+
+
+def print_results(results: Results) -> None:
+    """Print one table a fleet and scenario, and all violations."""
+    groups = sorted({(key.fleet, key.scenario) for key in results})
+    for fleet, scenario in groups:
+        catalog = load_catalog(fleet)
+        names = sorted(
+            MIXES[fleet],
+            key=lambda name: catalog.classes[name].tier,
+        )
+        print(f'\n{fleet} / {scenario}: median (worst) over the seeds')
+        header = [
+            'POLICY',
+            *names,
+            'goodput/s',
+            'wasted',
+            'fairness',
+            'sheds',
+            'wait s',
+            'broken',
+        ]
+        print_table(header, summarize(results, fleet, scenario))
+    print_violations(results)
+
+
+def print_violations(results: Results) -> None:
+    """Print every broken promise of the product's own policy."""
+    print('\nviolations of slot_owner')
+    for key, measures in results.items():
+        if key.policy == 'slot_owner' and measures.violations:
+            print(key.fleet, key.scenario, key.seed, measures.violations)
+
+
+def write_results(results: Results, name: str) -> None:
+    """Write all measures as JSON with seed and commit."""
+    commit = subprocess.run(
+        ['git', 'rev-parse', 'HEAD'],
+        capture_output=True,
+        text=True,
+        check=False,
+    ).stdout.strip()
+    document = {
+        'commit': commit,
+        'runs': [
+            {**dataclasses.asdict(key), **dataclasses.asdict(measures)}
+            for key, measures in results.items()
+        ],
+    }
+    RESULTS.mkdir(exist_ok=True)
+    path = RESULTS / f'{name}.json'
+    path.write_text(json.dumps(document, indent=1) + '\n')
+
+
+def main() -> int:
+    """Parse arguments, run, print and write."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--policies', default=','.join(POLICIES))
+    parser.add_argument('--fleets', default=','.join(MIXES))
+    parser.add_argument(
+        '--scenarios',
+        default=','.join([*list_scenarios(), *PAIRS]),
+    )
+    parser.add_argument('--name', default='policies')
+    args = parser.parse_args()
+    keys = [
+        RunKey(fleet, policy, scenario, seed)
+        for fleet in args.fleets.split(',')
+        for scenario in args.scenarios.split(',')
+        for policy in args.policies.split(',')
+        for seed in range(1, args.seeds + 1)
+    ]
+    results = run_all(keys)
+    print_results(results)
+    write_results(results, args.name)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/omniscient.py
@@ -0,0 +1,229 @@
+"""One queue that knows every length and every engine's state at once.
+
+It is the physical bound that policies are compared with: no delay, no lag,
+no failure of a VM touches it, and it resumes preempted work at no cost.
+"""
+
+from bench.driver import SimSettings, Simulation
+from bench.engine import Sequence, SimEngine
+from bench.workload import SimRequest
+from bilberryspoke._internal.models.catalog import Catalog
+from bilberryspoke._internal.models.requests import (
+    AttemptStatus,
+    RequestRecord,
+)
+
+_PREFILL_S_PER_TOKEN = 0.0005
+_SLOW_FACTOR = 2.0
+_DROP_EVERY_S = 0.2
+
+
+class OmniscientSimulation(Simulation):
+    """Replaces the VMs by one scheduler; engine faults stay."""
+
+    def __init__(self, settings: SimSettings) -> None:
+        """Create the scheduler."""
+        super().__init__(settings)
+        for node in self.nodes.values():
+            node.alive = False
+        self._queue: list[SimRequest] = []
+        self._offsets: dict[str, int] = {}
+        self._first: dict[str, float] = {}
+        self._drop_at = 0.0
+        self._leaving: set[str] = set()
+
+    def start_node(self, name: str, data_centre: str) -> None:
+        """Start a VM without any role."""
+        super().start_node(name, data_centre)
+        self.nodes[name].alive = False
+
+    def kill_node(self, name: str) -> None:
+        """Do nothing: no VM has a role."""
+
+    def stop_node(self, name: str) -> None:
+        """Do nothing: no VM has a role."""
+
+    def cut(self, one: str, other: str, *, both_ways: bool = True) -> None:
+        """Do nothing: the scheduler is everywhere."""
+
+    def change_engine(self, name: str, **fields: float) -> None:
+        """Change an engine and use what it frees."""
+        super().change_engine(name, **fields)
+        self._serve()
+
+    def offer(self, name: str, catalog: Catalog) -> None:
+        """Learn which upstreams leave."""
+        self._leaving = {
+            each.name for each in catalog.upstreams.values() if each.leaving
+        }
+
+    def _arrive(self, request: SimRequest) -> None:
+        self.ledger.arrive(request)
+        self._queue.append(request)
+        self._serve()
+
+    def _hear_engine(self, engine: SimEngine, seq: Sequence, what: str) -> None:
+        if what == 'first':
+            self._first.setdefault(seq.req_id, self.now)
+        else:
+            self._end(seq, engine, AttemptStatus.finished)
+
+    def _end(
+        self,
+        seq: Sequence,
+        engine: SimEngine,
+        status: AttemptStatus,
+        wait_s: float = 0.0,
+    ) -> None:
+        self.ledger.stop(seq, status, self.now)
+        request = self._requests[seq.req_id]
+        if status is AttemptStatus.finished:
+            self._finish(request)
+        else:
+            self._offsets[seq.req_id] = seq.offset + int(seq.produced)
+            self._queue.append(request)
+        self.at(self.now, self._serve)
+
+    def _finish(self, request: SimRequest) -> None:
+        first_at = self._first.get(request.req_id, self.now)
+        record = RequestRecord(
+            req_id=request.req_id,
+            workspace=request.workspace,
+            service_class=request.service_class,
+            pool=request.pool,
+            outcome='completed',
+            reason='',
+            queue_s=0,
+            first_token_s=first_at - request.at,
+            total_s=self.now - request.at,
+            tokens=request.tokens,
+            attempts=1,
+        )
+        self.ledger.record(record, self.now)
+
+    def _serve(self) -> None:
+        if self.now >= self._drop_at:
+            self._drop_at = self.now + _DROP_EVERY_S
+            self._drop_hopeless()
+        self._queue.sort(key=self._rank)
+        full: set[tuple[str, bool]] = set()
+        for request in list(self._queue):
+            classes = self.settings.catalog.classes
+            protected = classes[request.service_class].protected
+            if (request.pool, protected) in full:
+                continue
+            if self._is_hopeless(request):
+                continue
+            engine = self._find_engine(request)
+            if engine is None:
+                full.update({(request.pool, protected), (request.pool, False)})
+                continue
+            self._queue.remove(request)
+            self._start(request, engine)
+
+    def _drop_hopeless(self) -> None:
+        kept = []
+        for request in self._queue:
+            if self._is_hopeless(request):
+                self.ledger.lose(request.req_id, self.now)
+            else:
+                kept.append(request)
+        self._queue = kept
+
+    def _start(self, request: SimRequest, engine: SimEngine) -> None:
+        offset = self._offsets.get(request.req_id, 0)
+        left = request.tokens - offset
+        seq = Sequence(
+            request.req_id,
+            1,
+            '',
+            1,
+            0.0,
+            left,
+            offset,
+            request.prefix,
+        )
+        tokens = request.prompt_tokens if request.serves == 'model' else 0
+        entry = self.ledger.entries[request.req_id]
+        entry.starts = max(1, entry.starts)
+        engine.submit(seq, tokens, self.now)
+        self._plan_engine(engine)
+
+    def _rank(self, request: SimRequest) -> tuple[bool, int, float]:
+        service_class = self.settings.catalog.classes[request.service_class]
+        deadline = self._deadline(request)
+        return (not service_class.protected, service_class.tier, deadline)
+
+    def _deadline(self, request: SimRequest) -> float:
+        service_class = self.settings.catalog.classes[request.service_class]
+        limits = [1e9]
+        if service_class.first_token_ms and request.req_id not in self._first:
+            limits.append(service_class.first_token_ms / 1000)
+        if service_class.total_ms:
+            limits.append(service_class.total_ms / 1000)
+        return request.at + min(limits)
+
+    def _is_hopeless(self, request: SimRequest) -> bool:
+        token_s = self._fastest_token_s(request)
+        service_class = self.settings.catalog.classes[request.service_class]
+        prefill_s = request.prompt_tokens * _PREFILL_S_PER_TOKEN
+        left = request.tokens - self._offsets.get(request.req_id, 0)
+        elapsed = self.now - request.at + prefill_s
+        first_ms = service_class.first_token_ms
+        if first_ms and request.req_id not in self._first:
+            if (elapsed + token_s) * 1000 > first_ms:
+                return True
+        total_ms = service_class.total_ms
+        return bool(
+            total_ms and (elapsed + left * token_s) * 1000 > total_ms,
+        )
+
+    def _fastest_token_s(self, request: SimRequest) -> float:
+        pool = self.settings.catalog.pools[request.pool]
+        return min(self.engines[name].token_s for name in pool.upstreams)
+
+    def _find_engine(self, request: SimRequest) -> SimEngine | None:
+        pool = self.settings.catalog.pools[request.pool]
+        engines = [
+            self.engines[name]
+            for name in pool.upstreams
+            if not self.engines[name].down and name not in self._leaving
+        ]
+        free = [
+            engine
+            for engine in engines
+            if len(engine.running) + engine.foreign < engine.slots
+        ]
+        if free:
+            fastest = min(engine.token_s for engine in engines)
+            best = min(free, key=lambda engine: engine.token_s)
+            if best.token_s < fastest * _SLOW_FACTOR:
+                return best
+        found = self._preempt(request, engines)
+        if found is None and free:
+            return min(free, key=lambda engine: engine.token_s)
+        return found
+
+    def _preempt(
+        self,
+        request: SimRequest,
+        engines: list[SimEngine],
+    ) -> SimEngine | None:
+        classes = self.settings.catalog.classes
+        if not classes[request.service_class].protected:
+            return None
+        victims = [
+            (classes[self._class_of(seq)].tier, seq, engine)
+            for engine in engines
+            for seq in engine.running
+            if not classes[self._class_of(seq)].protected
+        ]
+        if not victims:
+            return None
+        _, seq, engine = max(victims, key=lambda each: each[0])
+        engine.cancel(seq, self.now)
+        self._end(seq, engine, AttemptStatus.cancelled)
+        return engine
+
+    def _class_of(self, seq: Sequence) -> str:
+        return self._requests[seq.req_id].service_class
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,236 @@
+"""Scenarios: what goes wrong during a run, each registered by name."""
+
+import dataclasses
+from collections.abc import Callable
+
+from bench.driver import Simulation
+from bench.workload import Burst
+
+BURST_FROM_S = 10.0
+BURST_TO_S = 70.0
+_FAULT_S = 30.0
+_BURST_FACTOR = 3.0
+
+Plan = Callable[[Simulation], None]
+_SCENARIOS: dict[str, 'Scenario'] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """A fault plan. ``burst`` names whose burst it is: low, top or all."""
+
+    name: str
+    plan: Plan
+    burst: str = ''
+    load: float = 0.75
+    lag_s: float = 0.5
+
+
+def scenario(name: str, **fields: object) -> Callable[[Plan], Plan]:
+    """Register a scenario."""
+
+    def register(plan: Plan) -> Plan:
+        _SCENARIOS[name] = Scenario(name, plan, **fields)
+        return plan
+
+    return register
+
+
+def find_scenario(name: str) -> Scenario:
+    """Return a scenario, or two at once where the name joins them by +."""
+    parts = [_SCENARIOS[part] for part in name.split('+')]
+    if len(parts) == 1:
+        return parts[0]
+
+    def plan(sim: Simulation) -> None:
+        for part in parts:
+            part.plan(sim)
+
+    return Scenario(
+        name,
+        plan,
+        burst=''.join(part.burst for part in parts),
+        load=min(part.load for part in parts),
+        lag_s=max(part.lag_s for part in parts),
+    )
+
+
+def list_scenarios() -> list[str]:
+    """Return the names of all scenarios."""
+    return list(_SCENARIOS)
+
+
+def make_bursts(name: str, classes: list[str]) -> tuple[Burst, ...]:
+    """Return the bursts of a scenario; classes come highest tier first."""
+    if name == 'top':
+        chosen = {classes[0]: _BURST_FACTOR}
+    elif name == 'low':
+        chosen = {classes[-1]: _BURST_FACTOR}
+    elif name == 'all':
+        chosen = {each: _BURST_FACTOR / len(classes) for each in classes}
+    else:
+        chosen = {}
+    return tuple(
+        Burst(each, factor, BURST_FROM_S, BURST_TO_S)
+        for each, factor in chosen.items()
+    )
+
+
+@scenario('calm')
+def plan_calm(sim: Simulation) -> None:
+    """Nothing goes wrong."""
+
+
+@scenario('burst_low', burst='low', load=0.5)
+def plan_burst_low(sim: Simulation) -> None:
+    """The lowest class bursts at three times the capacity."""
+
+
+@scenario('burst_top', burst='top', load=0.5)
+def plan_burst_top(sim: Simulation) -> None:
+    """The protected class bursts at three times the capacity."""
+
+
+@scenario('burst_all', burst='all', load=0.5)
+def plan_burst_all(sim: Simulation) -> None:
+    """All classes burst at three times the capacity together."""
+
+
+@scenario('engine_slow')
+def plan_engine_slow(sim: Simulation) -> None:
+    """One engine becomes five times slower and recovers."""
+    name = _first_engine(sim)
+    sim.at(_FAULT_S, lambda: sim.change_engine(name, slow=5.0))
+    sim.at(2 * _FAULT_S, lambda: sim.change_engine(name, slow=1.0))
+
+
+@scenario('engine_crash')
+def plan_engine_crash(sim: Simulation) -> None:
+    """An engine crashes mid-answer, twice."""
+    name = _first_engine(sim)
+    sim.at(_FAULT_S, lambda: sim.crash_engine(name, 5.0))
+    sim.at(_FAULT_S + 15, lambda: sim.crash_engine(name, 5.0))
+
+
+@scenario('late_reports', lag_s=2.0)
+def plan_late_reports(sim: Simulation) -> None:
+    """Load reports describe the state of two seconds ago."""
+
+
+@scenario('old_config')
+def plan_old_config(sim: Simulation) -> None:
+    """The platform answers with old and with conflicting revisions."""
+    catalog = sim.settings.catalog
+    newer = dataclasses.replace(catalog, revision=7, digest='seven')
+    other = dataclasses.replace(catalog, revision=7, digest='other')
+    first = next(iter(sim.nodes))
+    sim.at(_FAULT_S, lambda: sim.offer(first, newer))
+    for step, offered in enumerate((catalog, other, catalog)):
+        for name in sim.nodes:
+            sim.at(
+                _FAULT_S + 10 + step,
+                lambda each=name, what=offered: sim.offer(each, what),
+            )
+
+
+@scenario('vm_paused')
+def plan_vm_paused(sim: Simulation) -> None:
+    """Two VMs pause for ten seconds, one after the other."""
+    names = list(sim.nodes)
+    sim.at(_FAULT_S, lambda: sim.pause_node(_busiest(sim), 10.0))
+    sim.at(_FAULT_S + 15, lambda: sim.pause_node(names[1], 10.0))
+
+
+@scenario('vm_killed')
+def plan_vm_killed(sim: Simulation) -> None:
+    """The VM that owns the model pool is killed."""
+    sim.at(_FAULT_S, lambda: sim.kill_node(_busiest(sim)))
+
+
+@scenario('dc_cut')
+def plan_dc_cut(sim: Simulation) -> None:
+    """A data centre is cut off from the others and heals."""
+    names = sim.settings.catalog.data_centres
+
+    def cut_off() -> None:
+        for other in names[1:]:
+            sim.cut(names[0], other)
+
+    sim.at(_FAULT_S, cut_off)
+    sim.at(_FAULT_S + 20, sim.cuts.clear)
+
+
+@scenario('asymmetric_cut')
+def plan_asymmetric_cut(sim: Simulation) -> None:
+    """One data centre hears the others, but they do not hear it."""
+    names = sim.settings.catalog.data_centres
+
+    def cut_off() -> None:
+        for other in names[1:]:
+            sim.cut(names[0], other, both_ways=False)
+
+    sim.at(_FAULT_S, cut_off)
+    sim.at(_FAULT_S + 20, sim.cuts.clear)
+
+
+@scenario('planned_stop', burst='low', load=0.5)
+def plan_stop(sim: Simulation) -> None:
+    """The owner of the model pool stops gracefully in a burst."""
+    sim.at(_FAULT_S, lambda: sim.stop_node(_busiest(sim)))
+
+
+@scenario('upstream_leaves')
+def plan_upstream_leaves(sim: Simulation) -> None:
+    """An upstream leaves by a published change."""
+    catalog = sim.settings.catalog
+    name = _first_engine(sim)
+    upstreams = dict(catalog.upstreams)
+    upstreams[name] = dataclasses.replace(upstreams[name], leaving=True)
+    newer = dataclasses.replace(
+        catalog,
+        revision=2,
+        digest='two',
+        upstreams=upstreams,
+    )
+
+    def publish() -> None:
+        sim.ledger.leaving_since[name] = sim.now
+        for node in sim.nodes:
+            sim.offer(node, newer)
+
+    sim.at(_FAULT_S, publish)
+
+
+@scenario('mass_restart')
+def plan_mass_restart(sim: Simulation) -> None:
+    """All VMs are killed and start again within two seconds."""
+
+    def restart() -> None:
+        for name, node in list(sim.nodes.items()):
+            sim.kill_node(name)
+            sim.at(
+                sim.now + 2 * sim.source.random(),
+                lambda each=name, where=node.data_centre: sim.start_node(
+                    each,
+                    where,
+                ),
+            )
+
+    sim.at(_FAULT_S, restart)
+
+
+def _first_engine(sim: Simulation) -> str:
+    return next(
+        each.name
+        for each in sim.settings.catalog.upstreams.values()
+        if each.serves == 'model'
+    )
+
+
+def _busiest(sim: Simulation) -> str:
+    return max(
+        sim.nodes.values(),
+        key=lambda node: sum(
+            len(owner.held) for owner in node.core.state.owned.values()
+        ),
+    ).name
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
@@ -105,7 +106,13 @@
         return Response(status_code=204)
 
     async def list_vms(request: Request) -> Response:
-        return check('vms') or Response(platform.listed())
+        refused = check('vms')
+        if refused:
+            return refused
+        document = json.loads(platform.listed())
+        lag_ms = round(platform.list_lag_s * 1000)
+        document['as_of_ms'] = time.time_ns() // 1_000_000 - lag_ms
+        return JSONResponse(document)
 
     async def read_weights(request: Request) -> Response:
         return check('weights') or Response(b'weights')
--- a/src/bilberryspoke/_internal/config/settings.py
+++ b/src/bilberryspoke/_internal/config/settings.py
@@ -72,7 +72,7 @@
     connections: int = Field(default=5000, ge=1, le=100_000)
     body_timeout_s: float = Field(default=15, gt=0, le=3600)
     request_timeout_s: float = Field(default=300, gt=0, le=86_400)
-    upstream_connect_s: float = Field(default=2, gt=0, le=60)
+    upstream_connect_s: float = Field(default=0.5, gt=0, le=60)
     upstream_idle_s: float = Field(default=30, gt=0, le=3600)
     send_timeout_s: float = Field(
         default=30,
--- a/src/bilberryspoke/_internal/core/__init__.py
+++ b/src/bilberryspoke/_internal/core/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from bilberryspoke._internal.core import entry, owner, upkeep
+from bilberryspoke._internal.core.operations import handlers
 from bilberryspoke._internal.core.policies import immediate, queued
 from bilberryspoke._internal.core.reducer import Core
 from bilberryspoke._internal.core.state import CoreSettings
@@ -12,6 +13,7 @@
     'Core',
     'CoreSettings',
     'entry',
+    'handlers',
     'immediate',
     'owner',
     'queued',
--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -1,5 +1,6 @@
 """Entry side: a request from its arrival to its final word."""
 
+from bilberryspoke._internal.core.operations.table import KeyState
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.reducer import on_event, on_message
 from bilberryspoke._internal.core.sending import send
@@ -67,7 +68,10 @@
     ticket.caller_gone = True
     ticket.note(now, 'caller_gone')
     if ticket.stage is Stage.running:
-        state.emit(CancelAttempt(event.req_id, ticket.attempt))
+        # An operation that may have begun goes on to its end, so that the
+        # caller's retry finds its recorded answer.
+        if not ticket.req.operation:
+            state.emit(CancelAttempt(event.req_id, ticket.attempt))
         return
     send(state, ticket.owner, Withdraw(event.req_id, ticket.req.pool))
     _close(state, ticket, 'caller_gone', 'caller_gone', now)
@@ -313,6 +317,12 @@
     _close(state, ticket, outcome.value, reason, now)
 
 
+def _key_state(ticket: Ticket, outcome: str) -> KeyState:
+    if outcome == Outcome.completed.value:
+        return KeyState.completed
+    return KeyState.unknown if ticket.may_have_run else KeyState.ready
+
+
 def _close(
     state: NodeState,
     ticket: Ticket,
@@ -322,6 +332,8 @@
 ) -> None:
     req = ticket.req
     state.tickets.pop(req.req_id, None)
+    if req.operation:
+        state.operations.end(req.operation, _key_state(ticket, outcome))
     first_token_s = None
     if ticket.first_token_at is not None:
         first_token_s = ticket.first_token_at - req.arrived_at
--- a/src/bilberryspoke/_internal/core/membership.py
+++ b/src/bilberryspoke/_internal/core/membership.py
@@ -14,6 +14,7 @@
     data_centre: str = ''
     incarnation: int = 0
     heard_at: float = -1e9
+    hears_us_at: float = -1e9
     stopping: bool = False
     listed_leaving: bool = False
     revision: int = 0
@@ -54,6 +55,8 @@
         """Take a heartbeat that was admitted."""
         member = self.members.setdefault(sender, Member(sender))
         member.heard_at = now
+        if self.own_name in beat.heard:
+            member.hears_us_at = now
         member.data_centre = beat.data_centre
         member.stopping = beat.stopping
         member.revision = beat.revision
@@ -93,7 +96,7 @@
     ) -> str:
         """Return the VM that owns a subject in this VM's view."""
         candidates = [
-            name for name in self.list_alive(now) if not self._is_going(name)
+            name for name in self.list_alive(now) if self._may_own(name, now)
         ]
         if not self_stops:
             candidates.append(self.own_name)
@@ -118,6 +121,9 @@
         ranked = rank_members(f'watch:{data_centre}', names)
         return self.own_name in ranked[:watchers]
 
-    def _is_going(self, name: str) -> bool:
+    def _may_own(self, name: str, now: float) -> bool:
         member = self.members[name]
-        return member.stopping or member.listed_leaving
+        if member.stopping or member.listed_leaving:
+            return False
+        # A VM that is heard but does not hear us would never get our asks.
+        return now - member.hears_us_at <= self.dead_after_s
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/operations/__init__.py
@@ -0,0 +1,1 @@
+"""At most once: operation keys bound to the process that issued them."""
--- a/src/bilberryspoke/_internal/core/ordering.py
+++ b/src/bilberryspoke/_internal/core/ordering.py
@@ -92,6 +92,14 @@
             return min(late, key=_virtual_time).late[0]
         return None
 
+    def oldest_late(self, now: float) -> WaitingAsk | None:
+        """Return the oldest ask that missed its target and never started."""
+        late = []
+        for lane in self.lanes.values():
+            lane.demote_late(now)
+            late.extend(each for each in lane.late if not each.ask.started)
+        return min(late, key=_arrival, default=None)
+
     def charge(self, workspace: str, cost: float, weight: float) -> None:
         """Account for tokens granted to a workspace."""
         lane = self.lanes.setdefault(workspace, Lane(virtual_time=self.clock))
--- a/src/bilberryspoke/_internal/core/owner.py
+++ b/src/bilberryspoke/_internal/core/owner.py
@@ -14,6 +14,7 @@
 from bilberryspoke._internal.core.scheduling import (
     choose_eviction,
     choose_victims,
+    count_stuck,
     count_urgent,
     iterate_heads,
 )
@@ -21,6 +22,7 @@
 from bilberryspoke._internal.core.state import NodeState
 from bilberryspoke._internal.models.catalog import MS_PER_S, ServiceClass
 from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.events import LoadReported
 from bilberryspoke._internal.models.messages import (
     Ask,
     Granted,
@@ -35,6 +37,7 @@
 from bilberryspoke._internal.models.requests import AttemptStatus
 
 _BACKLOG_AGE_S = 1.0
+_LEAST_RATE = 0.1
 _NO_TARGET_S = 3600.0
 _FAILURES = frozenset((AttemptStatus.broken, AttemptStatus.unreachable))
 
@@ -148,6 +151,33 @@
     serve_pool(state, owner, now)
 
 
+def relieve_upstream(
+    state: NodeState,
+    event: LoadReported,
+    now: float,
+) -> None:
+    """Preempt at an upstream that holds protected work back.
+
+    Other users of an upstream may take slots between two reports, so that
+    granted work waits inside it.
+    """
+    if state.catalog is None:
+        return
+    for owner in state.owned.values():
+        stuck = count_stuck(owner, state.catalog, event.upstream, now)
+        wanted = min(event.waiting, stuck)
+        if wanted:
+            slots = total_slots(state, owner.pool, now)
+            chosen = choose_victims(
+                owner,
+                state.catalog,
+                slots,
+                wanted,
+                upstream=event.upstream,
+            )
+            _preempt(state, chosen, 'upstream_full')
+
+
 def total_slots(state: NodeState, pool_name: str, now: float) -> int:
     """Return the slots of a pool's usable upstreams."""
     return sum(
@@ -179,12 +209,17 @@
     service_class: ServiceClass,
     now: float,
 ) -> bool:
-    if ask.offset > 0 or service_class.protected:
+    if ask.started or service_class.protected:
         return _make_room(state, owner, sender, ask, service_class)
     wait_s = _estimate_wait(owner, ask, now)
     if wait_s > service_class.max_wait_s:
-        _refuse(state, sender, ask, 'no_prospect', wait_s)
-        return False
+        late = owner.queues[ask.service_class].oldest_late(now)
+        if late is None:
+            _refuse(state, sender, ask, 'no_prospect', wait_s)
+            return False
+        # The one that missed its target gives way to one that may meet it.
+        owner.dequeue(late.ask.req_id)
+        _refuse(state, late.entry, late.ask, 'target_missed', wait_s)
     return _make_room(state, owner, sender, ask, service_class)
 
 
@@ -195,7 +230,8 @@
     head = queue.head(now)
     if head is None or now - head.queued_at < _BACKLOG_AGE_S:
         return 0.0
-    return queue.size / owner.find_stats(ask.service_class).grant_rate(now)
+    # Even if every slot given back went to this class.
+    return queue.size / max(_LEAST_RATE, owner.release_rate(now))
 
 
 def _make_room(
@@ -205,7 +241,7 @@
     ask: Ask,
     service_class: ServiceClass,
 ) -> bool:
-    if len(owner.waiting) < state.settings.queue_limit or ask.offset > 0:
+    if len(owner.waiting) < state.settings.queue_limit or ask.started:
         return True
     evicted = choose_eviction(owner, state.catalog, service_class.tier)
     if evicted is None:
@@ -229,10 +265,10 @@
     start_by = arrived_at + _NO_TARGET_S
     if service_class.first_token_ms is not None and ask.offset == 0:
         first_s = service_class.first_token_ms / MS_PER_S
-        start_by = min(start_by, arrived_at + first_s - stats.first_token_s)
+        start_by = min(start_by, arrived_at + first_s - stats.first_s_bound)
     if service_class.total_ms is not None:
         total_s = service_class.total_ms / MS_PER_S
-        start_by = min(start_by, arrived_at + total_s - stats.run_s)
+        start_by = min(start_by, arrived_at + total_s - stats.run_s_bound)
     workspace = state.catalog.workspaces.get(ask.workspace)
     return WaitingAsk(
         ask=ask,
@@ -294,7 +330,6 @@
     ask = waiting.ask
     owner.dequeue(ask.req_id)
     stats = owner.find_stats(ask.service_class)
-    stats.note_grant(now)
     cost = stats.tokens
     queue = owner.queues[ask.service_class]
     queue.charge(ask.workspace, cost, waiting.weight)
@@ -333,13 +368,19 @@
     if urgent <= coming:
         return
     slots = total_slots(state, owner.pool, now)
-    for slot in choose_victims(owner, state, slots, urgent - coming):
+    wanted = urgent - coming
+    chosen = choose_victims(owner, state.catalog, slots, wanted)
+    _preempt(state, chosen, 'protected_work')
+
+
+def _preempt(state: NodeState, chosen: list[HeldSlot], reason: str) -> None:
+    for slot in chosen:
         slot.preempting = True
         state.emit(Count('preemptions', slot.service_class))
         send(
             state,
             slot.entry,
-            Preempted(slot.req_id, slot.attempt, 'protected_work'),
+            Preempted(slot.req_id, slot.attempt, reason),
         )
 
 
@@ -439,7 +480,7 @@
     service_class: ServiceClass,
     now: float,
 ) -> bool:
-    if waiting.ask.offset > 0 or service_class.protected:
+    if waiting.ask.started or service_class.protected:
         return False
     return now - waiting.arrived_at > service_class.max_wait_s
 
--- a/src/bilberryspoke/_internal/core/policies/queued.py
+++ b/src/bilberryspoke/_internal/core/policies/queued.py
@@ -37,6 +37,7 @@
                 prefix=req.prefix,
                 offset=ticket.offset,
                 resumable=req.resumable,
+                started=ticket.may_have_run,
                 excluded=list(ticket.excluded),
             ),
         )
--- a/src/bilberryspoke/_internal/core/poolqueue.py
+++ b/src/bilberryspoke/_internal/core/poolqueue.py
@@ -8,6 +8,7 @@
 
 _STATS_WEIGHT = 0.05
 _RATE_WINDOW_S = 5.0
+_SPREADS = 2.0
 _UNSEEN_TOKENS = 150.0
 _UNSEEN_FIRST_TOKEN_S = 0.2
 
@@ -36,29 +37,33 @@
 
     tokens: float = _UNSEEN_TOKENS
     run_s: float = 0.0
+    run_spread_s: float = 0.0
     first_token_s: float = _UNSEEN_FIRST_TOKEN_S
-    grants: deque[float] = field(default_factory=deque)
+    first_spread_s: float = 0.0
+
+    @property
+    def first_s_bound(self) -> float:
+        """Time to the first token that most attempts do not exceed."""
+        return self.first_token_s + _SPREADS * self.first_spread_s
+
+    @property
+    def run_s_bound(self) -> float:
+        """Time to the end that most attempts do not exceed."""
+        return self.run_s + _SPREADS * self.run_spread_s
 
     def learn(self, tokens: int, run_s: float, first_token_s: float) -> None:
         """Learn from a finished attempt."""
         self.tokens += _STATS_WEIGHT * (tokens - self.tokens)
-        if self.run_s:
-            self.run_s += _STATS_WEIGHT * (run_s - self.run_s)
-        else:
+        if not self.run_s:
             self.run_s = run_s
+        delta = run_s - self.run_s
+        self.run_s += _STATS_WEIGHT * delta
+        self.run_spread_s += _STATS_WEIGHT * (abs(delta) - self.run_spread_s)
         if first_token_s > 0:
             delta = first_token_s - self.first_token_s
             self.first_token_s += _STATS_WEIGHT * delta
-
-    def note_grant(self, now: float) -> None:
-        """Count a grant for the grant rate."""
-        self.grants.append(now)
-
-    def grant_rate(self, now: float) -> float:
-        """Return the grants a second over the last window."""
-        while self.grants and self.grants[0] < now - _RATE_WINDOW_S:
-            self.grants.popleft()
-        return max(0.5, len(self.grants)) / _RATE_WINDOW_S
+            spread = abs(delta) - self.first_spread_s
+            self.first_spread_s += _STATS_WEIGHT * spread
 
 
 @dataclass(slots=True)
--- a/src/bilberryspoke/_internal/core/reducer.py
+++ b/src/bilberryspoke/_internal/core/reducer.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 from bilberryspoke._internal.core.membership import Membership
+from bilberryspoke._internal.core.operations.ownership import KeyOwnership
+from bilberryspoke._internal.core.operations.table import OperationTable
 from bilberryspoke._internal.core.retries import RetryBudget
 from bilberryspoke._internal.core.state import CoreSettings, NodeState
 from bilberryspoke._internal.models.effects import Effect
@@ -55,6 +57,8 @@
             settings=settings,
             membership=Membership(settings.vm, settings.dead_after_s),
             retries=RetryBudget(settings.retry_share),
+            operations=OperationTable(settings.key_limit),
+            ownership=KeyOwnership(settings.vm, settings.ownership),
         )
 
     def handle(self, event: Event, *, now: float) -> list[Effect]:
--- a/src/bilberryspoke/_internal/core/scheduling.py
+++ b/src/bilberryspoke/_internal/core/scheduling.py
@@ -5,11 +5,11 @@
 
 from bilberryspoke._internal.core.ordering import WaitingAsk
 from bilberryspoke._internal.core.poolqueue import HeldSlot, PoolOwner
-from bilberryspoke._internal.core.state import NodeState
 from bilberryspoke._internal.models.catalog import Catalog, ServiceClass
 
 _PREEMPT_ROUND_TRIP_S = 0.05
 _MAX_PREEMPTIONS = 3
+_STUCK_S = 0.3
 
 
 def guaranteed_slots(service_class: ServiceClass, total_slots: int) -> int:
@@ -79,27 +79,40 @@
     return urgent
 
 
+def count_stuck(
+    owner: PoolOwner,
+    catalog: Catalog,
+    upstream: str,
+    now: float,
+) -> int:
+    """Count protected attempts that an upstream has not begun to answer."""
+    return sum(
+        slot.upstream == upstream
+        and slot.tokens == 0
+        and now - slot.granted_at > _STUCK_S
+        and _is_protected(catalog, slot.service_class)
+        for slot in owner.held.values()
+    )
+
+
 def choose_victims(
     owner: PoolOwner,
-    state: NodeState,
+    catalog: Catalog,
     total_slots: int,
     wanted: int,
+    upstream: str = '',
 ) -> list[HeldSlot]:
     """Return running attempts to cancel, of the lowest tier first.
 
     Only attempts that can be resumed at their offset are chosen, and never
     one of a protected class or within its class's guaranteed slots.
     """
-    catalog = state.catalog
-    if catalog is None:
-        return []
     spare = _spare_slots(owner, catalog, total_slots)
     candidates = [
         slot
         for slot in owner.held.values()
-        if slot.resumable
-        and not slot.preempting
-        and slot.attempt <= _MAX_PREEMPTIONS
+        if _may_preempt(slot)
+        and upstream in {'', slot.upstream}
         and spare.get(slot.service_class, 0) > 0
     ]
     candidates.sort(
@@ -118,6 +131,11 @@
     return victims
 
 
+def _may_preempt(slot: HeldSlot) -> bool:
+    few = slot.attempt <= _MAX_PREEMPTIONS
+    return slot.resumable and few and not slot.preempting
+
+
 def _spare_slots(
     owner: PoolOwner,
     catalog: Catalog,
@@ -149,7 +167,7 @@
     candidates = [
         waiting
         for waiting in owner.waiting.values()
-        if waiting.ask.offset == 0
+        if not waiting.ask.started
         and _tier_of(catalog, waiting) > tier
         and not _is_protected(catalog, waiting.ask.service_class)
     ]
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -4,6 +4,11 @@
 from dataclasses import dataclass, field
 
 from bilberryspoke._internal.core.membership import Membership
+from bilberryspoke._internal.core.operations.ownership import (
+    KeyOwnership,
+    OwnershipSettings,
+)
+from bilberryspoke._internal.core.operations.table import OperationTable
 from bilberryspoke._internal.core.poolqueue import PoolOwner
 from bilberryspoke._internal.core.retries import RetryBudget
 from bilberryspoke._internal.core.tickets import Ticket
@@ -30,14 +35,16 @@
     peer_address: str = ''
     entry_url: str = ''
     admin_url: str = ''
-    heartbeat_s: float = 0.25
-    dead_after_s: float = 1.0
+    heartbeat_s: float = 0.2
+    dead_after_s: float = 0.7
     lease_s: float = 2.0
     holding_s: float = 0.5
     reclaim_s: float = 3.0
     queue_limit: int = 5000
     retry_share: float = 0.2
     neighbour_limit: int = 12
+    key_limit: int = 100_000
+    ownership: OwnershipSettings = OwnershipSettings()
 
 
 @dataclass(slots=True)
@@ -47,6 +54,8 @@
     settings: CoreSettings
     membership: Membership
     retries: RetryBudget
+    operations: OperationTable
+    ownership: KeyOwnership
     catalog: Catalog | None = None
     bundle: bytes = b''
     stopping: bool = False
--- a/src/bilberryspoke/_internal/core/upkeep.py
+++ b/src/bilberryspoke/_internal/core/upkeep.py
@@ -2,7 +2,11 @@
 
 from bilberryspoke._internal.core.entry import seek_slot
 from bilberryspoke._internal.core.membership import Member
-from bilberryspoke._internal.core.owner import expire_and_reclaim, serve_pool
+from bilberryspoke._internal.core.owner import (
+    expire_and_reclaim,
+    relieve_upstream,
+    serve_pool,
+)
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.reducer import deliver, on_event, on_message
 from bilberryspoke._internal.core.sending import send
@@ -12,6 +16,7 @@
 from bilberryspoke._internal.models.events import (
     CatalogOffered,
     LoadReported,
+    LoadUnread,
     PeerLost,
     PeerReceived,
     StopRequested,
@@ -28,6 +33,8 @@
 )
 from bilberryspoke._internal.utils.hashing import rank_members
 
+_SILENT_LIMIT = 2
+
 
 @on_event(Tick)
 def do_periodic_work(state: NodeState, event: Tick, now: float) -> None:
@@ -64,8 +71,20 @@
     """Take an upstream's load report and its hints about prefixes."""
     load = state.find_load(event.upstream)
     load.report(event.running, event.waiting, now)
+    load.silent = 0
     for prefix in event.prefixes:
         load.learn_prefix(prefix)
+    if event.waiting:
+        relieve_upstream(state, event, now)
+
+
+@on_event(LoadUnread)
+def note_silence(state: NodeState, event: LoadUnread, now: float) -> None:
+    """Avoid an upstream whose load could not be read several times."""
+    load = state.find_load(event.upstream)
+    load.silent += 1
+    if load.silent >= _SILENT_LIMIT:
+        load.avoid(now)
 
 
 @on_event(VmsListed)
@@ -85,6 +104,8 @@
         if vm.peer_address:
             member.peer_address = vm.peer_address
     state.listed_leaving = frozenset(leaving)
+    if event.as_of_ms:
+        state.ownership.take_list(event.as_of_ms, _list_entries(event))
     _join_leaving(state, now)
 
 
@@ -132,6 +153,7 @@
     state.membership.hear(sender, message, now)
     if not was_alive:
         state.emit(Log('vm_alive', sender))
+        state.emit(SendPeer(sender, _make_heartbeat(state, now)))
     _join_leaving(state, now)
     revision = state.catalog.revision if state.catalog else 0
     if message.revision > revision:
@@ -155,22 +177,27 @@
 
 def send_heartbeats(state: NodeState, now: float) -> None:
     """Send a heartbeat to a bounded set of neighbours."""
+    beat = _make_heartbeat(state, now)
+    names = rank_members(f'neighbours:{state.vm}', state.membership.members)
+    for name in names[: state.settings.neighbour_limit]:
+        state.emit(SendPeer(name, beat))
+
+
+def _make_heartbeat(state: NodeState, now: float) -> Heartbeat:
     settings = state.settings
     catalog = state.catalog
-    beat = Heartbeat(
+    return Heartbeat(
         data_centre=settings.data_centre,
         incarnation=settings.incarnation,
         revision=catalog.revision if catalog else 0,
         digest=catalog.digest if catalog else '',
         stopping=state.stopping,
         leaving=sorted(state.listed_leaving),
+        heard=state.membership.list_alive(now),
         entry_url=settings.entry_url,
         admin_url=settings.admin_url,
         peer_address=settings.peer_address,
     )
-    names = rank_members(f'neighbours:{state.vm}', state.membership.members)
-    for name in names[: settings.neighbour_limit]:
-        state.emit(SendPeer(name, beat))
 
 
 def follow_owners(state: NodeState, now: float) -> None:
@@ -245,6 +272,14 @@
     return Holding(pool, running, waiting)
 
 
+def _list_entries(event: VmsListed) -> dict[str, str]:
+    return {
+        vm.name: vm.data_centre
+        for vm in event.vms
+        if vm.role == 'entry' and not vm.leaving
+    }
+
+
 def _join_leaving(state: NodeState, now: float) -> None:
     joined = state.listed_leaving | state.membership.list_leaving(now)
     for name in sorted(joined - state.leaving):
--- a/src/bilberryspoke/_internal/core/upstreamload.py
+++ b/src/bilberryspoke/_internal/core/upstreamload.py
@@ -7,7 +7,9 @@
 _UNSEEN_S_PER_TOKEN = 0.03
 _REPORT_TRUST_S = 5.0
 _PREFIX_LIMIT = 64
-_HISTORY_S = 4.0
+_LONGEST_LAG_S = 2.5
+_BOUNDS_S = 3.0
+_SILENCE_S = 1.5
 _PAUSE_MIN_S = 0.25
 _PAUSE_MAX_S = 8.0
 
@@ -25,20 +27,24 @@
     waiting: int = 0
     reported_at: float = -1e9
     own: int = 0
+    foreign: int = 0
     s_per_token: float = _UNSEEN_S_PER_TOKEN
     observed: bool = False
     failures: int = 0
     avoid_until: float = 0.0
+    silent: int = 0
     prefixes: deque[int] = field(
         default_factory=lambda: deque(maxlen=_PREFIX_LIMIT),
     )
     own_history: deque[tuple[float, int]] = field(default_factory=deque)
+    foreign_bounds: deque[tuple[float, int]] = field(default_factory=deque)
 
     def report(self, running: int, waiting: int, now: float) -> None:
         """Take a load report."""
         self.running = running
         self.waiting = waiting
         self.reported_at = now
+        self._correct_foreign(now)
 
     def observe_speed(self, run_s: float, tokens: int) -> None:
         """Learn from an attempt that produced tokens for a duration."""
@@ -63,15 +69,10 @@
         self._remember(now)
 
     def estimate_foreign(self, now: float) -> int:
-        """Return the slots taken by others, from the lagging report.
-
-        The report is compared with the most that this owner held while the
-        report could have been made, so that own work is not counted twice.
-        """
+        """Return the slots taken by others; 0 without a recent report."""
         if now - self.reported_at > _REPORT_TRUST_S:
             return 0
-        own = self._highest_own(self.reported_at - _HISTORY_S)
-        return max(0, self.running + self.waiting - own)
+        return self.foreign
 
     def estimate_load(self, now: float) -> int:
         """Return the slots taken by anyone."""
@@ -88,6 +89,10 @@
         pause_s = min(_PAUSE_MAX_S, _PAUSE_MIN_S * 2 ** min(self.failures, 6))
         self.avoid_until = now + pause_s
 
+    def avoid(self, now: float) -> None:
+        """Avoid the upstream until its next report is due."""
+        self.avoid_until = max(self.avoid_until, now + _SILENCE_S)
+
     def learn_prefix(self, prefix: int) -> None:
         """Remember that the upstream may hold a prompt prefix."""
         if prefix and prefix not in self.prefixes:
@@ -96,10 +101,28 @@
     def _remember(self, now: float) -> None:
         self.own_history.append((now, self.own))
         while len(self.own_history) > 2 and (
-            self.own_history[1][0] < now - 2 * _HISTORY_S
+            self.own_history[1][0] < now - 2 * _LONGEST_LAG_S
         ):
             self.own_history.popleft()
 
-    def _highest_own(self, since: float) -> int:
-        recent = [own for at, own in self.own_history if at >= since]
-        return max(recent, default=self.own) if recent else self.own
+    def _correct_foreign(self, now: float) -> None:
+        """Learn from a report what others held at the least.
+
+        The report is of some moment within the longest lag, at which this
+        owner held no more than its most in that time. The estimate is the
+        highest of these lower bounds over a little more than the lag.
+        """
+        most_own = max(self._list_own(now - _LONGEST_LAG_S))
+        lowest = max(0, self.running + self.waiting - most_own)
+        self.foreign_bounds.append((now, lowest))
+        while self.foreign_bounds[0][0] < now - _BOUNDS_S:
+            self.foreign_bounds.popleft()
+        self.foreign = max(bound for _, bound in self.foreign_bounds)
+
+    def _list_own(self, since: float) -> list[int]:
+        held = [self.own]
+        for at, own in reversed(self.own_history):
+            held.append(own)
+            if at < since:
+                break
+        return held
--- a/src/bilberryspoke/_internal/models/effects.py
+++ b/src/bilberryspoke/_internal/models/effects.py
@@ -44,6 +44,33 @@
     retry_after_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """Answer a call that was turned away, with an HTTP status of its own."""
+
+    req_id: str
+    status: int
+    kind: str
+    message: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Pass a call on to the VM that alone may run its key."""
+
+    req_id: str
+    peer: str
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """Give the recorded answer of a key's finished operation again."""
+
+    req_id: str
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """Keep the explanation of an ended request."""
@@ -77,5 +104,15 @@
 
 
 Effect = (
-    SendPeer | Dispatch | CancelAttempt | Answer | Record | Count | Log | Adopt
+    SendPeer
+    | Dispatch
+    | CancelAttempt
+    | Answer
+    | Reject
+    | Forward
+    | Replay
+    | Record
+    | Count
+    | Log
+    | Adopt
 )
--- a/src/bilberryspoke/_internal/models/events.py
+++ b/src/bilberryspoke/_internal/models/events.py
@@ -14,6 +14,30 @@
     req: Request
 
 
+@dataclass(frozen=True, slots=True)
+class OperationArrived:
+    """A call of a class that may not be repeated came with a key.
+
+    ``fingerprint`` is a digest of method, path and body; ``now_ms`` is Unix
+    time; ``forwarded`` tells that another VM passed the call on. The key
+    stands in ``req.operation`` as well, in its parsed form.
+    """
+
+    req: Request
+    key: str
+    fingerprint: str
+    now_ms: int
+    forwarded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRequested:
+    """A workspace asked for an operation key; ``token`` is random hex."""
+
+    workspace: str
+    token: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """The caller closed its connection before the answer was complete."""
@@ -67,6 +91,13 @@
     prefixes: tuple[int, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LoadUnread:
+    """An upstream did not answer the request for its load."""
+
+    upstream: str
+
+
 @dataclass(frozen=True, slots=True)
 class ListedVm:
     """One line of the platform's list of VMs."""
@@ -80,9 +111,14 @@
 
 @dataclass(frozen=True, slots=True)
 class VmsListed:
-    """The platform's list of VMs was read."""
+    """The platform's list of VMs was read.
+
+    ``as_of_ms`` is the platform's Unix time at which the list was true, or 0
+    where the platform does not tell.
+    """
 
     vms: tuple[ListedVm, ...]
+    as_of_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,12 +141,15 @@
 
 Event = (
     RequestArrived
+    | OperationArrived
+    | KeyRequested
     | CallerGone
     | AttemptProgressed
     | AttemptEnded
     | PeerReceived
     | PeerLost
     | LoadReported
+    | LoadUnread
     | VmsListed
     | CatalogOffered
     | StopRequested
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -9,7 +9,11 @@
 
 
 class Ask(msgspec.Struct, tag='ask', array_like=True):
-    """Request for a slot, sent by an entry VM to the owner of a pool."""
+    """Request for a slot, sent by an entry VM to the owner of a pool.
+
+    ``started`` tells that an earlier attempt may have run: the request is
+    then neither refused nor evicted.
+    """
 
     req_id: str
     attempt: int
@@ -21,6 +25,7 @@
     prefix: int = 0
     offset: int = 0
     resumable: bool = False
+    started: bool = False
     excluded: list[str] = []
 
 
@@ -107,6 +112,7 @@
     digest: str
     stopping: bool
     leaving: list[str]
+    heard: list[str] = []
     entry_url: str = ''
     admin_url: str = ''
     peer_address: str = ''
--- a/src/bilberryspoke/_internal/models/requests.py
+++ b/src/bilberryspoke/_internal/models/requests.py
@@ -44,6 +44,7 @@
     ``arrived_at`` is in seconds of the boot-time clock of the entry VM.
     ``prefix`` is a hash of the prompt's beginning for cache affinity.
     ``resumable`` tells that an interrupted answer can go on at an offset.
+    ``operation`` is the key under which the call may run at most once.
     """
 
     req_id: str
@@ -55,6 +56,7 @@
     prefix: int = 0
     resumable: bool = False
     repeatable: bool = True
+    operation: str = ''
 
 
 @dataclass(slots=True)
--- a/src/bilberryspoke/_internal/network/calls.py
+++ b/src/bilberryspoke/_internal/network/calls.py
@@ -7,13 +7,19 @@
 
 import msgspec
 
-from bilberryspoke._internal.models.effects import Answer, Dispatch
+from bilberryspoke._internal.models.effects import (
+    Answer,
+    Dispatch,
+    Forward,
+    Reject,
+    Replay,
+)
 from bilberryspoke._internal.models.requests import Request
 
 _KEPT_LIMIT_BYTES = 262_144
 _DATA = b'data: '
 
-Command = Dispatch | Answer
+Command = Dispatch | Answer | Reject | Forward | Replay
 
 
 @dataclass(slots=True)
@@ -28,6 +34,7 @@
     req: Request
     method: str
     path: str
+    public_path: str
     body: bytes
     headers: Mapping[str, str]
     stream: bool
@@ -46,7 +53,8 @@
     kept_size: int = 0
     text: str = ''
     status: int = 0
-    answer: bytes = b''
+    key: str = ''
+    forwarded: bool = False
 
     def keep(self, raw: bytes) -> None:
         """Remember delivered events for a possible resume."""
--- a/src/bilberryspoke/_internal/network/configuration.py
+++ b/src/bilberryspoke/_internal/network/configuration.py
@@ -55,7 +55,7 @@
     async def follow_list(self) -> None:
         """Read the list of VMs at its interval until cancelled."""
         while True:
-            if self._platform.settings.url and self._may_read():
+            if self._platform.settings.url:
                 try:
                     listed = await self._platform.list_vms()
                 except PlatformUnavailableError:
@@ -140,10 +140,10 @@
             event = 'platform_back' if reachable else 'platform_lost'
             logger.warning(event, cause=cause)
 
-    def _take_list(self, listed: tuple) -> None:
+    def _take_list(self, listed: VmsListed) -> None:
         peers = self._runtime.peers
-        for vm in listed:
+        for vm in listed.vms:
             if vm.role == 'entry' and vm.peer_address and peers is not None:
                 if vm.name != self._runtime.core.state.vm:
                     peers.learn_address(vm.name, vm.peer_address)
-        self._runtime.submit(VmsListed(listed))
+        self._runtime.submit(listed)
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -63,7 +63,7 @@
         bind_listener(settings.admin),
     )
     runtime = _make_runtime(settings, sockets, incarnation)
-    client = UpstreamClient(settings.limits)
+    client = UpstreamClient(settings.limits, runtime.answers)
     exchange = Exchange(runtime, client, settings.limits)
     front = Front(runtime, exchange, settings.limits)
     session = aiohttp.ClientSession()
--- a/src/bilberryspoke/_internal/network/exchange.py
+++ b/src/bilberryspoke/_internal/network/exchange.py
@@ -1,20 +1,33 @@
 """One request from its admission to the last byte of its answer."""
 
 import asyncio
+import hashlib
+import time
+from collections.abc import Callable
 from typing import Any
 
 from bilberryspoke._internal.config.settings import LimitSettings
-from bilberryspoke._internal.models.effects import Answer, Dispatch
+from bilberryspoke._internal.models.effects import (
+    Answer,
+    Dispatch,
+    Forward,
+    Reject,
+    Replay,
+)
 from bilberryspoke._internal.models.events import (
     AttemptEnded,
     CallerGone,
+    Event,
+    OperationArrived,
     RequestArrived,
 )
 from bilberryspoke._internal.models.requests import AttemptStatus, Outcome
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.responses import (
+    REQUEST_ID_HEADER,
     encode_error_event,
     send_error,
+    send_whole,
     status_of,
 )
 from bilberryspoke._internal.network.runtime import Runtime
@@ -23,6 +36,19 @@
     UpstreamClient,
 )
 
+_NS_PER_MS = 1_000_000
+_FINAL_STEPS: dict[type, Callable[..., Any]] = {}
+
+
+def final_step(command_type: type) -> Callable[..., Any]:
+    """Register the method that carries out a command and ends a call."""
+
+    def register(method: Callable[..., Any]) -> Callable[..., Any]:
+        _FINAL_STEPS[command_type] = method
+        return method
+
+    return register
+
 
 class Exchange:
     """Drives calls: waits for the core's commands and carries them out."""
@@ -47,7 +73,7 @@
         self._runtime.calls[req_id] = call
         watcher = asyncio.create_task(self._watch_caller(call, receive))
         try:
-            self._runtime.submit(RequestArrived(call.req))
+            self._runtime.submit(_make_arrival(call))
             await self._obey(call)
         finally:
             watcher.cancel()
@@ -57,14 +83,14 @@
     async def _obey(self, call: Call) -> None:
         while not call.aborted:
             command = await call.commands.get()
-            if isinstance(command, Answer):
-                await self._give_answer(call, command)
-                return
             if isinstance(command, Dispatch):
                 await self._run_attempt(call, command)
                 if call.complete:
                     await _end_stream(call)
                     return
+            else:
+                await _FINAL_STEPS[type(command)](self, call, command)
+                return
 
     async def _run_attempt(self, call: Call, dispatch: Dispatch) -> None:
         call.attempt = dispatch.attempt
@@ -98,6 +124,7 @@
                 raise
             return AttemptResult(AttemptStatus.cancelled)
 
+    @final_step(Answer)
     async def _give_answer(self, call: Call, answer: Answer) -> None:
         message = f'request {answer.outcome.value}: {answer.reason}'
         if call.started:
@@ -120,6 +147,52 @@
             retry_after_s=answer.retry_after_s,
         )
 
+    @final_step(Reject)
+    async def _reject(self, call: Call, command: Reject) -> None:
+        await send_error(
+            call.send,
+            command.status,
+            command.kind,
+            command.message,
+            outcome=command.outcome,
+            req_id=call.req.req_id,
+        )
+
+    @final_step(Forward)
+    async def _forward(self, call: Call, command: Forward) -> None:
+        membership = self._runtime.core.state.membership
+        member = membership.members.get(command.peer)
+        if member is not None and member.entry_url:
+            await self._client.forward(call, member.entry_url)
+        if not call.complete:
+            # The key's owner may have run the operation, now or before.
+            answer = Answer(
+                call.req.req_id,
+                Outcome.unknown,
+                'key_owner_unreachable',
+            )
+            await self._give_answer(call, answer)
+
+    @final_step(Replay)
+    async def _replay(self, call: Call, command: Replay) -> None:
+        recorded = self._runtime.answers.find(command.key)
+        if recorded is None:
+            await send_error(
+                call.send,
+                409,
+                'answer_forgotten',
+                'the operation of this key ran; its answer is not kept',
+                outcome=Outcome.unknown,
+                req_id=call.req.req_id,
+            )
+            return
+        headers = {
+            **recorded.headers,
+            REQUEST_ID_HEADER: call.req.req_id,
+            'idempotent-replayed': 'true',
+        }
+        await send_whole(call.send, recorded.status, headers, recorded.body)
+
     async def _refuse_duplicate(self, call: Call) -> None:
         await send_error(
             call.send,
@@ -136,14 +209,28 @@
             if message['type'] == 'http.disconnect':
                 break
         if not call.complete:
-            call.aborted = True
+            call.aborted = not call.req.operation
             self._runtime.submit(CallerGone(call.req.req_id))
-            if call.attempt_task is None:
+            if call.attempt_task is None and call.aborted:
                 call.commands.put_nowait(
                     Answer(call.req.req_id, Outcome.unknown, 'caller_gone'),
                 )
 
 
+def _make_arrival(call: Call) -> Event:
+    if not call.key:
+        return RequestArrived(call.req)
+    parts = (call.method.encode(), call.path.encode(), call.body)
+    fingerprint = hashlib.sha256(b'\x00'.join(parts)).hexdigest()
+    return OperationArrived(
+        call.req,
+        call.key,
+        fingerprint,
+        time.time_ns() // _NS_PER_MS,
+        call.forwarded,
+    )
+
+
 async def _end_stream(call: Call) -> None:
     if call.stream and call.status == 200:
         await call.send({'type': 'http.response.body', 'body': b''})
--- a/src/bilberryspoke/_internal/network/front.py
+++ b/src/bilberryspoke/_internal/network/front.py
@@ -1,6 +1,7 @@
 """The callers' interface."""
 
 import re
+import secrets
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -18,7 +19,12 @@
     authenticate,
     list_offers,
 )
-from bilberryspoke._internal.models.catalog import Catalog, Workspace
+from bilberryspoke._internal.core.operations.keys import (
+    make_issued_key,
+    normalize_key,
+)
+from bilberryspoke._internal.models.catalog import Catalog, Pool, Workspace
+from bilberryspoke._internal.models.events import KeyRequested
 from bilberryspoke._internal.models.requests import Outcome, Request
 from bilberryspoke._internal.network.bodies import (
     CallerGoneError,
@@ -35,10 +41,14 @@
     send_json,
 )
 from bilberryspoke._internal.network.runtime import Runtime
+from bilberryspoke._internal.network.upstreams import HOP_HEADER
 
 CLASS_HEADER = 'x-request-class'
 _REQUEST_ID = re.compile('^[A-Za-z0-9._:-]{1,128}$')
 _SERVICE_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+_SERVICE_PATH_PARTS = 4
+_TOKEN_BYTES = 16
+_KEY_HEADER = 'idempotency-key'
 _BEARER = 'bearer '
 
 
@@ -187,6 +197,7 @@
             req=req,
             method='POST',
             path='/v1/chat/completions',
+            public_path='/v1/chat/completions',
             body=body,
             headers=caller.headers,
             stream=summary.stream,
@@ -209,10 +220,17 @@
         body = await self.read(caller, receive, send)
         if body is None:
             return
+        public_path = _public_path(scope)
         name = scope['path_params']['name']
         admitted = await self.admit(caller, 'service', name, send)
         if admitted is None:
             return
+        # An upstream that deduplicates by itself may be called again.
+        repeatable = admitted.service_class.repeatable or _deduplicates(
+            caller.catalog,
+            admitted.pool,
+        )
+        key = '' if repeatable else caller.headers.get(_KEY_HEADER, '')
         call = Call(
             req=Request(
                 req_id=caller.req_id,
@@ -220,18 +238,45 @@
                 service_class=admitted.service_class.name,
                 pool=admitted.pool.name,
                 arrived_at=read_boottime(),
-                repeatable=admitted.service_class.repeatable,
+                repeatable=repeatable,
+                operation=normalize_key(key),
             ),
             method=scope['method'],
-            path=_service_path(scope),
+            path=_service_path(public_path),
+            public_path=public_path,
             body=body,
             headers=caller.headers,
             stream=False,
             send=send,
+            key=key,
+            forwarded=HOP_HEADER in caller.headers,
         )
         await self._front.exchange.serve(call, receive)
 
 
+class OperationKeys(Endpoint):
+    """``POST /v1/operation-keys``."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Issue a key that this process alone may run, at most once."""
+        runtime = self._front.runtime
+        if runtime.core.state.stopping:
+            refusal = Refusal(503, 'stopping', 'this VM is stopping')
+            await refuse(send, refusal, caller.req_id)
+            return
+        token = secrets.token_hex(_TOKEN_BYTES)
+        runtime.submit(KeyRequested(caller.workspace.name, token))
+        settings = runtime.core.state.settings
+        key = make_issued_key(settings.vm, settings.incarnation, token)
+        await send_json(send, 201, {'key': key, 'issuer': settings.vm})
+
+
 class Models(Endpoint):
     """``GET /v1/models``."""
 
@@ -279,6 +324,11 @@
                 methods=['POST'],
             ),
             Route('/v1/models', Models(front), methods=['GET']),
+            Route(
+                '/v1/operation-keys',
+                OperationKeys(front),
+                methods=['POST'],
+            ),
             Route(
                 '/v1/services/{name}/{path:path}',
                 ServiceCalls(front),
@@ -289,6 +339,11 @@
     )
 
 
+def _deduplicates(catalog: Catalog, pool: Pool) -> bool:
+    upstreams = catalog.list_upstreams(pool.name)
+    return all(upstream.deduplicates for upstream in upstreams)
+
+
 def _decode_headers(scope: Any) -> dict[str, str]:
     return {
         name.decode('latin-1').lower(): text.decode('latin-1')
@@ -296,10 +351,14 @@
     }
 
 
-def _service_path(scope: Any) -> str:
+def _service_path(public_path: str) -> str:
+    parts = public_path.split('/', _SERVICE_PATH_PARTS)
+    return '/' + '/'.join(parts[_SERVICE_PATH_PARTS:])
+
+
+def _public_path(scope: Any) -> str:
     raw_path = scope.get('raw_path') or scope['path'].encode()
-    parts = raw_path.split(b'?')[0].decode('latin-1').split('/', 4)
-    path = '/' + '/'.join(parts[4:])
+    path = raw_path.split(b'?')[0].decode('latin-1')
     query = scope.get('query_string', b'')
     suffix = '?' + query.decode('latin-1') if query else ''
     return path + suffix
--- a/src/bilberryspoke/_internal/network/health.py
+++ b/src/bilberryspoke/_internal/network/health.py
@@ -7,8 +7,12 @@
 from starlette.responses import JSONResponse, PlainTextResponse
 from starlette.routing import Route
 
+from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
 
+# A VM that cannot reach its peers by then serves without them.
+_JOIN_S = 1.5
+
 
 def health_routes(runtime: Runtime, *, kinds: Iterable[str]) -> list[Route]:
     """Return the probe routes; ``kinds`` selects the histograms shown."""
@@ -41,4 +45,14 @@
         return 'stopping'
     if state.catalog is None:
         return 'no configuration'
+    if _is_joining(runtime):
+        return 'joining'
     return ''
+
+
+def _is_joining(runtime: Runtime) -> bool:
+    if read_boottime() - runtime.started_at > _JOIN_S:
+        return False
+    membership = runtime.core.state.membership
+    alive = membership.list_alive(read_boottime())
+    return len(alive) < len(membership.members)
--- a/src/bilberryspoke/_internal/network/loads.py
+++ b/src/bilberryspoke/_internal/network/loads.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from bilberryspoke._internal.core.policies.registry import find_policy
-from bilberryspoke._internal.models.events import LoadReported
+from bilberryspoke._internal.models.events import LoadReported, LoadUnread
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.network.upstreams import UpstreamClient
@@ -33,6 +33,7 @@
             report = await self._client.read_load(url, _POLL_S)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             self._runtime.counters.add('load_report_errors', name)
+            self._runtime.submit(LoadUnread(name))
             return
         self._runtime.submit(
             LoadReported(
--- a/src/bilberryspoke/_internal/network/platform.py
+++ b/src/bilberryspoke/_internal/network/platform.py
@@ -14,7 +14,7 @@
 )
 from bilberryspoke._internal.config.settings import PlatformSettings
 from bilberryspoke._internal.exceptions import PlatformUnavailableError
-from bilberryspoke._internal.models.events import ListedVm
+from bilberryspoke._internal.models.events import ListedVm, VmsListed
 
 _READ_TIMEOUT_S = 5.0
 _WATCH_MARGIN_S = 5.0
@@ -30,6 +30,7 @@
 
 class _VmList(msgspec.Struct):
     vms: list[_ListedVm]
+    as_of_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -68,14 +69,14 @@
             values[digest] = raw
         return Ok(Bundle(manifest, values))
 
-    async def list_vms(self) -> tuple[ListedVm, ...]:
+    async def list_vms(self) -> VmsListed:
         """Read the lagging list of VMs."""
         raw = await self._read('/v1/vms', _READ_TIMEOUT_S)
         try:
             parsed = msgspec.json.decode(raw, type=_VmList)
         except msgspec.MsgspecError as exc:
             raise PlatformUnavailableError('/v1/vms', str(exc)) from exc
-        return tuple(
+        listed = tuple(
             ListedVm(
                 name=vm.name,
                 role=vm.role,
@@ -85,6 +86,7 @@
             )
             for vm in parsed.vms
         )
+        return VmsListed(listed, parsed.as_of_ms)
 
     async def _read(self, path: str, timeout_s: float) -> bytes:
         url = self.settings.url + path
--- a/src/bilberryspoke/_internal/network/responses.py
+++ b/src/bilberryspoke/_internal/network/responses.py
@@ -53,17 +53,24 @@
 ) -> None:
     """Send a whole JSON answer."""
     body = json.dumps(document).encode()
-    sent = {
-        'content-type': 'application/json',
-        'content-length': str(len(body)),
-    }
-    sent.update(headers or {})
+    sent = {'content-type': 'application/json', **(headers or {})}
+    await send_whole(send, status, sent, body)
+
+
+async def send_whole(
+    send: Any,
+    status: int,
+    headers: Mapping[str, str],
+    body: bytes,
+) -> None:
+    """Send a whole answer with headers of its own."""
+    sent = {**headers, 'content-length': str(len(body))}
     await send(
         {
             'type': 'http.response.start',
             'status': status,
             'headers': encode_headers(sent),
-        }
+        },
     )
     await send({'type': 'http.response.body', 'body': body})
 
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -18,8 +18,11 @@
     Count,
     Dispatch,
     Effect,
+    Forward,
     Log,
     Record,
+    Reject,
+    Replay,
     SendPeer,
 )
 from bilberryspoke._internal.models.events import (
@@ -30,7 +33,8 @@
 )
 from bilberryspoke._internal.models.messages import Envelope, Push
 from bilberryspoke._internal.models.requests import RequestRecord
-from bilberryspoke._internal.network.calls import Call
+from bilberryspoke._internal.network.answers import AnswerStore
+from bilberryspoke._internal.network.calls import Call, Command
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.peers import PeerTransport
 
@@ -59,9 +63,11 @@
     counters: Counters = field(default_factory=Counters)
     histograms: HistogramTable = field(default_factory=HistogramTable)
     records: RecordRing = field(default_factory=RecordRing)
+    answers: AnswerStore = field(default_factory=AnswerStore)
     calls: dict[str, Call] = field(default_factory=dict)
     peers: PeerTransport | None = None
     on_push: Callable[[Push], None] | None = None
+    started_at: float = field(default_factory=read_boottime)
     adopted: asyncio.Event = field(default_factory=asyncio.Event)
 
     def submit(self, event: Event) -> None:
@@ -73,6 +79,12 @@
         """Carry out one effect."""
         _EXECUTORS[type(effect)](self, effect)
 
+    def command(self, command: Command) -> None:
+        """Pass a command to the call it belongs to, if it is still open."""
+        call = self.calls.get(command.req_id)
+        if call is not None:
+            call.commands.put_nowait(command)
+
     def receive(self, envelope: Envelope) -> None:
         """Take the messages of a peer."""
         for message in envelope.messages:
@@ -119,17 +131,13 @@
 @executes(Dispatch)
 def start_dispatch(runtime: Runtime, effect: Dispatch) -> None:
     """Pass a dispatch to the call it belongs to."""
-    call = runtime.calls.get(effect.req_id)
-    if call is not None:
-        call.commands.put_nowait(effect)
+    runtime.command(effect)
 
 
 @executes(Answer)
 def give_answer(runtime: Runtime, effect: Answer) -> None:
     """Pass the final word to the call it belongs to."""
-    call = runtime.calls.get(effect.req_id)
-    if call is not None:
-        call.commands.put_nowait(effect)
+    runtime.command(effect)
 
 
 @executes(CancelAttempt)
@@ -143,6 +151,24 @@
         call.attempt_task.cancel()
 
 
+@executes(Reject)
+def reject_call(runtime: Runtime, effect: Reject) -> None:
+    """Pass a refusal to the call it belongs to."""
+    runtime.command(effect)
+
+
+@executes(Forward)
+def forward_call(runtime: Runtime, effect: Forward) -> None:
+    """Let a call be passed on to another VM."""
+    runtime.command(effect)
+
+
+@executes(Replay)
+def replay_answer(runtime: Runtime, effect: Replay) -> None:
+    """Let a call give a recorded answer."""
+    runtime.command(effect)
+
+
 @executes(Record)
 def keep_record(runtime: Runtime, effect: Record) -> None:
     """Keep an explanation and record its durations."""
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -8,22 +8,27 @@
 from bilberryspoke._internal.config.settings import LimitSettings
 from bilberryspoke._internal.models.effects import Dispatch
 from bilberryspoke._internal.models.requests import AttemptStatus
+from bilberryspoke._internal.network.answers import (
+    AnswerStore,
+    RecordedAnswer,
+)
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.responses import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     encode_headers,
+    send_whole,
 )
 
+HOP_HEADER = 'x-bilberryspoke-hop'
 _EVENT_END = b'\n\n'
 _DONE = b'data: [DONE]\n\n'
 # Shorter than the idle time after which common servers close a connection.
 _KEEPALIVE_S = 3
 _REFUSALS = frozenset((429, 503))
-_NOT_FORWARDED = frozenset(
+_HOP_BY_HOP = frozenset(
     (
-        'authorization',
         'connection',
         'content-length',
         'expect',
@@ -34,11 +39,14 @@
         'trailer',
         'transfer-encoding',
         'upgrade',
-        'x-bilberryspoke-hop',
-        'x-request-class',
-        'x-request-id',
-    )
+    ),
 )
+_NOT_FORWARDED = _HOP_BY_HOP | {
+    'authorization',
+    HOP_HEADER,
+    'x-request-class',
+    REQUEST_ID_HEADER,
+}
 _NOT_RETURNED = frozenset(
     (
         'connection',
@@ -70,9 +78,9 @@
     persistent connection turns out to be closed.
     """
 
-    def __init__(self, limits: LimitSettings) -> None:
+    def __init__(self, limits: LimitSettings, answers: AnswerStore) -> None:
         """Create the client sessions; must run inside the event loop."""
-        self._limits = limits
+        self._answers = answers
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=limits.upstream_connect_s,
@@ -116,6 +124,27 @@
             detail = f'{type(exc).__name__}: {exc}'
             return AttemptResult(AttemptStatus.broken, detail)
 
+    async def forward(self, call: Call, base_url: str) -> AttemptResult:
+        """Pass a call on to the VM that alone may run it."""
+        headers = {
+            name: text
+            for name, text in call.headers.items()
+            if name not in _HOP_BY_HOP
+        }
+        headers[REQUEST_ID_HEADER] = call.req.req_id
+        headers[HOP_HEADER] = '1'
+        try:
+            async with self._once_session.request(
+                call.method,
+                base_url + call.public_path,
+                data=call.body,
+                headers=headers,
+                allow_redirects=False,
+            ) as resp:
+                return await _relay_whole(call, resp)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            return AttemptResult(AttemptStatus.broken, str(exc))
+
     async def read_load(self, base_url: str, timeout_s: float) -> 'LoadReport':
         """Read an upstream's load report."""
         timeout = aiohttp.ClientTimeout(total=timeout_s)
@@ -147,7 +176,7 @@
             if call.started:
                 detail = f'status {resp.status} to a resume'
                 return AttemptResult(AttemptStatus.broken, detail)
-            return await _relay_whole(call, resp)
+            return await _relay_whole(call, resp, self._answers)
 
 
 class LoadReport(msgspec.Struct):
@@ -224,6 +253,7 @@
 async def _relay_whole(
     call: Call,
     resp: aiohttp.ClientResponse,
+    answers: AnswerStore | None = None,
 ) -> AttemptResult:
     body = await resp.read()
     headers = {
@@ -231,20 +261,14 @@
         for name, text in resp.headers.items()
         if name.lower() not in _NOT_RETURNED
     }
+    if answers is not None and call.req.operation:
+        recorded = RecordedAnswer(resp.status, dict(headers), body)
+        answers.keep(call.req.operation, recorded)
     headers[REQUEST_ID_HEADER] = call.req.req_id
-    headers['content-length'] = str(len(body))
     call.status = resp.status
-    call.answer = body
     call.delivered = 1
     call.started = True
-    await call.send(
-        {
-            'type': 'http.response.start',
-            'status': resp.status,
-            'headers': encode_headers(headers),
-        }
-    )
-    await call.send({'type': 'http.response.body', 'body': body})
+    await send_whole(call.send, resp.status, headers, body)
     call.complete = True
     return AttemptResult(AttemptStatus.finished, f'status {resp.status}')
 
--- /dev/null
+++ b/tests/functional/test_operations.py
@@ -0,0 +1,129 @@
+"""At most once through real daemons, against the service's audit."""
+
+import asyncio
+import os
+import signal
+import time
+from collections import Counter
+
+import aiohttp
+
+from demo.__main__ import read_json
+from tests.lib.fleets import run_fleet
+
+KEY = 'demo-aquarium-levis'
+HEADERS = {'Authorization': f'Bearer {KEY}'}
+
+
+async def issue(session, vm):
+    url = f'{vm.url}/v1/operation-keys'
+    async with session.post(url, headers=HEADERS) as resp:
+        assert resp.status == 201
+        return (await resp.json())['key']
+
+
+async def book(session, vm, key, order='one'):
+    """Return status, outcome and body of a booking."""
+    headers = {**HEADERS, 'Idempotency-Key': f'"{key}"'}
+    url = f'{vm.url}/v1/services/tickets/book'
+    body = {'order': order}
+    timeout = aiohttp.ClientTimeout(total=20)
+    try:
+        async with session.post(
+            url,
+            json=body,
+            headers=headers,
+            timeout=timeout,
+        ) as resp:
+            document = await resp.json()
+            outcome = resp.headers.get('x-request-outcome', 'completed')
+            return resp.status, outcome, document
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        return 0, 'unknown', repr(exc)
+
+
+async def count_executions(fleet):
+    counts = Counter()
+    for upstream in fleet.upstreams:
+        if upstream['kind'] == 'service':
+            audit = await read_json(f'{upstream["url"]}/audit')
+            for execution in audit['executions']:
+                counts[execution['idempotency_key']] += 1
+    return counts
+
+
+async def check_replay(fleet, session):
+    first, second = fleet.vms[0], fleet.vms[2]
+    key = await issue(session, first)
+    status, _, document = await book(session, second, key)
+    assert status == 200, document
+    again = await book(session, fleet.vms[1], key)
+    assert again[0] == 200
+    assert again[2] == document
+    other = await book(session, first, key, order='another')
+    assert other[0] == 422
+    assert (await count_executions(fleet))[key] == 1
+
+
+async def check_races(fleet, session):
+    keys = [await issue(session, fleet.vms[0]) for _ in range(10)]
+    calls = [
+        book(session, vm, key) for key in keys for vm in fleet.vms for _ in '12'
+    ]
+    answers = await asyncio.gather(*calls)
+    strange = [each for each in answers if each[0] not in {200, 409}]
+    assert not strange
+    counts = await count_executions(fleet)
+    assert [counts[key] for key in keys] == [1] * len(keys)
+
+
+async def check_kill_and_pause(fleet, session):
+    issuer, paused = fleet.vms[0], fleet.vms[1]
+    keys = [await issue(session, issuer) for _ in range(5)]
+    paused_keys = [await issue(session, paused) for _ in range(5)]
+    running = [asyncio.create_task(book(session, issuer, key)) for key in keys]
+    held = [
+        asyncio.create_task(book(session, paused, key)) for key in paused_keys
+    ]
+    await asyncio.sleep(0.01)
+    os.kill(paused.pid, signal.SIGSTOP)
+    os.kill(issuer.pid, signal.SIGKILL)
+    await asyncio.gather(*running)
+    survivor = fleet.vms[2]
+    for key in keys:
+        _, outcome, _ = await book(session, survivor, key)
+        assert outcome == 'unknown'
+    os.kill(paused.pid, signal.SIGCONT)
+    told = await asyncio.gather(*held)
+    counts = await count_executions(fleet)
+    for key in [*keys, *paused_keys]:
+        assert counts[key] <= 1
+    for key, (_, outcome, _) in zip(paused_keys, told, strict=True):
+        if outcome == 'not_run':
+            assert counts[key] == 0
+        if outcome == 'completed':
+            assert counts[key] == 1
+
+
+async def check_own_keys(fleet, session):
+    vm = fleet.vms[2]
+    status, outcome, _ = await book(session, vm, 'opaque-key')
+    assert (status, outcome) == (422, 'not_run')
+    stamp = f'{time.time_ns() // 1_000_000:012x}'
+    key = f'{stamp[:8]}-{stamp[8:]}-7abc-8abc-000000000001'
+    for each in fleet.vms[2:]:
+        status, outcome, _ = await book(session, each, key)
+        assert outcome in {'completed', 'unknown'}
+    assert (await count_executions(fleet))[key] <= 1
+
+
+def test_operations_run_at_most_once(tmp_path):
+    async def run():
+        async with run_fleet(tmp_path) as fleet:
+            async with aiohttp.ClientSession() as session:
+                await check_replay(fleet, session)
+                await check_races(fleet, session)
+                await check_own_keys(fleet, session)
+                await check_kill_and_pause(fleet, session)
+
+    asyncio.run(run())
