--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,19 +3,16 @@
 import argparse
 import concurrent.futures
 import dataclasses
-import json
 import statistics
-import subprocess
 import sys
-from pathlib import Path
 
 from bench.measures import Measures
+from bench.results import write_document
 from bench.runs import OMNISCIENT, RunKey, run_once
 from bench.scenarios import list_scenarios
 from bench.workload import MIXES, load_catalog
 from bilberryspoke._internal.commands.output import print_table
 
-RESULTS = Path(__file__).parent / 'results'
 POLICIES = (
     'slot_owner',
     'static_share',
@@ -118,22 +115,11 @@
 
 def write_results(results: Results, name: str) -> None:
     """Write all measures as JSON with seed and commit."""
-    commit = subprocess.run(
-        ['git', 'rev-parse', 'HEAD'],
-        capture_output=True,
-        text=True,
-        check=False,
-    ).stdout.strip()
-    document = {
-        'commit': commit,
-        'runs': [
-            {**dataclasses.asdict(key), **dataclasses.asdict(measures)}
-            for key, measures in results.items()
-        ],
-    }
-    RESULTS.mkdir(exist_ok=True)
-    path = RESULTS / f'{name}.json'
-    path.write_text(json.dumps(document, indent=1) + '\n')
+    runs = [
+        {**dataclasses.asdict(key), **dataclasses.asdict(measures)}
+        for key, measures in results.items()
+    ]
+    write_document(name, {'runs': runs})
 
 
 def main() -> int:
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -54,6 +54,8 @@
     history: deque = field(default_factory=lambda: deque(maxlen=200))
     highest_fencing: int = 0
     orders: list = field(default_factory=list)
+    models: list[str] = field(default_factory=list)
+    load_model_s: float = 0.5
     arrivals: int = 0
     stats: dict = field(
         default_factory=lambda: {
@@ -134,7 +136,7 @@
             self.stats['finished'] += 1
 
 
-def make_app(engine: Engine, models: list[str]) -> Starlette:
+def make_app(engine: Engine) -> Starlette:
     """Return the application of one engine."""
 
     async def start(app: Starlette) -> None:
@@ -144,7 +146,7 @@
         if engine.refuse:
             return JSONResponse({'error': {'message': 'busy'}}, 503)
         body = await request.json()
-        if models and body['model'] not in models:
+        if engine.models and body['model'] not in engine.models:
             return JSONResponse({'error': {'message': 'no such model'}}, 404)
         answer = plan_answer(body['messages'], body.get('max_tokens'))
         req_id = request.headers.get('x-request-id', 'none')
@@ -179,6 +181,8 @@
                 'waiting': waiting,
                 'slots': engine.slots,
                 'prefixes': prefixes,
+                'models': engine.models or None,
+                'fencing': engine.highest_fencing,
             }
         )
 
@@ -189,6 +193,8 @@
             return JSONResponse({'error': 'old fencing number'}, 409)
         engine.highest_fencing = max(engine.highest_fencing, fencing)
         engine.orders.append(body)
+        await asyncio.sleep(engine.load_model_s)
+        engine.models = [body['model']]
         return JSONResponse({'accepted': True})
 
     async def fault(request: Request) -> Response:
@@ -262,8 +268,9 @@
         lag_s=args.lag_s,
         cache_size=args.cache,
         fencing=args.fencing,
+        models=args.model,
     )
-    serve(make_app(engine, args.model), args)
+    serve(make_app(engine), args)
 
 
 if __name__ == '__main__':
--- a/src/bilberryspoke/_internal/config/settings.py
+++ b/src/bilberryspoke/_internal/config/settings.py
@@ -62,6 +62,12 @@
     watch_s: float = Field(default=20, gt=0, le=300)
     retry_s: float = Field(default=0.5, gt=0, le=60)
     list_s: float = Field(default=1, gt=0, le=60)
+    weights_per_s: float = Field(
+        default=4,
+        gt=0,
+        le=1000,
+        description='Reads a second that the weight store allows in all.',
+    )
 
 
 class LimitSettings(SettingsModel):
--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -238,7 +238,10 @@
         return False
     if ticket.tokens > 0 and not ticket.req.resumable:
         return False
-    return state.retries.spend()
+    # Protected work is never shed for want of budget, but draws on it.
+    service_class = state.catalog.classes.get(ticket.req.service_class)
+    protected = service_class is not None and service_class.protected
+    return state.retries.spend() or protected
 
 
 def _give_back(
--- a/src/bilberryspoke/_internal/core/ordering.py
+++ b/src/bilberryspoke/_internal/core/ordering.py
@@ -101,21 +101,20 @@
         return min(late, key=_arrival, default=None)
 
     def charge(self, workspace: str, cost: float, weight: float) -> None:
-        """Account for tokens granted to a workspace."""
+        """Account for the expected tokens of a grant to a workspace.
+
+        The clock follows the virtual time at which grants start, so that a
+        newcomer starts level with the workspace that is served.
+        """
         lane = self.lanes.setdefault(workspace, Lane(virtual_time=self.clock))
+        self.clock = max(self.clock, lane.virtual_time)
         lane.virtual_time += cost / weight
-        busy = [
-            other.virtual_time for other in self.lanes.values() if other.size
-        ]
-        self.clock = max(self.clock, min(busy, default=lane.virtual_time))
-
-    def list_asks(self) -> list[WaitingAsk]:
-        """Return all waiting asks in no particular order."""
-        return [
-            waiting
-            for lane in self.lanes.values()
-            for waiting in lane.fresh + lane.late
-        ]
+
+    def correct(self, workspace: str, cost: float, weight: float) -> None:
+        """Replace expected by actual tokens once an attempt has ended."""
+        lane = self.lanes.get(workspace)
+        if lane is not None:
+            lane.virtual_time += cost / weight
 
 
 def _arrival(waiting: WaitingAsk) -> float:
--- a/src/bilberryspoke/_internal/core/owner.py
+++ b/src/bilberryspoke/_internal/core/owner.py
@@ -347,6 +347,7 @@
         granted_at=now,
         seen_at=now,
         charged=cost,
+        weight=waiting.weight,
         resumable=ask.resumable,
     )
     owner.hold(slot)
@@ -413,7 +414,8 @@
         stats.learn(message.tokens, message.run_s, message.first_token_s)
     queue = owner.queues.get(slot.service_class)
     if queue is not None:
-        queue.charge(slot.workspace, message.tokens - slot.charged, 1.0)
+        cost = message.tokens - slot.charged
+        queue.correct(slot.workspace, cost, slot.weight)
 
 
 def _confirm_slot(
--- a/src/bilberryspoke/_internal/core/placement.py
+++ b/src/bilberryspoke/_internal/core/placement.py
@@ -47,7 +47,8 @@
     for upstream in upstreams:
         load = state.find_load(upstream.name)
         capacity = max(1, int(upstream.slots * share))
-        taken = load.estimate_load(now)
+        # With a share of its own a VM leaves the others theirs.
+        taken = load.own if share < 1 else load.estimate_load(now)
         if taken >= capacity:
             continue
         found.append(
@@ -78,6 +79,7 @@
         upstream
         for upstream in state.catalog.list_upstreams(pool_name)
         if not state.is_leaving(upstream)
+        and _has_model(state, upstream, pool_name)
     ]
     healthy = [
         upstream
@@ -87,6 +89,12 @@
     return healthy or staying
 
 
+def _has_model(state: NodeState, upstream: Upstream, pool_name: str) -> bool:
+    models = state.find_load(upstream.name).models
+    pool = state.catalog.pools[pool_name]
+    return models is None or pool.offers in models
+
+
 def choose_upstream(
     state: NodeState,
     owner: PoolOwner,
--- a/src/bilberryspoke/_internal/core/poolqueue.py
+++ b/src/bilberryspoke/_internal/core/poolqueue.py
@@ -27,6 +27,7 @@
     seen_at: float
     tokens: int = 0
     charged: float = 0.0
+    weight: float = 1.0
     resumable: bool = False
     preempting: bool = False
 
--- a/src/bilberryspoke/_internal/core/scheduling.py
+++ b/src/bilberryspoke/_internal/core/scheduling.py
@@ -166,7 +166,7 @@
     """
     candidates = [
         waiting
-        for waiting in owner.waiting.values()
+        for waiting in reversed(owner.waiting.values())
         if not waiting.ask.started
         and _tier_of(catalog, waiting) > tier
         and not _is_protected(catalog, waiting.ask.service_class)
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -9,6 +9,7 @@
     OwnershipSettings,
 )
 from bilberryspoke._internal.core.operations.table import OperationTable
+from bilberryspoke._internal.core.orderbook import OrderBook
 from bilberryspoke._internal.core.poolqueue import PoolOwner
 from bilberryspoke._internal.core.retries import RetryBudget
 from bilberryspoke._internal.core.tickets import Ticket
@@ -44,6 +45,7 @@
     retry_share: float = 0.2
     neighbour_limit: int = 12
     key_limit: int = 100_000
+    weights_per_s: float = 4.0
     ownership: OwnershipSettings = OwnershipSettings()
 
 
@@ -59,6 +61,7 @@
     catalog: Catalog | None = None
     bundle: bytes = b''
     stopping: bool = False
+    orders: OrderBook = field(default_factory=OrderBook)
     tickets: dict[str, Ticket] = field(default_factory=dict)
     owned: dict[str, PoolOwner] = field(default_factory=dict)
     loads: dict[str, UpstreamLoad] = field(default_factory=dict)
--- a/src/bilberryspoke/_internal/core/upkeep.py
+++ b/src/bilberryspoke/_internal/core/upkeep.py
@@ -2,6 +2,10 @@
 
 from bilberryspoke._internal.core.entry import seek_slot
 from bilberryspoke._internal.core.membership import Member
+from bilberryspoke._internal.core.orders import (
+    follow_ownership,
+    review_engine,
+)
 from bilberryspoke._internal.core.owner import (
     expire_and_reclaim,
     relieve_upstream,
@@ -74,8 +78,10 @@
     load.silent = 0
     for prefix in event.prefixes:
         load.learn_prefix(prefix)
+    load.models = event.models
     if event.waiting:
         relieve_upstream(state, event, now)
+    review_engine(state, event, now)
 
 
 @on_event(LoadUnread)
@@ -208,9 +214,10 @@
     for pool in state.catalog.pools:
         owner = policy.find_owner(state, pool, now)
         previous = state.owner_of.get(pool)
+        state.owner_of[pool] = owner
+        follow_ownership(state, pool, now)
         if previous == owner:
             continue
-        state.owner_of[pool] = owner
         if previous is not None:
             state.emit(Count('owner_changes', pool))
             _move_requests(state, pool, previous, owner, now)
--- a/src/bilberryspoke/_internal/core/upstreamload.py
+++ b/src/bilberryspoke/_internal/core/upstreamload.py
@@ -33,6 +33,7 @@
     failures: int = 0
     avoid_until: float = 0.0
     silent: int = 0
+    models: tuple[str, ...] | None = None
     prefixes: deque[int] = field(
         default_factory=lambda: deque(maxlen=_PREFIX_LIMIT),
     )
--- a/src/bilberryspoke/_internal/models/effects.py
+++ b/src/bilberryspoke/_internal/models/effects.py
@@ -71,6 +71,15 @@
     key: str
 
 
+@dataclass(frozen=True, slots=True)
+class OrderUpstream:
+    """Order an engine to load a model."""
+
+    upstream: str
+    model: str
+    fencing: int
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """Keep the explanation of an ended request."""
@@ -111,6 +120,7 @@
     | Reject
     | Forward
     | Replay
+    | OrderUpstream
     | Record
     | Count
     | Log
--- a/src/bilberryspoke/_internal/models/events.py
+++ b/src/bilberryspoke/_internal/models/events.py
@@ -83,12 +83,26 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReported:
-    """An upstream reported its load; it may describe the past."""
+    """An upstream reported its load; it may describe the past.
+
+    ``models`` are those it has loaded, or ``None`` if it does not tell;
+    ``fencing`` is the highest fencing number it has seen.
+    """
 
     upstream: str
     running: int
     waiting: int
     prefixes: tuple[int, ...] = ()
+    models: tuple[str, ...] | None = None
+    fencing: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderEnded:
+    """An upstream accepted an order, or refused it or did not answer."""
+
+    upstream: str
+    accepted: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +164,7 @@
     | PeerLost
     | LoadReported
     | LoadUnread
+    | OrderEnded
     | VmsListed
     | CatalogOffered
     | StopRequested
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -25,7 +25,7 @@
     bind_listener,
     make_server,
 )
-from bilberryspoke._internal.network.loads import LoadPoller
+from bilberryspoke._internal.network.loads import LoadPoller, OrderGiver
 from bilberryspoke._internal.network.peers import PeerTransport
 from bilberryspoke._internal.network.platform import PlatformClient
 from bilberryspoke._internal.network.runtime import Runtime
@@ -70,6 +70,7 @@
     platform = PlatformClient(settings.platform, session)
     follower = ConfigurationFollower(runtime, platform)
     runtime.on_push = follower.take_push
+    runtime.on_order = OrderGiver(runtime, client).give
     servers = (
         make_server(make_entry_app(front), settings, tls=True),
         make_server(make_admin_app(runtime), settings, tls=False),
@@ -190,6 +191,7 @@
             admin_url=f'http://{sockets.admin_address}',
             queue_limit=settings.limits.queue_length,
             retry_share=settings.limits.retry_share,
+            weights_per_s=settings.platform.weights_per_s,
         ),
     )
     members = core.state.membership.members
--- a/src/bilberryspoke/_internal/network/loads.py
+++ b/src/bilberryspoke/_internal/network/loads.py
@@ -4,8 +4,14 @@
 
 import aiohttp
 
+from bilberryspoke._internal.core.orders import ORDER_DELAY_S
 from bilberryspoke._internal.core.policies.registry import find_policy
-from bilberryspoke._internal.models.events import LoadReported, LoadUnread
+from bilberryspoke._internal.models.effects import OrderUpstream
+from bilberryspoke._internal.models.events import (
+    LoadReported,
+    LoadUnread,
+    OrderEnded,
+)
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.network.upstreams import UpstreamClient
@@ -41,10 +47,38 @@
                 report.running,
                 report.waiting,
                 tuple(report.prefixes),
+                None if report.models is None else tuple(report.models),
+                report.fencing,
             ),
         )
 
 
+class OrderGiver:
+    """Gives engines the orders that the core decides on."""
+
+    def __init__(self, runtime: Runtime, client: UpstreamClient) -> None:
+        """Create the order giver of a VM."""
+        self._runtime = runtime
+        self._client = client
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def give(self, order: OrderUpstream) -> None:
+        """Give an order without waiting for its end."""
+        task = asyncio.create_task(self._give(order))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _give(self, order: OrderUpstream) -> None:
+        catalog = self._runtime.core.state.catalog
+        upstream = catalog.upstreams.get(order.upstream)
+        accepted = upstream is not None and await self._client.give_order(
+            upstream.url,
+            order,
+            ORDER_DELAY_S,
+        )
+        self._runtime.submit(OrderEnded(order.upstream, accepted))
+
+
 def list_polled(runtime: Runtime) -> dict[str, str]:
     """Return the URLs of the model engines whose load this VM reads.
 
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -20,6 +20,7 @@
     Effect,
     Forward,
     Log,
+    OrderUpstream,
     Record,
     Reject,
     Replay,
@@ -66,6 +67,7 @@
     answers: AnswerStore = field(default_factory=AnswerStore)
     calls: dict[str, Call] = field(default_factory=dict)
     peers: PeerTransport | None = None
+    on_order: Callable[[OrderUpstream], None] | None = None
     on_push: Callable[[Push], None] | None = None
     started_at: float = field(default_factory=read_boottime)
     adopted: asyncio.Event = field(default_factory=asyncio.Event)
@@ -169,6 +171,13 @@
     runtime.command(effect)
 
 
+@executes(OrderUpstream)
+def order_upstream(runtime: Runtime, effect: OrderUpstream) -> None:
+    """Give an order to an engine."""
+    if runtime.on_order is not None:
+        runtime.on_order(effect)
+
+
 @executes(Record)
 def keep_record(runtime: Runtime, effect: Record) -> None:
     """Keep an explanation and record its durations."""
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from bilberryspoke._internal.config.settings import LimitSettings
-from bilberryspoke._internal.models.effects import Dispatch
+from bilberryspoke._internal.models.effects import Dispatch, OrderUpstream
 from bilberryspoke._internal.models.requests import AttemptStatus
 from bilberryspoke._internal.network.answers import (
     AnswerStore,
@@ -153,6 +153,29 @@
             resp.raise_for_status()
             return msgspec.json.decode(await resp.read(), type=LoadReport)
 
+    async def give_order(
+        self,
+        base_url: str,
+        order: OrderUpstream,
+        timeout_s: float,
+    ) -> bool:
+        """Give an engine an order; tell whether it was accepted."""
+        body = {
+            'action': 'load_model',
+            'model': order.model,
+            'fencing': order.fencing,
+        }
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._once_session.post(
+                f'{base_url}/orders',
+                json=body,
+                timeout=timeout,
+            ) as resp:
+                return resp.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     async def _exchange(
         self,
         call: Call,
@@ -185,6 +208,8 @@
     running: int
     waiting: int
     prefixes: list[int] = []
+    models: list[str] | None = None
+    fencing: int = 0
 
 
 async def relay_events(
--- /dev/null
+++ b/tests/unit/test_core_decisions.py
@@ -0,0 +1,358 @@
+"""Decisions of one core: priorities, fairness, outcomes, limits."""
+
+import dataclasses
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryspoke._internal.models.catalog import Approval
+from bilberryspoke._internal.models.effects import (
+    CancelAttempt,
+    Count,
+    OrderUpstream,
+)
+from bilberryspoke._internal.models.events import (
+    CallerGone,
+    CatalogOffered,
+    LoadReported,
+    LoadUnread,
+    OrderEnded,
+    StopRequested,
+)
+from bilberryspoke._internal.models.requests import AttemptStatus, Outcome
+from tests.lib.builders import build_catalog, build_class
+from tests.lib.singlecore import SingleCore
+
+TOP = build_class('top', 1, protected=True, first_token_ms=500)
+LOW = build_class('low', 4, first_token_ms=60_000, max_wait_ms=60_000)
+FAIR = build_class('low', 4, minimum_share=0.1, first_token_ms=60_000)
+
+
+def make_core(*classes, slots=1, engines=1, **settings):
+    catalog = build_catalog(*classes, engines=engines, slots=slots)
+    return SingleCore(catalog, **settings)
+
+
+def test_free_slot_is_granted_at_once():
+    core = make_core(TOP)
+    core.request('r1')
+    assert core.dispatched() == ['r1']
+    core.end('r1')
+    assert core.records['r1'].outcome == 'completed'
+
+
+def test_protected_goes_before_earlier_lower_tier():
+    core = make_core(TOP, LOW)
+    core.request('first', 'low')
+    core.request('low', 'low')
+    core.request('top', 'top')
+    core.end('first')
+    assert core.dispatched() == ['first', 'top']
+
+
+def test_urgent_protected_preempts_and_victim_resumes_at_its_offset():
+    core = make_core(TOP, LOW)
+    core.request('low', 'low')
+    core.progress('low', 7)
+    effects = core.request('top', 'top')
+    assert any(isinstance(each, CancelAttempt) for each in effects)
+    core.end('low', AttemptStatus.cancelled, 9)
+    assert core.dispatched() == ['low', 'top']
+    core.end('top')
+    assert core.last_dispatch('low').offset == 9
+    core.end('low', tokens=20)
+    assert core.records['low'].outcome == 'completed'
+
+
+def test_protected_is_never_preempted():
+    core = make_core(TOP, build_class('other', 1, protected=True))
+    core.request('one', 'other')
+    effects = core.request('two', 'top')
+    assert not any(isinstance(each, CancelAttempt) for each in effects)
+
+
+def test_full_queue_evicts_the_newest_of_the_lowest_tier():
+    core = make_core(TOP, LOW, queue_limit=2)
+    core.request('running', 'low', resumable=False)
+    core.request('low-1', 'low', resumable=False)
+    core.request('low-2', 'low', resumable=False)
+    core.request('top', 'top')
+    assert list(core.answers) == ['low-2']
+    assert core.answers['low-2'].outcome is Outcome.not_run
+    core.request('low-3', 'low', resumable=False)
+    assert core.answers['low-3'].reason == 'queue_full'
+
+
+def test_guaranteed_slot_keeps_a_class_moving_under_protected_backlog():
+    core = make_core(TOP, FAIR, slots=4)
+    for number in range(30):
+        core.request(f'top-{number}', 'top')
+    core.request('low', 'low')
+    core.end('top-0')
+    assert 'low' in core.dispatched()
+
+
+def test_large_workspace_does_not_push_a_small_one_out():
+    core = make_core(LOW)
+    for number in range(20):
+        core.request(f'w-{number}', 'low')
+    core.request('v-0', 'low', workspace='v')
+    for _ in range(3):
+        core.end(core.dispatched()[-1], tokens=50)
+    assert 'v-0' in core.dispatched()
+
+
+def test_waiting_too_long_is_told_at_once_as_not_run():
+    core = make_core(build_class('low', 4, max_wait_ms=3000))
+    core.request('running', 'low')
+    core.request('waits', 'low')
+    core.pass_time(3.6)
+    answer = core.answers['waits']
+    assert answer.outcome is Outcome.not_run
+    assert answer.retry_after_s
+    core.end('running')
+    assert core.dispatched() == ['running']
+
+
+def test_started_work_is_never_told_not_run():
+    low = build_class('low', 4, max_wait_ms=1000, first_token_ms=60_000)
+    core = make_core(TOP, low)
+    core.request('low', 'low')
+    core.request('top', 'top')
+    core.end('low', AttemptStatus.cancelled, 0)
+    core.pass_time(5)
+    assert 'low' not in core.answers
+    core.end('top')
+    assert core.dispatched() == ['low', 'top', 'low']
+
+
+@pytest.mark.parametrize(
+    ('status', 'tokens', 'repeatable', 'outcome'),
+    [
+        (AttemptStatus.unreachable, 0, False, 'not_run'),
+        (AttemptStatus.refused, 0, False, 'not_run'),
+        (AttemptStatus.broken, 0, False, 'unknown'),
+        (AttemptStatus.broken, 3, False, 'interrupted'),
+    ],
+)
+def test_outcome_says_what_is_certain(status, tokens, repeatable, outcome):
+    core = make_core(build_class('low', 4))
+    core.request('r', 'low', repeatable=repeatable, resumable=False)
+    for _ in range(20):
+        if 'r' in core.answers:
+            break
+        core.end('r', status, tokens)
+        core.pass_time(1)
+    assert core.answers['r'].outcome.value == outcome
+
+
+def test_non_repeatable_call_is_dispatched_once_after_a_break():
+    core = make_core(TOP, engines=2)
+    core.request('r', repeatable=False, resumable=False)
+    core.end('r', AttemptStatus.broken, 0)
+    core.pass_time(2)
+    assert core.dispatched() == ['r']
+
+
+def test_broken_stream_resumes_elsewhere_at_its_offset():
+    core = make_core(TOP, engines=2)
+    core.request('r')
+    first = core.last_dispatch('r').upstream
+    core.end('r', AttemptStatus.broken, 4)
+    again = core.last_dispatch('r')
+    assert again.offset == 4
+    assert again.upstream != first
+
+
+def test_events_of_a_superseded_attempt_are_dropped():
+    core = make_core(TOP, engines=2)
+    core.request('r')
+    old = core.last_dispatch('r')
+    core.end('r', AttemptStatus.broken, 4)
+    from bilberryspoke._internal.models.events import AttemptEnded
+
+    late = AttemptEnded('r', old.attempt, AttemptStatus.finished, 9)
+    assert core.submit(late) == []
+    assert 'r' not in core.records
+
+
+def test_retries_are_a_share_of_first_attempts():
+    core = make_core(LOW, engines=1, slots=400, retry_share=0.0)
+    for number in range(60):
+        core.request(f'r{number}', 'low')
+        core.end(f'r{number}', AttemptStatus.broken, 0)
+    retries = [each for each in core.dispatches if each.attempt > 1]
+    assert len(retries) == 20
+
+
+def test_protected_is_retried_without_budget():
+    core = make_core(TOP, engines=2, retry_share=0.0)
+    core.core.state.retries.balance = 0
+    core.request('r')
+    core.end('r', AttemptStatus.unreachable, 0)
+    assert core.dispatched() == ['r', 'r']
+
+
+def test_gone_caller_frees_its_place():
+    core = make_core(LOW)
+    core.request('running', 'low')
+    core.request('waits', 'low')
+    core.submit(CallerGone('waits'))
+    effects = core.submit(CallerGone('running'))
+    assert any(isinstance(each, CancelAttempt) for each in effects)
+    core.end('running', AttemptStatus.cancelled, 1)
+    assert core.dispatched() == ['running']
+    assert not core.core.state.tickets
+
+
+def test_rate_limit_refuses_with_the_time_to_wait():
+    catalog = build_catalog(LOW, slots=100)
+    limited = dataclasses.replace(
+        catalog,
+        approvals=(Approval('w', 'low', 'p', requests_per_s=2.0),),
+        approvals_of={},
+    )
+    core = SingleCore(limited)
+    for number in range(10):
+        core.request(f'r{number}', 'low')
+    assert len(core.dispatched()) == 4
+    assert core.answers['r9'].reason == 'rate_limited'
+    assert core.answers['r9'].retry_after_s > 0
+
+
+def test_leaving_upstream_gets_nothing_new():
+    core = make_core(TOP, engines=2, slots=4)
+    catalog = core.core.state.catalog
+    leaving = dataclasses.replace(catalog.upstreams['e1'], leaving=True)
+    newer = dataclasses.replace(
+        catalog,
+        revision=2,
+        digest='2',
+        upstreams={**catalog.upstreams, 'e1': leaving},
+    )
+    core.submit(CatalogOffered(newer, b''))
+    for number in range(4):
+        core.request(f'r{number}')
+    assert {each.upstream for each in core.dispatches} == {'e2'}
+
+
+def test_configuration_never_reverts():
+    core = make_core(TOP)
+    catalog = core.core.state.catalog
+    newer = dataclasses.replace(catalog, revision=5, digest='five')
+    other = dataclasses.replace(catalog, revision=5, digest='other')
+    core.submit(CatalogOffered(newer, b''))
+    core.submit(CatalogOffered(catalog, b''))
+    effects = core.submit(CatalogOffered(other, b''))
+    assert Count('config_conflicts') in effects
+    assert core.core.state.catalog.digest == 'five'
+
+
+def test_silent_upstream_is_avoided_until_it_reports():
+    core = make_core(TOP, engines=2, slots=8)
+    core.submit(LoadUnread('e1'))
+    core.submit(LoadUnread('e1'))
+    for number in range(4):
+        core.request(f'r{number}')
+    assert {each.upstream for each in core.dispatches} == {'e2'}
+
+
+def test_slots_of_others_are_respected():
+    core = make_core(TOP, slots=4)
+    core.submit(LoadReported('e1', running=3, waiting=0))
+    for number in range(4):
+        core.request(f'r{number}')
+    assert core.dispatched() == ['r0']
+
+
+def test_stop_serves_what_waits():
+    core = make_core(LOW)
+    core.request('running', 'low')
+    core.request('waits', 'low')
+    core.submit(StopRequested())
+    core.end('running')
+    core.end('waits')
+    assert core.records['waits'].outcome == 'completed'
+
+
+def test_missing_model_is_ordered_with_a_growing_number():
+    core = make_core(TOP)
+    report = LoadReported('e1', 0, 0, models=('old',), fencing=7)
+    orders = []
+    for _ in range(30):
+        core.pass_time(1)
+        orders += [
+            each
+            for each in core.submit(report)
+            if isinstance(each, OrderUpstream)
+        ]
+        if orders:
+            break
+    assert [(each.upstream, each.model) for each in orders] == [('e1', 'offer')]
+    assert orders[0].fencing > 7
+    core.submit(OrderEnded('e1', accepted=True))
+    core.pass_time(5)
+    loaded = LoadReported('e1', 0, 0, models=('offer',), fencing=8)
+    effects = core.submit(loaded)
+    assert not any(isinstance(each, OrderUpstream) for each in effects)
+
+
+def test_new_owner_waits_out_an_order_of_an_engine_without_fencing():
+    core = make_core(TOP)
+    report = LoadReported('e1', 0, 0, models=('old',))
+    core.pass_time(0.5)
+    for _ in range(9):
+        effects = core.submit(report)
+        assert not any(isinstance(each, OrderUpstream) for each in effects)
+        core.pass_time(1)
+
+
+def test_upstream_without_the_model_gets_no_work():
+    core = make_core(TOP, engines=2, slots=4)
+    core.submit(LoadReported('e1', 0, 0, models=('old',)))
+    for number in range(3):
+        core.request(f'r{number}')
+    assert {each.upstream for each in core.dispatches} == {'e2'}
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(
+    arrivals=st.lists(
+        st.tuples(st.sampled_from(['top', 'low']), st.booleans()),
+        min_size=10,
+        max_size=120,
+    ),
+)
+def test_every_waiting_class_is_granted_within_its_bound(arrivals):
+    """With one slot a class guaranteed, a class with work waits for at most
+    as many ends as there are slots."""
+    core = make_core(TOP, FAIR, slots=4)
+    ends_since_grant = 0
+    for number, (name, _) in enumerate(arrivals):
+        core.request(f'{name}-{number}', name)
+    open_ids = [
+        req_id
+        for req_id in core.dispatched()
+        if req_id in core.core.state.tickets
+    ]
+    while open_ids:
+        before = len(core.dispatches)
+        core.end(open_ids[0])
+        granted = core.dispatched()[before:]
+        owner = core.core.state.owned['p']
+        low_waits = any(
+            waiting.ask.service_class == 'low'
+            for waiting in owner.waiting.values()
+        )
+        if any(req_id.startswith('low') for req_id in granted):
+            ends_since_grant = 0
+        elif low_waits and not owner.running.get('low'):
+            ends_since_grant += 1
+        assert ends_since_grant <= 4
+        open_ids = [
+            req_id
+            for req_id in core.dispatched()
+            if req_id in core.core.state.tickets
+            and core.core.state.tickets[req_id].stage == 'running'
+        ]
