Record the commit a bench run began with

Cause: results named the commit at the end of a run, not of its code. Change: the commit is read first; the number of workers is an option. Conclusion: result files name the code that gave them.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,7 @@
 import sys
 
 from bench.measures import Measures
-from bench.results import write_document
+from bench.results import read_commit, write_document
 from bench.runs import OMNISCIENT, RunKey, run_once
 from bench.scenarios import list_scenarios
 from bench.workload import MIXES, load_catalog
@@ -34,9 +34,9 @@
 Results = dict[RunKey, Measures]
 
 
-def run_all(keys: list[RunKey]) -> Results:
+def run_all(keys: list[RunKey], workers: int) -> Results:
     """Run all keys in a few processes."""
-    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
         measured = pool.map(run_once, keys, chunksize=1)
         return dict(zip(keys, measured, strict=True))
 
@@ -113,13 +113,13 @@
             print(key.fleet, key.scenario, key.seed, measures.violations)
 
 
-def write_results(results: Results, name: str) -> None:
+def write_results(results: Results, name: str, commit: str) -> None:
     """Write all measures as JSON with seed and commit."""
     runs = [
         {**dataclasses.asdict(key), **dataclasses.asdict(measures)}
         for key, measures in results.items()
     ]
-    write_document(name, {'runs': runs})
+    write_document(name, commit, {'runs': runs})
 
 
 def main() -> int:
@@ -133,6 +133,7 @@
         default=','.join([*list_scenarios(), *PAIRS]),
     )
     parser.add_argument('--name', default='policies')
+    parser.add_argument('--workers', type=int, default=_WORKERS)
     args = parser.parse_args()
     keys = [
         RunKey(fleet, policy, scenario, seed)
@@ -141,9 +142,10 @@
         for policy in args.policies.split(',')
         for seed in range(1, args.seeds + 1)
     ]
-    results = run_all(keys)
+    commit = read_commit()
+    results = run_all(keys, args.workers)
     print_results(results)
-    write_results(results, args.name)
+    write_results(results, args.name, commit)
     return 0
 
 
--- a/bench/speed.py
+++ b/bench/speed.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from bench.results import write_document
+from bench.results import read_commit, write_document
 from bilberryspoke._internal.commands.output import print_table
 from bilberryspoke._internal.config.bundles import make_bundle
 from bilberryspoke._internal.config.validation import (
@@ -276,9 +276,10 @@
     parser.add_argument('--requests', type=int, default=4000)
     parser.add_argument('--memory-requests', type=int, default=20_000)
     args = parser.parse_args()
+    commit = read_commit()
     figures = asyncio.run(run(args))
     print_figures(figures)
-    write_document('speed', figures)
+    write_document('speed', commit, figures)
     return 0
 
 
