--- a/src/bilberryspoke/_internal/cli/daemon.py
+++ b/src/bilberryspoke/_internal/cli/daemon.py
@@ -1,18 +1,20 @@
 """Entry point of the daemon ``bilberryspoked``."""
 
+import gc
 import sys
 from pathlib import Path
 
 import fire
 import uvloop
 
-from bilberryspoke._internal.config.settings import read_settings
+from bilberryspoke._internal.config.settings import Settings, read_settings
 from bilberryspoke._internal.exceptions import AddressInUseError
 from bilberryspoke._internal.network.daemon import Daemon
 from bilberryspoke._internal.network.logs import configure_logs
 
 EXIT_SETTINGS = 2
 EXIT_ADDRESS = 3
+_GC_YOUNG_OBJECTS = 20_000
 
 
 def run_daemon(settings: str) -> None:
@@ -38,7 +40,11 @@
     sys.exit(code)
 
 
-async def _run(settings: object) -> int:
+async def _run(settings: Settings) -> int:
+    # What lives as long as the process need not be looked through again.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_YOUNG_OBJECTS)
     return await Daemon(settings).run()
 
 
--- a/src/bilberryspoke/_internal/core/owner.py
+++ b/src/bilberryspoke/_internal/core/owner.py
@@ -403,7 +403,7 @@
     now: float,
 ) -> None:
     load = state.find_load(slot.upstream)
-    status = AttemptStatus(message.status)
+    status = message.status
     decode_s = message.run_s - max(0.0, message.first_token_s)
     load.observe_speed(decode_s, message.tokens)
     if status in _FAILURES:
--- a/src/bilberryspoke/_internal/core/policies/immediate.py
+++ b/src/bilberryspoke/_internal/core/policies/immediate.py
@@ -56,7 +56,7 @@
         """Account for the end of an attempt in this VM's own view."""
         load = state.find_load(release.upstream)
         load.finish(now)
-        if AttemptStatus(release.status) in _FAILURES:
+        if release.status in _FAILURES:
             load.fail(now)
 
     @abstractmethod
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -3,10 +3,17 @@
 Times are sent as ages or durations, since the clocks of VMs differ.
 """
 
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 
+from bilberryspoke._internal.models.requests import AttemptStatus
+
+_MAX_DURATION_S = 1e7
+_MAX_COUNT = 10**9
+Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_S)]
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
 
 class Ask(msgspec.Struct, tag='ask', array_like=True):
     """Request for a slot, sent by an entry VM to the owner of a pool.
@@ -20,10 +27,10 @@
     pool: str
     service_class: str
     workspace: str
-    age_s: float
-    prompt_tokens: int = 0
+    age_s: Duration
+    prompt_tokens: Tokens = 0
     prefix: int = 0
-    offset: int = 0
+    offset: Tokens = 0
     resumable: bool = False
     started: bool = False
     excluded: list[str] = []
@@ -35,7 +42,7 @@
     req_id: str
     attempt: int
     upstream: str
-    lease_s: float
+    lease_s: Duration
 
 
 class Refused(msgspec.Struct, tag='refuse', array_like=True):
@@ -44,7 +51,7 @@
     req_id: str
     attempt: int
     reason: str
-    retry_after_s: float
+    retry_after_s: Duration
 
 
 class Preempted(msgspec.Struct, tag='preempt', array_like=True):
@@ -62,10 +69,10 @@
     attempt: int
     pool: str
     upstream: str
-    status: str
-    tokens: int
-    run_s: float
-    first_token_s: float
+    status: AttemptStatus
+    tokens: Tokens
+    run_s: Duration
+    first_token_s: Duration
 
 
 class Withdraw(msgspec.Struct, tag='withdraw', array_like=True):
@@ -83,8 +90,8 @@
     upstream: str
     service_class: str
     workspace: str
-    run_s: float
-    tokens: int
+    run_s: Duration
+    tokens: Tokens
     resumable: bool
 
 
--- /dev/null
+++ b/tests/unit/test_borders.py
@@ -0,0 +1,285 @@
+"""Every border answers any input with a finding or a clear error."""
+
+import asyncio
+import json
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryspoke._internal.config.bundles import (
+    Bundle,
+    decode_bundle,
+    load_bundle,
+    make_bundle,
+)
+from bilberryspoke._internal.config.jsonc import parse_jsonc
+from bilberryspoke._internal.config.settings import (
+    LimitSettings,
+    Settings,
+    parse_settings,
+)
+from bilberryspoke._internal.config.validation import (
+    RawObject,
+    validate_objects,
+)
+from bilberryspoke._internal.core import Core, CoreSettings
+from bilberryspoke._internal.core.operations.keys import parse_key
+from bilberryspoke._internal.models.events import CatalogOffered, PeerReceived
+from bilberryspoke._internal.models.messages import Envelope, PeerMessage
+from bilberryspoke._internal.models.requests import AttemptStatus
+from bilberryspoke._internal.network.bodies import summarize_chat
+from bilberryspoke._internal.network.exchange import Exchange
+from bilberryspoke._internal.network.front import Front, make_entry_app
+from bilberryspoke._internal.network.runtime import Runtime
+from bilberryspoke._internal.network.upstreams import AttemptResult
+from tests.lib.builders import build_catalog, build_class, build_objects
+
+FUZZ = settings(max_examples=150, derandomize=True, deadline=None)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@FUZZ
+@given(text=st.text())
+def test_any_text_parses_or_gives_a_finding(text):
+    found = parse_jsonc(text, source='f')
+    assert found.is_ok() or found.error.source == 'f'
+
+
+def test_syntax_error_names_its_line():
+    found = parse_jsonc('{\n  // note\n  "a": ,\n}', source='f')
+    assert found.error.line == 3
+
+
+@FUZZ
+@given(
+    document=JSON
+    | st.dictionaries(st.sampled_from(sorted(Settings.model_fields)), JSON),
+)
+def test_any_settings_are_accepted_or_give_findings(document):
+    found = parse_settings(document, source='f')
+    assert found.is_ok() or all(each.source == 'f' for each in found.error)
+
+
+def test_all_findings_of_settings_come_at_once():
+    document = {
+        'vm': 'BAD NAME',
+        'limits': {'body_bytes': -1, 'surprise': 1},
+        'entry': {'port': 70000},
+    }
+    found = parse_settings(document, source='s.jsonc')
+    paths = {each.path for each in found.error}
+    assert {
+        'vm',
+        'data_centre',
+        'limits.body_bytes',
+        'limits.surprise',
+        'entry.port',
+    } <= paths
+
+
+@FUZZ
+@given(
+    position=st.integers(0, 5),
+    name=st.sampled_from(['name', 'kind', 'tier', 'url', 'pool', 'slots']),
+    replacement=JSON,
+)
+def test_any_objects_are_accepted_or_give_findings(position, name, replacement):
+    objects = build_objects()
+    objects[position][name] = replacement
+    validate_objects(RawObject('f', '', each) for each in objects)
+
+
+@FUZZ
+@given(raw=st.binary(max_size=200))
+def test_any_bytes_are_no_bundle(raw):
+    assert decode_bundle(raw).is_error()
+    assert load_bundle(Bundle(raw, {})).is_error()
+
+
+@FUZZ
+@given(position=st.integers(0, 10_000), flip=st.integers(1, 255))
+def test_any_changed_byte_of_a_bundle_is_refused(position, flip):
+    raw = [RawObject('f', '', each) for each in build_objects()]
+    bundle = make_bundle(validate_objects(raw), 3)
+    digest, value = next(iter(bundle.values.items()))
+    changed = bytearray(value)
+    changed[position % len(changed)] ^= flip
+    assert load_bundle(bundle).is_ok()
+    spoilt = Bundle(bundle.manifest, {digest: bytes(changed)})
+    assert load_bundle(spoilt).is_error()
+
+
+NAMES = st.sampled_from(['w', 'p', 'low', 'e1', 'r1', 'r2', 'a', 'z', ''])
+MESSAGE_TYPES = [
+    each for each in PeerMessage.__args__ if each.__name__ != 'Push'
+]
+
+
+def make_value(field_type):
+    """Return a strategy of wire values for a field."""
+    if field_type is str:
+        return NAMES
+    if field_type is bool:
+        return st.booleans()
+    if field_type is AttemptStatus:
+        return st.sampled_from([*(each.value for each in AttemptStatus), 'x'])
+    if getattr(field_type, '__origin__', None) is list:
+        return st.lists(NAMES, max_size=2)
+    return st.integers(-3, 10**10) | st.floats()
+
+
+def make_wire(message_type):
+    fields = msgspec.structs.fields(message_type)
+    tag = message_type.__struct_config__.tag
+    return st.tuples(st.just(tag), *(make_value(each.type) for each in fields))
+
+
+WIRE = st.one_of(*(make_wire(each) for each in MESSAGE_TYPES))
+
+
+@settings(max_examples=400, derandomize=True, deadline=None)
+@given(messages=st.lists(WIRE, min_size=1, max_size=8))
+def test_any_peer_messages_leave_the_core_working(messages):
+    core = Core(CoreSettings('a', 'dc1', 1))
+    catalog = build_catalog(build_class('low', 4))
+    core.handle(CatalogOffered(catalog, b''), now=10.0)
+    for wire in messages:
+        raw = msgspec.msgpack.encode(['z', 5, [list(wire)]])
+        try:
+            envelope = msgspec.msgpack.decode(raw, type=Envelope)
+        except msgspec.MsgspecError:
+            continue
+        for message in envelope.messages:
+            event = PeerReceived('z', 5, message)
+            core.handle(event, now=11.0)
+
+
+@FUZZ
+@given(text=st.text(max_size=300))
+def test_any_header_is_a_key_or_none(text):
+    key = parse_key(text)
+    assert key is None or key.text
+
+
+@FUZZ
+@given(raw=st.binary(max_size=100) | JSON.map(lambda d: json.dumps(d).encode()))
+def test_any_body_is_summarized_or_refused(raw):
+    found = summarize_chat(raw)
+    assert found.is_ok() or found.error.status == 400
+
+
+class NoClient:
+    """A client whose upstreams can never be reached."""
+
+    async def run(self, call, dispatch, base_url):
+        return AttemptResult(AttemptStatus.unreachable)
+
+
+def call_entry(path, method, headers, body):
+    """Send one request to the entry application; return its answer."""
+
+    async def run():
+        core = Core(CoreSettings('a', 'dc1', 1))
+        runtime = Runtime(core)
+        runtime.submit(CatalogOffered(build_catalog(), b''))
+        limits = LimitSettings(body_bytes=1000)
+        front = Front(runtime, Exchange(runtime, NoClient(), limits), limits)
+        sent = []
+        messages = [{'type': 'http.request', 'body': body}]
+
+        async def receive():
+            if messages:
+                return messages.pop()
+            await asyncio.sleep(60)
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            'type': 'http',
+            'method': method,
+            'path': path,
+            'raw_path': path.encode(),
+            'query_string': b'',
+            'root_path': '',
+            'headers': headers,
+        }
+        await make_entry_app(front)(scope, receive, send)
+        return sent
+
+    return asyncio.run(run())
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(
+    path=st.sampled_from(
+        [
+            '/v1/chat/completions',
+            '/v1/services/offer/x',
+            '/v1/services//',
+            '/v1/operation-keys',
+            '/v1/models',
+            '/nothing',
+        ]
+    ),
+    method=st.sampled_from(['GET', 'POST', 'DELETE']),
+    names=st.lists(
+        st.sampled_from(
+            [
+                b'authorization',
+                b'x-request-id',
+                b'x-request-class',
+                b'idempotency-key',
+            ]
+        ),
+        max_size=4,
+    ),
+    texts=st.lists(
+        st.binary(max_size=20) | st.sampled_from([b'Bearer w', b'top']),
+        min_size=4,
+        max_size=4,
+    ),
+    body=st.binary(max_size=60)
+    | st.sampled_from(
+        [
+            b'x' * 2000,
+            b'{"model":"offer","messages":[{"content":"x"}],"stream":true}',
+        ]
+    ),
+)
+def test_any_call_gets_one_whole_answer(path, method, names, texts, body):
+    headers = list(zip(names, texts, strict=False))
+    sent = call_entry(path, method, headers, body)
+    assert sent[0]['type'] == 'http.response.start'
+    assert 200 <= sent[0]['status'] < 600
+    assert sent[0]['status'] != 500
+    assert len([each for each in sent if 'status' in each]) == 1
+
+
+@pytest.mark.parametrize(
+    ('body', 'status', 'kind'),
+    [
+        (b'{', 400, 'malformed'),
+        (b'{"model":"offer","messages":[]}', 400, 'malformed'),
+        (b'{"model":"no","messages":[{"content":""}]}', 404, 'unknown_model'),
+        (b'x' * 2000, 413, 'too_large'),
+        (b'{"model":"offer","messages":[{"content":""}]}', 503, 'unreachable'),
+    ],
+)
+def test_errors_have_their_status_type_and_outcome(body, status, kind):
+    headers = [(b'authorization', b'Bearer w')]
+    sent = call_entry('/v1/chat/completions', 'POST', headers, body)
+    assert sent[0]['status'] == status
+    error = json.loads(sent[1]['body'])['error']
+    assert error['type'] == kind
+    assert error['outcome'] == 'not_run'
+    assert error['request_id']
