--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -153,6 +153,9 @@
     now: float,
 ) -> None:
     """Ask again for requests whose ask the owner does not have."""
+    contact = state.owner_heard.get(message.pool)
+    if contact is not None and contact.owner == sender:
+        contact.answered_at = now
     for req_id in message.req_ids:
         ticket = state.tickets.get(req_id)
         if ticket is not None and ticket.stage is Stage.asking:
--- a/src/bilberryspoke/_internal/core/membership.py
+++ b/src/bilberryspoke/_internal/core/membership.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from bilberryspoke._internal.models.messages import Heartbeat
-from bilberryspoke._internal.utils.hashing import rank_members
+from bilberryspoke._internal.utils.hashing import hash_word, rank_members
 
 
 @dataclass(slots=True)
@@ -16,7 +16,9 @@
     heard_at: float = -1e9
     hears_us_at: float = -1e9
     stopping: bool = False
+    listed: bool = False
     listed_leaving: bool = False
+    suspected_until: float = -1e9
     revision: int = 0
     digest: str = ''
     entry_url: str = ''
@@ -36,7 +38,31 @@
 
     own_name: str
     dead_after_s: float
+    neighbour_limit: int = 12
     members: dict[str, Member] = field(default_factory=dict)
+    ring: tuple[str, ...] = ()
+    neighbours: frozenset[str] = frozenset()
+
+    def find_neighbours(self) -> frozenset[str]:
+        """Return the VMs to exchange heartbeats with.
+
+        They are the nearest ones on both sides of a ring ordered by hash, so
+        that the relation holds both ways. A small fleet is all neighbours.
+        """
+        if len(self.ring) != len(self.members) + 1:
+            self._order_ring()
+        return self.neighbours
+
+    def forget_list(self) -> None:
+        """Forget who was listed, before a newer list is taken."""
+        for member in self.members.values():
+            member.listed = False
+
+    def suspect(self, name: str, until: float) -> None:
+        """Take the news that a VM did not answer as an owner."""
+        member = self.members.get(name)
+        if member is not None:
+            member.suspected_until = until
 
     def admit(self, sender: str, incarnation: int) -> bool:
         """Tell whether a message comes from the newest known incarnation."""
@@ -95,9 +121,7 @@
         self, subject: str, now: float, *, self_stops: bool
     ) -> str:
         """Return the VM that owns a subject in this VM's view."""
-        candidates = [
-            name for name in self.list_alive(now) if self._may_own(name, now)
-        ]
+        candidates = [name for name in self.members if self._may_own(name, now)]
         if not self_stops:
             candidates.append(self.own_name)
         if not candidates:
@@ -125,5 +149,31 @@
         member = self.members[name]
         if member.stopping or member.listed_leaving:
             return False
+        if member.suspected_until > now:
+            return False
+        if name not in self.find_neighbours():
+            # No heartbeat is due from it: the list stands until it is asked
+            # in vain.
+            return member.listed
         # A VM that is heard but does not hear us would never get our asks.
-        return now - member.hears_us_at <= self.dead_after_s
+        hears_us = now - member.hears_us_at <= self.dead_after_s
+        return hears_us and self.is_alive(name, now)
+
+    def _order_ring(self) -> None:
+        names = [self.own_name, *self.members]
+        self.ring = tuple(sorted(names, key=_ring_position))
+        if len(self.members) <= self.neighbour_limit:
+            self.neighbours = frozenset(self.members)
+            return
+        place = self.ring.index(self.own_name)
+        side = self.neighbour_limit // 2
+        near = [
+            self.ring[(place + step) % len(self.ring)]
+            for step in range(-side, side + 1)
+            if step
+        ]
+        self.neighbours = frozenset(near)
+
+
+def _ring_position(name: str) -> int:
+    return hash_word('ring', name)
--- a/src/bilberryspoke/_internal/core/owner.py
+++ b/src/bilberryspoke/_internal/core/owner.py
@@ -3,10 +3,11 @@
 from bilberryspoke._internal.core.ordering import WaitingAsk
 from bilberryspoke._internal.core.placement import (
     FreeUpstream,
+    PoolSurvey,
     choose_upstream,
-    list_free,
     list_usable,
     should_wait_for_faster,
+    survey_pool,
 )
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.poolqueue import HeldSlot, PoolOwner
@@ -116,8 +117,8 @@
         for req_id in message.waiting
         if req_id not in owner.waiting and req_id not in owner.held
     ]
-    if unknown:
-        send(state, sender, Missing(message.pool, unknown))
+    # Sent even if empty: it tells the entry VM that its owner is there.
+    send(state, sender, Missing(message.pool, unknown))
     serve_pool(state, owner, now)
 
 
@@ -127,12 +128,12 @@
         return
     policy = find_policy(state.settings.policy)
     share = policy.share_of_slots(state, now)
-    while owner.waiting:
-        free = list_free(state, owner.pool, now, share=share)
-        if not free or not _grant_one(state, owner, free, now):
+    survey = survey_pool(state, owner, now, share=share)
+    while owner.waiting and survey.free:
+        if not _grant_one(state, owner, survey, now):
             break
     if owner.waiting:
-        _preempt_for_urgent(state, owner, now)
+        _preempt_for_urgent(state, owner, survey.total_slots, now)
 
 
 def expire_and_reclaim(state: NodeState, owner: PoolOwner, now: float) -> None:
@@ -283,18 +284,17 @@
 def _grant_one(
     state: NodeState,
     owner: PoolOwner,
-    free: list[FreeUpstream],
+    survey: PoolSurvey,
     now: float,
 ) -> bool:
-    all_slow = all(candidate.slow for candidate in free) and _none_faster(
-        state,
+    all_slow = survey.all_slow
+    for waiting in iterate_heads(
         owner,
-        free,
+        state.catalog,
+        survey.total_slots,
         now,
-    )
-    slots = total_slots(state, owner.pool, now)
-    for waiting in iterate_heads(owner, state.catalog, slots, now):
-        chosen = choose_upstream(state, owner, waiting.ask, free)
+    ):
+        chosen = choose_upstream(state, owner, waiting.ask, survey.free)
         if chosen is None:
             continue
         service_class = state.catalog.classes[waiting.ask.service_class]
@@ -305,21 +305,12 @@
             all_slow=all_slow,
         ):
             continue
+        survey.take(chosen)
         _grant(state, owner, waiting, chosen, now)
         return True
     return False
 
 
-def _none_faster(
-    state: NodeState,
-    owner: PoolOwner,
-    free: list[FreeUpstream],
-    now: float,
-) -> bool:
-    usable = list_usable(state, owner.pool, now)
-    return len(usable) == len(free)
-
-
 def _grant(
     state: NodeState,
     owner: PoolOwner,
@@ -362,13 +353,13 @@
 def _preempt_for_urgent(
     state: NodeState,
     owner: PoolOwner,
+    slots: int,
     now: float,
 ) -> None:
     urgent = count_urgent(owner, state.catalog, now)
     coming = sum(1 for slot in owner.held.values() if slot.preempting)
     if urgent <= coming:
         return
-    slots = total_slots(state, owner.pool, now)
     wanted = urgent - coming
     chosen = choose_victims(owner, state.catalog, slots, wanted)
     _preempt(state, chosen, 'protected_work')
--- a/src/bilberryspoke/_internal/core/placement.py
+++ b/src/bilberryspoke/_internal/core/placement.py
@@ -10,57 +10,90 @@
 
 _SLOW_FACTOR = 2.5
 _SLOW_PATIENCE = 0.3
+_TYPICAL_EVERY_S = 0.5
 _PREFIX_SAVING = 0.8
 _S_PER_PROMPT_TOKEN = 0.0005
 _REMOTE_S = 0.003
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class FreeUpstream:
     """An upstream with free slots; ``load`` is a fraction of its slots."""
 
     upstream: Upstream
-    free: int
-    load: float
+    capacity: int
+    taken: int
     s_per_token: float
     slow: bool
 
+    @property
+    def load(self) -> float:
+        """Part of the slots that are taken."""
+        return self.taken / self.capacity
 
-def list_free(
+
+@dataclass(slots=True)
+class PoolSurvey:
+    """What an owner can grant at one moment."""
+
+    free: list[FreeUpstream]
+    total_slots: int
+    usable: int
+
+    @property
+    def all_slow(self) -> bool:
+        """Whether waiting for a faster upstream is pointless."""
+        return len(self.free) == self.usable and all(
+            candidate.slow for candidate in self.free
+        )
+
+    def take(self, chosen: FreeUpstream) -> None:
+        """Account for one granted slot."""
+        chosen.taken += 1
+        if chosen.taken >= chosen.capacity:
+            self.free.remove(chosen)
+
+
+def survey_pool(
     state: NodeState,
-    pool_name: str,
+    owner: PoolOwner,
     now: float,
     *,
     share: float = 1.0,
-) -> list[FreeUpstream]:
-    """Return the upstreams of a pool that can take work at once.
+) -> PoolSurvey:
+    """Look at all usable upstreams of a pool once.
 
     ``share`` is the part of each upstream's slots this VM may use.
     """
-    upstreams = list_usable(state, pool_name, now)
-    if not upstreams:
-        return []
-    typical = median(
-        state.find_load(upstream.name).s_per_token for upstream in upstreams
-    )
-    found = []
-    for upstream in upstreams:
+    usable = list_usable(state, owner.pool, now)
+    slow_s = _SLOW_FACTOR * _typical_s_per_token(state, owner, usable, now)
+    free = []
+    for upstream in usable:
         load = state.find_load(upstream.name)
         capacity = max(1, int(upstream.slots * share))
         # With a share of its own a VM leaves the others theirs.
         taken = load.own if share < 1 else load.estimate_load(now)
-        if taken >= capacity:
-            continue
-        found.append(
-            FreeUpstream(
-                upstream=upstream,
-                free=capacity - taken,
-                load=taken / capacity,
-                s_per_token=load.s_per_token,
-                slow=load.s_per_token > _SLOW_FACTOR * typical,
-            ),
+        if taken < capacity:
+            slow = load.s_per_token > slow_s
+            free.append(
+                FreeUpstream(upstream, capacity, taken, load.s_per_token, slow),
+            )
+    slots = sum(each.slots for each in usable)
+    return PoolSurvey(free, slots, len(usable))
+
+
+def _typical_s_per_token(
+    state: NodeState,
+    owner: PoolOwner,
+    usable: list[Upstream],
+    now: float,
+) -> float:
+    if usable and now - owner.typical_at > _TYPICAL_EVERY_S:
+        owner.typical_at = now
+        owner.typical_s_per_token = median(
+            state.find_load(each.name).s_per_token for each in usable
         )
-    return found
+    return owner.typical_s_per_token
 
 
 def list_usable(
@@ -75,26 +108,20 @@
     """
     if state.catalog is None:
         return []
-    staying = [
-        upstream
-        for upstream in state.catalog.list_upstreams(pool_name)
-        if not state.is_leaving(upstream)
-        and _has_model(state, upstream, pool_name)
-    ]
-    healthy = [
-        upstream
-        for upstream in staying
-        if state.find_load(upstream.name).avoid_until <= now
-    ]
+    offers = state.catalog.pools[pool_name].offers
+    staying = []
+    healthy = []
+    for upstream in state.catalog.list_upstreams(pool_name):
+        load = state.find_load(upstream.name)
+        missing = load.models is not None and offers not in load.models
+        if missing or state.is_leaving(upstream):
+            continue
+        staying.append(upstream)
+        if load.avoid_until <= now:
+            healthy.append(upstream)
     return healthy or staying
 
 
-def _has_model(state: NodeState, upstream: Upstream, pool_name: str) -> bool:
-    models = state.find_load(upstream.name).models
-    pool = state.catalog.pools[pool_name]
-    return models is None or pool.offers in models
-
-
 def choose_upstream(
     state: NodeState,
     owner: PoolOwner,
--- a/src/bilberryspoke/_internal/core/poolqueue.py
+++ b/src/bilberryspoke/_internal/core/poolqueue.py
@@ -79,6 +79,8 @@
     limits: LimitTable = field(default_factory=LimitTable)
     released_at: deque[float] = field(default_factory=deque)
     running: dict[str, int] = field(default_factory=dict)
+    typical_s_per_token: float = 0.0
+    typical_at: float = -1e9
 
     def find_stats(self, service_class: str) -> ClassStats:
         """Return the estimates of a class."""
--- a/src/bilberryspoke/_internal/core/reducer.py
+++ b/src/bilberryspoke/_internal/core/reducer.py
@@ -55,7 +55,11 @@
         """Create the core of a VM that knows nothing yet."""
         self.state = NodeState(
             settings=settings,
-            membership=Membership(settings.vm, settings.dead_after_s),
+            membership=Membership(
+                settings.vm,
+                settings.dead_after_s,
+                settings.neighbour_limit,
+            ),
             retries=RetryBudget(settings.retry_share),
             operations=OperationTable(settings.key_limit),
             ownership=KeyOwnership(settings.vm, settings.ownership),
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -49,6 +49,14 @@
     ownership: OwnershipSettings = OwnershipSettings()
 
 
+@dataclass(slots=True)
+class OwnerContact:
+    """When the owner of a pool last answered this VM's report."""
+
+    owner: str
+    answered_at: float
+
+
 @dataclass(slots=True)
 class NodeState:
     """Everything one VM knows; changed by the reducer's handlers alone."""
@@ -66,6 +74,7 @@
     owned: dict[str, PoolOwner] = field(default_factory=dict)
     loads: dict[str, UpstreamLoad] = field(default_factory=dict)
     owner_of: dict[str, str] = field(default_factory=dict)
+    owner_heard: dict[str, OwnerContact] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
     effects: list[Effect] = field(default_factory=list)
     local: deque[object] = field(default_factory=deque)
--- a/src/bilberryspoke/_internal/core/upkeep.py
+++ b/src/bilberryspoke/_internal/core/upkeep.py
@@ -14,7 +14,7 @@
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.reducer import deliver, on_event, on_message
 from bilberryspoke._internal.core.sending import send
-from bilberryspoke._internal.core.state import NodeState
+from bilberryspoke._internal.core.state import NodeState, OwnerContact
 from bilberryspoke._internal.core.tickets import Stage, Ticket
 from bilberryspoke._internal.models.effects import Adopt, Count, Log, SendPeer
 from bilberryspoke._internal.models.events import (
@@ -35,9 +35,10 @@
     Push,
     Withdraw,
 )
-from bilberryspoke._internal.utils.hashing import rank_members
 
 _SILENT_LIMIT = 2
+_OWNER_SILENCE_S = 2.0
+_SUSPICION_S = 5.0
 
 
 @on_event(Tick)
@@ -97,6 +98,7 @@
 def take_list(state: NodeState, event: VmsListed, now: float) -> None:
     """Join the platform's list with the heartbeats' view."""
     leaving: set[str] = set()
+    state.membership.forget_list()
     for vm in event.vms:
         if vm.role == 'upstream':
             if vm.leaving:
@@ -105,6 +107,7 @@
         if vm.name == state.vm:
             continue
         member = state.membership.members.setdefault(vm.name, Member(vm.name))
+        member.listed = True
         member.listed_leaving = vm.leaving
         member.data_centre = vm.data_centre
         if vm.peer_address:
@@ -184,8 +187,7 @@
 def send_heartbeats(state: NodeState, now: float) -> None:
     """Send a heartbeat to a bounded set of neighbours."""
     beat = _make_heartbeat(state, now)
-    names = rank_members(f'neighbours:{state.vm}', state.membership.members)
-    for name in names[: state.settings.neighbour_limit]:
+    for name in sorted(state.membership.find_neighbours()):
         state.emit(SendPeer(name, beat))
 
 
@@ -230,8 +232,27 @@
         by_pool.setdefault(ticket.req.pool, []).append(ticket)
     for pool, tickets in by_pool.items():
         owner = state.owner_of.get(pool)
-        if owner is not None:
-            send(state, owner, _describe(pool, tickets, now))
+        if owner is None:
+            continue
+        _suspect_silent_owner(state, pool, owner, now)
+        send(state, owner, _describe(pool, tickets, now))
+
+
+def _suspect_silent_owner(
+    state: NodeState,
+    pool: str,
+    owner: str,
+    now: float,
+) -> None:
+    if owner == state.vm:
+        return
+    contact = state.owner_heard.get(pool)
+    if contact is None or contact.owner != owner:
+        state.owner_heard[pool] = OwnerContact(owner, now)
+    elif now - contact.answered_at > _OWNER_SILENCE_S:
+        state.emit(Count('owners_suspected', owner))
+        state.membership.suspect(owner, now + _SUSPICION_S)
+        state.owner_heard.pop(pool)
 
 
 def _move_requests(
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,108 @@
+"""Who is a member, whom one hears from, and who owns what."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberryspoke._internal.core.membership import Member, Membership
+from bilberryspoke._internal.core.upstreamload import UpstreamLoad
+from bilberryspoke._internal.models.messages import Heartbeat
+
+NAMES = [f'vm-{number:03d}' for number in range(370)]
+
+
+def make_membership(own, names, **fields):
+    membership = Membership(own, 0.7, 12)
+    for name in names:
+        if name != own:
+            membership.members[name] = Member(name, **fields)
+    return membership
+
+
+def beat(heard, incarnation=1):
+    return Heartbeat('dc', incarnation, 0, '', False, [], heard)
+
+
+def test_neighbours_are_bounded_and_mutual():
+    neighbours = {
+        name: make_membership(name, NAMES).find_neighbours() for name in NAMES
+    }
+    assert {len(each) for each in neighbours.values()} == {12}
+    for name, near in neighbours.items():
+        assert all(name in neighbours[other] for other in near)
+
+
+def test_small_fleet_is_all_neighbours():
+    membership = make_membership('a', ['a', 'b', 'c'])
+    assert membership.find_neighbours() == {'b', 'c'}
+
+
+def test_large_fleet_agrees_on_owners_by_the_list():
+    owners = {
+        make_membership(own, NAMES, listed=True).choose_owner(
+            'pool:x',
+            5.0,
+            self_stops=False,
+        )
+        for own in NAMES[:20]
+        if own not in make_membership(own, NAMES).find_neighbours()
+    }
+    # A neighbour that was not heard is no candidate for those next to it.
+    assert len(owners) <= 2
+
+
+def test_suspected_owner_is_replaced_for_a_while():
+    membership = make_membership('vm-000', NAMES, listed=True)
+    first = membership.choose_owner('pool:x', 5.0, self_stops=False)
+    membership.suspect(first, 10.0)
+    assert membership.choose_owner('pool:x', 6.0, self_stops=False) != first
+    assert membership.choose_owner('pool:x', 11.0, self_stops=False) == first
+
+
+def test_vm_that_does_not_hear_us_owns_nothing_for_us():
+    membership = make_membership('a', ['a', 'b'])
+    membership.hear('b', beat([]), 5.0)
+    owners = {
+        membership.choose_owner(f'pool:{n}', 5.1, self_stops=False)
+        for n in range(20)
+    }
+    assert owners == {'a'}
+    membership.hear('b', beat(['a']), 5.2)
+    owners = {
+        membership.choose_owner(f'pool:{n}', 5.3, self_stops=False)
+        for n in range(20)
+    }
+    assert owners == {'a', 'b'}
+
+
+def test_older_incarnation_is_not_admitted():
+    membership = make_membership('a', [])
+    assert membership.admit('b', 5)
+    assert membership.admit('b', 7)
+    assert not membership.admit('b', 5)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(
+    foreign=st.integers(0, 4),
+    lag_steps=st.integers(0, 4),
+    steps=st.lists(st.sampled_from(['start', 'finish']), max_size=60),
+)
+def test_estimate_of_others_never_exceeds_their_slots(
+    foreign,
+    lag_steps,
+    steps,
+):
+    """With any lag up to the longest one and a constant foreign load."""
+    load = UpstreamLoad('e')
+    history = [0]
+    now = 0.0
+    for step in steps:
+        now += 0.5
+        if step == 'start':
+            load.start(now)
+        else:
+            load.finish(now)
+        history.append(load.own)
+        past = history[max(0, len(history) - 1 - lag_steps)]
+        load.report(past + foreign, 0, now + 0.1)
+        assert load.estimate_foreign(now + 0.1) <= foreign
