--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,18 @@
 
 bench: $(VENV)/.ready
 	$(BIN)/python -m bench
+	$(BIN)/python -m bench.plots
+	$(BIN)/python -m bench.speed
+	$(BIN)/python -m bench.live
+
+slopes: $(VENV)/.ready
+	$(BIN)/python -m bench.slopes
+
+loc: $(VENV)/.ready
+	$(BIN)/python -m bench.loc
+
+reference: $(VENV)/.ready
+	$(BIN)/python -m bench.reference
 
 clean:
 	rm -rf $(VENV) .demo
--- a/src/bilberryspoke/_internal/core/__init__.py
+++ b/src/bilberryspoke/_internal/core/__init__.py
@@ -3,7 +3,13 @@
 Importing this package registers all handlers and policies.
 """
 
-from bilberryspoke._internal.core import entry, owner, upkeep
+from bilberryspoke._internal.core import (
+    configuration,
+    entry,
+    heartbeats,
+    owner,
+    upkeep,
+)
 from bilberryspoke._internal.core.operations import handlers
 from bilberryspoke._internal.core.policies import immediate, queued
 from bilberryspoke._internal.core.reducer import Core
@@ -12,8 +18,10 @@
 __all__ = (
     'Core',
     'CoreSettings',
+    'configuration',
     'entry',
     'handlers',
+    'heartbeats',
     'immediate',
     'owner',
     'queued',
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/configuration.py
@@ -0,0 +1,52 @@
+"""Adoption of configurations and passing them on."""
+
+from bilberryspoke._internal.core.granting import serve_pool
+from bilberryspoke._internal.core.heartbeats import send_heartbeats
+from bilberryspoke._internal.core.reducer import on_event, on_message
+from bilberryspoke._internal.core.sending import send
+from bilberryspoke._internal.core.state import NodeState
+from bilberryspoke._internal.models.effects import Adopt, Count, Log
+from bilberryspoke._internal.models.events import (
+    CatalogOffered,
+)
+from bilberryspoke._internal.models.messages import (
+    Pull,
+    Push,
+)
+
+
+@on_event(CatalogOffered)
+def adopt_catalog(state: NodeState, event: CatalogOffered, now: float) -> None:
+    """Adopt a configuration that is newer than the one in force."""
+    offered = event.catalog
+    current = state.catalog
+    if current is not None:
+        if offered.revision == current.revision:
+            if offered.digest != current.digest:
+                state.emit(Count('config_conflicts'))
+                state.emit(Log('config_conflict', str(offered.revision)))
+            return
+        if offered.revision < current.revision:
+            state.emit(Count('config_stale_offers'))
+            return
+    state.catalog = offered
+    state.bundle = event.bundle
+    state.emit(Adopt(offered.revision, offered.digest))
+    send_heartbeats(state, now)
+    for owner in list(state.owned.values()):
+        serve_pool(state, owner, now)
+
+
+@on_message(Pull)
+def push_configuration(
+    state: NodeState,
+    sender: str,
+    message: Pull,
+    now: float,
+) -> None:
+    """Send the accepted configuration to a VM that has an older one."""
+    catalog = state.catalog
+    if catalog is not None and catalog.revision > message.revision:
+        state.emit(Count('config_pushes'))
+        push = Push(catalog.revision, catalog.digest, state.bundle)
+        send(state, sender, push)
--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -1,6 +1,6 @@
 """Entry side: a request from its arrival to its final word."""
 
-from bilberryspoke._internal.core.operations.table import KeyState
+from bilberryspoke._internal.core.endings import close_ticket, fail_request
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.reducer import on_event, on_message
 from bilberryspoke._internal.core.sending import send
@@ -11,7 +11,6 @@
     CancelAttempt,
     Count,
     Dispatch,
-    Record,
 )
 from bilberryspoke._internal.models.events import (
     AttemptEnded,
@@ -31,11 +30,12 @@
     CERTAINLY_NOT_RUN,
     AttemptStatus,
     Outcome,
-    RequestRecord,
 )
 
 _MAX_ATTEMPTS = 8
+
 _EXCLUDED_LIMIT = 3
+
 _RETRY_AFTER_S = 1.0
 
 
@@ -74,7 +74,7 @@
             state.emit(CancelAttempt(event.req_id, ticket.attempt))
         return
     send(state, ticket.owner, Withdraw(event.req_id, ticket.req.pool))
-    _close(state, ticket, 'caller_gone', 'caller_gone', now)
+    close_ticket(state, ticket, 'caller_gone', 'caller_gone', now)
 
 
 @on_message(Granted)
@@ -124,7 +124,7 @@
     ticket = state.tickets.get(message.req_id)
     if _awaits(ticket, sender, message.attempt):
         state.emit(Count('shed', ticket.req.service_class))
-        _fail(state, ticket, message.reason, now, message.retry_after_s)
+        fail_request(state, ticket, message.reason, now, message.retry_after_s)
 
 
 @on_message(Preempted)
@@ -193,9 +193,9 @@
     if event.status not in CERTAINLY_NOT_RUN:
         ticket.may_have_run = True
     if event.status is AttemptStatus.finished:
-        _close(state, ticket, Outcome.completed.value, '', now)
+        close_ticket(state, ticket, Outcome.completed.value, '', now)
     elif ticket.caller_gone:
-        _close(state, ticket, 'caller_gone', 'caller_gone', now)
+        close_ticket(state, ticket, 'caller_gone', 'caller_gone', now)
     else:
         _continue(state, ticket, event, now)
 
@@ -223,7 +223,7 @@
         seek_slot(state, ticket, now)
         return
     if not _may_retry(state, ticket, event.status):
-        _fail(state, ticket, event.status.value, now, _RETRY_AFTER_S)
+        fail_request(state, ticket, event.status.value, now, _RETRY_AFTER_S)
         return
     ticket.excluded = [*ticket.excluded, ticket.upstream][-_EXCLUDED_LIMIT:]
     state.emit(Count('retries', ticket.req.service_class))
@@ -305,61 +305,3 @@
         and ticket.owner == sender
         and ticket.attempt == attempt
     )
-
-
-def _fail(
-    state: NodeState,
-    ticket: Ticket,
-    reason: str,
-    now: float,
-    retry_after_s: float,
-) -> None:
-    outcome = Outcome.not_run
-    if ticket.tokens > 0:
-        outcome = Outcome.interrupted
-    elif ticket.may_have_run:
-        outcome = Outcome.unknown
-    state.emit(Answer(ticket.req.req_id, outcome, reason, retry_after_s))
-    _close(state, ticket, outcome.value, reason, now)
-
-
-def _key_state(ticket: Ticket, outcome: str) -> KeyState:
-    if outcome == Outcome.completed.value:
-        return KeyState.completed
-    return KeyState.unknown if ticket.may_have_run else KeyState.ready
-
-
-def _close(
-    state: NodeState,
-    ticket: Ticket,
-    outcome: str,
-    reason: str,
-    now: float,
-) -> None:
-    req = ticket.req
-    state.tickets.pop(req.req_id, None)
-    if req.operation:
-        state.operations.end(req.operation, _key_state(ticket, outcome))
-    first_token_s = None
-    if ticket.first_token_at is not None:
-        first_token_s = ticket.first_token_at - req.arrived_at
-    ticket.note(now, 'ended', outcome)
-    state.emit(Count(f'outcome_{outcome}', req.service_class))
-    state.emit(
-        Record(
-            RequestRecord(
-                req_id=req.req_id,
-                workspace=req.workspace,
-                service_class=req.service_class,
-                pool=req.pool,
-                outcome=outcome,
-                reason=reason,
-                queue_s=ticket.queue_s,
-                first_token_s=first_token_s,
-                total_s=now - req.arrived_at,
-                tokens=ticket.tokens,
-                attempts=ticket.attempt,
-                trail=ticket.trail,
-            ),
-        ),
-    )
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/granting.py
@@ -0,0 +1,170 @@
+"""Granting of slots and preemption for protected work."""
+
+from bilberryspoke._internal.core.ordering import WaitingAsk
+from bilberryspoke._internal.core.placement import (
+    FreeUpstream,
+    PoolSurvey,
+    choose_upstream,
+    list_usable,
+    should_wait_for_faster,
+    survey_pool,
+)
+from bilberryspoke._internal.core.policies.registry import find_policy
+from bilberryspoke._internal.core.poolqueue import HeldSlot, PoolOwner
+from bilberryspoke._internal.core.scheduling import (
+    choose_victims,
+    count_stuck,
+    count_urgent,
+    iterate_heads,
+)
+from bilberryspoke._internal.core.sending import send
+from bilberryspoke._internal.core.state import NodeState
+from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.events import LoadReported
+from bilberryspoke._internal.models.messages import (
+    Granted,
+    Preempted,
+)
+
+
+def serve_pool(state: NodeState, owner: PoolOwner, now: float) -> None:
+    """Grant free slots in order, then preempt for urgent protected asks."""
+    if not owner.waiting or state.catalog is None:
+        return
+    policy = find_policy(state.settings.policy)
+    share = policy.share_of_slots(state, now)
+    survey = survey_pool(state, owner, now, share=share)
+    while owner.waiting and survey.free:
+        if not _grant_one(state, owner, survey, now):
+            break
+    if owner.waiting:
+        _preempt_for_urgent(state, owner, survey.total_slots, now)
+
+
+def relieve_upstream(
+    state: NodeState,
+    event: LoadReported,
+    now: float,
+) -> None:
+    """Preempt at an upstream that holds protected work back.
+
+    Other users of an upstream may take slots between two reports, so that
+    granted work waits inside it.
+    """
+    if state.catalog is None:
+        return
+    for owner in state.owned.values():
+        stuck = count_stuck(owner, state.catalog, event.upstream, now)
+        wanted = min(event.waiting, stuck)
+        if wanted:
+            slots = total_slots(state, owner.pool, now)
+            chosen = choose_victims(
+                owner,
+                state.catalog,
+                slots,
+                wanted,
+                upstream=event.upstream,
+            )
+            _preempt(state, chosen, 'upstream_full')
+
+
+def total_slots(state: NodeState, pool_name: str, now: float) -> int:
+    """Return the slots of a pool's usable upstreams."""
+    return sum(
+        upstream.slots for upstream in list_usable(state, pool_name, now)
+    )
+
+
+def _grant_one(
+    state: NodeState,
+    owner: PoolOwner,
+    survey: PoolSurvey,
+    now: float,
+) -> bool:
+    all_slow = survey.all_slow
+    for waiting in iterate_heads(
+        owner,
+        state.catalog,
+        survey.total_slots,
+        now,
+    ):
+        chosen = choose_upstream(state, owner, waiting.ask, survey.free)
+        if chosen is None:
+            continue
+        service_class = state.catalog.classes[waiting.ask.service_class]
+        if should_wait_for_faster(
+            service_class,
+            chosen,
+            waited_s=now - waiting.arrived_at,
+            all_slow=all_slow,
+        ):
+            continue
+        survey.take(chosen)
+        _grant(state, owner, waiting, chosen, now)
+        return True
+    return False
+
+
+def _grant(
+    state: NodeState,
+    owner: PoolOwner,
+    waiting: WaitingAsk,
+    chosen: FreeUpstream,
+    now: float,
+) -> None:
+    ask = waiting.ask
+    owner.dequeue(ask.req_id)
+    stats = owner.find_stats(ask.service_class)
+    cost = stats.tokens
+    queue = owner.queues[ask.service_class]
+    queue.charge(ask.workspace, cost, waiting.weight)
+    name = chosen.upstream.name
+    load = state.find_load(name)
+    load.start(now)
+    load.learn_prefix(ask.prefix)
+    slot = HeldSlot(
+        req_id=ask.req_id,
+        attempt=ask.attempt,
+        entry=waiting.entry,
+        upstream=name,
+        service_class=ask.service_class,
+        workspace=ask.workspace,
+        granted_at=now,
+        seen_at=now,
+        charged=cost,
+        weight=waiting.weight,
+        resumable=ask.resumable,
+    )
+    owner.hold(slot)
+    lease_s = state.settings.lease_s
+    send(
+        state,
+        waiting.entry,
+        Granted(ask.req_id, ask.attempt, name, lease_s),
+    )
+
+
+def _preempt_for_urgent(
+    state: NodeState,
+    owner: PoolOwner,
+    slots: int,
+    now: float,
+) -> None:
+    urgent = count_urgent(owner, state.catalog, now)
+    coming = sum(1 for slot in owner.held.values() if slot.preempting)
+    if urgent <= coming:
+        return
+    wanted = urgent - coming
+    chosen = choose_victims(owner, state.catalog, slots, wanted)
+    _preempt(state, chosen, 'protected_work')
+
+
+def _preempt(state: NodeState, chosen: list[HeldSlot], reason: str) -> None:
+    for slot in chosen:
+        slot.preempting = True
+        state.emit(Count('preemptions', slot.service_class))
+        send(
+            state,
+            slot.entry,
+            Preempted(slot.req_id, slot.attempt, reason),
+        )
--- a/src/bilberryspoke/_internal/core/owner.py
+++ b/src/bilberryspoke/_internal/core/owner.py
@@ -1,45 +1,29 @@
 """Owner side: queueing asks, granting slots and taking them back."""
 
-from bilberryspoke._internal.core.ordering import WaitingAsk
-from bilberryspoke._internal.core.placement import (
-    FreeUpstream,
-    PoolSurvey,
-    choose_upstream,
-    list_usable,
-    should_wait_for_faster,
-    survey_pool,
+from bilberryspoke._internal.core.granting import serve_pool
+from bilberryspoke._internal.core.intake import (
+    charge_limit,
+    has_prospect,
+    make_waiting,
+    refuse_ask,
 )
-from bilberryspoke._internal.core.policies.registry import find_policy
+from bilberryspoke._internal.core.ordering import WaitingAsk
 from bilberryspoke._internal.core.poolqueue import HeldSlot, PoolOwner
 from bilberryspoke._internal.core.reducer import on_message
-from bilberryspoke._internal.core.scheduling import (
-    choose_eviction,
-    choose_victims,
-    count_stuck,
-    count_urgent,
-    iterate_heads,
-)
 from bilberryspoke._internal.core.sending import send
 from bilberryspoke._internal.core.state import NodeState
-from bilberryspoke._internal.models.catalog import MS_PER_S, ServiceClass
+from bilberryspoke._internal.models.catalog import ServiceClass
 from bilberryspoke._internal.models.effects import Count
-from bilberryspoke._internal.models.events import LoadReported
 from bilberryspoke._internal.models.messages import (
     Ask,
-    Granted,
     HeldAttempt,
     Holding,
     Missing,
-    Preempted,
-    Refused,
     Release,
     Withdraw,
 )
 from bilberryspoke._internal.models.requests import AttemptStatus
 
-_BACKLOG_AGE_S = 1.0
-_LEAST_RATE = 0.1
-_NO_TARGET_S = 3600.0
 _FAILURES = frozenset((AttemptStatus.broken, AttemptStatus.unreachable))
 
 
@@ -51,17 +35,17 @@
         return
     service_class = catalog.classes.get(ask.service_class)
     if service_class is None:
-        _refuse(state, sender, ask, 'class_withdrawn', 0)
+        refuse_ask(state, sender, ask, 'class_withdrawn', 0)
         return
     owner = state.owned.setdefault(ask.pool, PoolOwner(ask.pool))
     if ask.attempt == 1 and ask.req_id not in owner.waiting:
-        wait_s = _charge_limit(state, owner, ask, now)
+        wait_s = charge_limit(state, owner, ask, now)
         if wait_s > 0:
-            _refuse(state, sender, ask, 'rate_limited', wait_s)
+            refuse_ask(state, sender, ask, 'rate_limited', wait_s)
             return
-    if not _has_prospect(state, owner, sender, ask, service_class, now):
+    if not has_prospect(state, owner, sender, ask, service_class, now):
         return
-    owner.enqueue(_make_waiting(state, owner, sender, ask, service_class, now))
+    owner.enqueue(make_waiting(state, owner, sender, ask, service_class, now))
     serve_pool(state, owner, now)
 
 
@@ -122,20 +106,6 @@
     serve_pool(state, owner, now)
 
 
-def serve_pool(state: NodeState, owner: PoolOwner, now: float) -> None:
-    """Grant free slots in order, then preempt for urgent protected asks."""
-    if not owner.waiting or state.catalog is None:
-        return
-    policy = find_policy(state.settings.policy)
-    share = policy.share_of_slots(state, now)
-    survey = survey_pool(state, owner, now, share=share)
-    while owner.waiting and survey.free:
-        if not _grant_one(state, owner, survey, now):
-            break
-    if owner.waiting:
-        _preempt_for_urgent(state, owner, survey.total_slots, now)
-
-
 def expire_and_reclaim(state: NodeState, owner: PoolOwner, now: float) -> None:
     """Refuse asks that waited too long and free slots of silent VMs."""
     if state.catalog is None:
@@ -144,7 +114,9 @@
         service_class = state.catalog.classes.get(waiting.ask.service_class)
         if service_class is None or _may_expire(waiting, service_class, now):
             owner.dequeue(waiting.ask.req_id)
-            _refuse(state, waiting.entry, waiting.ask, 'waited_too_long', 1.0)
+            refuse_ask(
+                state, waiting.entry, waiting.ask, 'waited_too_long', 1.0
+            )
     for slot in list(owner.held.values()):
         if now - slot.seen_at > state.settings.reclaim_s:
             _free_slot(state, owner, slot, now)
@@ -152,230 +124,6 @@
     serve_pool(state, owner, now)
 
 
-def relieve_upstream(
-    state: NodeState,
-    event: LoadReported,
-    now: float,
-) -> None:
-    """Preempt at an upstream that holds protected work back.
-
-    Other users of an upstream may take slots between two reports, so that
-    granted work waits inside it.
-    """
-    if state.catalog is None:
-        return
-    for owner in state.owned.values():
-        stuck = count_stuck(owner, state.catalog, event.upstream, now)
-        wanted = min(event.waiting, stuck)
-        if wanted:
-            slots = total_slots(state, owner.pool, now)
-            chosen = choose_victims(
-                owner,
-                state.catalog,
-                slots,
-                wanted,
-                upstream=event.upstream,
-            )
-            _preempt(state, chosen, 'upstream_full')
-
-
-def total_slots(state: NodeState, pool_name: str, now: float) -> int:
-    """Return the slots of a pool's usable upstreams."""
-    return sum(
-        upstream.slots for upstream in list_usable(state, pool_name, now)
-    )
-
-
-def _charge_limit(
-    state: NodeState,
-    owner: PoolOwner,
-    ask: Ask,
-    now: float,
-) -> float:
-    for approval in state.catalog.approvals_of.get(ask.workspace, ()):
-        same_class = approval.service_class == ask.service_class
-        if same_class and approval.pool == ask.pool:
-            if approval.requests_per_s is None:
-                return 0.0
-            subject = f'{ask.workspace}/{ask.service_class}'
-            return owner.limits.take(subject, approval.requests_per_s, now)
-    return 0.0
-
-
-def _has_prospect(
-    state: NodeState,
-    owner: PoolOwner,
-    sender: str,
-    ask: Ask,
-    service_class: ServiceClass,
-    now: float,
-) -> bool:
-    if ask.started or service_class.protected:
-        return _make_room(state, owner, sender, ask, service_class)
-    wait_s = _estimate_wait(owner, ask, now)
-    if wait_s > service_class.max_wait_s:
-        late = owner.queues[ask.service_class].oldest_late(now)
-        if late is None:
-            _refuse(state, sender, ask, 'no_prospect', wait_s)
-            return False
-        # The one that missed its target gives way to one that may meet it.
-        owner.dequeue(late.ask.req_id)
-        _refuse(state, late.entry, late.ask, 'target_missed', wait_s)
-    return _make_room(state, owner, sender, ask, service_class)
-
-
-def _estimate_wait(owner: PoolOwner, ask: Ask, now: float) -> float:
-    queue = owner.queues.get(ask.service_class)
-    if queue is None:
-        return 0.0
-    head = queue.head(now)
-    if head is None or now - head.queued_at < _BACKLOG_AGE_S:
-        return 0.0
-    # Even if every slot given back went to this class.
-    return queue.size / max(_LEAST_RATE, owner.release_rate(now))
-
-
-def _make_room(
-    state: NodeState,
-    owner: PoolOwner,
-    sender: str,
-    ask: Ask,
-    service_class: ServiceClass,
-) -> bool:
-    if len(owner.waiting) < state.settings.queue_limit or ask.started:
-        return True
-    evicted = choose_eviction(owner, state.catalog, service_class.tier)
-    if evicted is None:
-        _refuse(state, sender, ask, 'queue_full', 1.0)
-        return False
-    owner.dequeue(evicted.ask.req_id)
-    _refuse(state, evicted.entry, evicted.ask, 'evicted', 1.0)
-    return True
-
-
-def _make_waiting(
-    state: NodeState,
-    owner: PoolOwner,
-    sender: str,
-    ask: Ask,
-    service_class: ServiceClass,
-    now: float,
-) -> WaitingAsk:
-    arrived_at = now - ask.age_s
-    stats = owner.find_stats(ask.service_class)
-    start_by = arrived_at + _NO_TARGET_S
-    if service_class.first_token_ms is not None and ask.offset == 0:
-        first_s = service_class.first_token_ms / MS_PER_S
-        start_by = min(start_by, arrived_at + first_s - stats.first_s_bound)
-    if service_class.total_ms is not None:
-        total_s = service_class.total_ms / MS_PER_S
-        start_by = min(start_by, arrived_at + total_s - stats.run_s_bound)
-    workspace = state.catalog.workspaces.get(ask.workspace)
-    return WaitingAsk(
-        ask=ask,
-        entry=sender,
-        arrived_at=arrived_at,
-        queued_at=now,
-        start_by=start_by,
-        weight=workspace.weight if workspace else 1.0,
-    )
-
-
-def _grant_one(
-    state: NodeState,
-    owner: PoolOwner,
-    survey: PoolSurvey,
-    now: float,
-) -> bool:
-    all_slow = survey.all_slow
-    for waiting in iterate_heads(
-        owner,
-        state.catalog,
-        survey.total_slots,
-        now,
-    ):
-        chosen = choose_upstream(state, owner, waiting.ask, survey.free)
-        if chosen is None:
-            continue
-        service_class = state.catalog.classes[waiting.ask.service_class]
-        if should_wait_for_faster(
-            service_class,
-            chosen,
-            waited_s=now - waiting.arrived_at,
-            all_slow=all_slow,
-        ):
-            continue
-        survey.take(chosen)
-        _grant(state, owner, waiting, chosen, now)
-        return True
-    return False
-
-
-def _grant(
-    state: NodeState,
-    owner: PoolOwner,
-    waiting: WaitingAsk,
-    chosen: FreeUpstream,
-    now: float,
-) -> None:
-    ask = waiting.ask
-    owner.dequeue(ask.req_id)
-    stats = owner.find_stats(ask.service_class)
-    cost = stats.tokens
-    queue = owner.queues[ask.service_class]
-    queue.charge(ask.workspace, cost, waiting.weight)
-    name = chosen.upstream.name
-    load = state.find_load(name)
-    load.start(now)
-    load.learn_prefix(ask.prefix)
-    slot = HeldSlot(
-        req_id=ask.req_id,
-        attempt=ask.attempt,
-        entry=waiting.entry,
-        upstream=name,
-        service_class=ask.service_class,
-        workspace=ask.workspace,
-        granted_at=now,
-        seen_at=now,
-        charged=cost,
-        weight=waiting.weight,
-        resumable=ask.resumable,
-    )
-    owner.hold(slot)
-    lease_s = state.settings.lease_s
-    send(
-        state,
-        waiting.entry,
-        Granted(ask.req_id, ask.attempt, name, lease_s),
-    )
-
-
-def _preempt_for_urgent(
-    state: NodeState,
-    owner: PoolOwner,
-    slots: int,
-    now: float,
-) -> None:
-    urgent = count_urgent(owner, state.catalog, now)
-    coming = sum(1 for slot in owner.held.values() if slot.preempting)
-    if urgent <= coming:
-        return
-    wanted = urgent - coming
-    chosen = choose_victims(owner, state.catalog, slots, wanted)
-    _preempt(state, chosen, 'protected_work')
-
-
-def _preempt(state: NodeState, chosen: list[HeldSlot], reason: str) -> None:
-    for slot in chosen:
-        slot.preempting = True
-        state.emit(Count('preemptions', slot.service_class))
-        send(
-            state,
-            slot.entry,
-            Preempted(slot.req_id, slot.attempt, reason),
-        )
-
-
 def _free_slot(
     state: NodeState,
     owner: PoolOwner,
@@ -476,17 +224,3 @@
     if waiting.ask.started or service_class.protected:
         return False
     return now - waiting.arrived_at > service_class.max_wait_s
-
-
-def _refuse(
-    state: NodeState,
-    entry: str,
-    ask: Ask,
-    reason: str,
-    retry_after_s: float,
-) -> None:
-    send(
-        state,
-        entry,
-        Refused(ask.req_id, ask.attempt, reason, retry_after_s),
-    )
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -17,8 +17,9 @@
 from bilberryspoke._internal.network.configuration import (
     ConfigurationFollower,
 )
+from bilberryspoke._internal.network.endpoints import make_entry_app
 from bilberryspoke._internal.network.exchange import Exchange
-from bilberryspoke._internal.network.front import Front, make_entry_app
+from bilberryspoke._internal.network.front import Front
 from bilberryspoke._internal.network.listeners import (
     QuietServer,
     Sockets,
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/endpoints.py
@@ -0,0 +1,230 @@
+"""The callers' endpoints."""
+
+import secrets
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from bilberryspoke._internal.core.admission import (
+    Refusal,
+    list_offers,
+)
+from bilberryspoke._internal.core.operations.keys import (
+    make_issued_key,
+    normalize_key,
+)
+from bilberryspoke._internal.models.catalog import Catalog, Pool
+from bilberryspoke._internal.models.events import KeyRequested
+from bilberryspoke._internal.models.requests import Request
+from bilberryspoke._internal.network.bodies import (
+    summarize_chat,
+)
+from bilberryspoke._internal.network.calls import Call
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.front import (
+    Caller,
+    Endpoint,
+    Front,
+    refuse,
+)
+from bilberryspoke._internal.network.health import health_routes
+from bilberryspoke._internal.network.responses import (
+    send_json,
+)
+from bilberryspoke._internal.network.upstreams import HOP_HEADER
+
+_SERVICE_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+
+
+_SERVICE_PATH_PARTS = 4
+
+
+_TOKEN_BYTES = 16
+
+
+_KEY_HEADER = 'idempotency-key'
+
+
+class ChatCompletions(Endpoint):
+    """``POST /v1/chat/completions``."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Route a completion request."""
+        body = await self.read(caller, receive, send)
+        if body is None:
+            return
+        found = summarize_chat(body)
+        if found.is_error():
+            await refuse(send, found.error, caller.req_id)
+            return
+        summary = found.ok
+        admitted = await self.admit(caller, 'model', summary.model, send)
+        if admitted is None:
+            return
+        req = Request(
+            req_id=caller.req_id,
+            workspace=admitted.workspace.name,
+            service_class=admitted.service_class.name,
+            pool=admitted.pool.name,
+            arrived_at=read_boottime(),
+            prompt_tokens=summary.prompt_tokens,
+            prefix=summary.prefix,
+            resumable=summary.stream,
+            repeatable=admitted.service_class.repeatable,
+        )
+        call = Call(
+            req=req,
+            method='POST',
+            path='/v1/chat/completions',
+            public_path='/v1/chat/completions',
+            body=body,
+            headers=caller.headers,
+            stream=summary.stream,
+            send=send,
+        )
+        await self._front.exchange.serve(call, receive)
+
+
+class ServiceCalls(Endpoint):
+    """``/v1/services/NAME/PATH`` with any method."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Route a call of a plain service."""
+        body = await self.read(caller, receive, send)
+        if body is None:
+            return
+        public_path = _public_path(scope)
+        name = scope['path_params']['name']
+        admitted = await self.admit(caller, 'service', name, send)
+        if admitted is None:
+            return
+        # An upstream that deduplicates by itself may be called again.
+        repeatable = admitted.service_class.repeatable or _deduplicates(
+            caller.catalog,
+            admitted.pool,
+        )
+        key = '' if repeatable else caller.headers.get(_KEY_HEADER, '')
+        call = Call(
+            req=Request(
+                req_id=caller.req_id,
+                workspace=admitted.workspace.name,
+                service_class=admitted.service_class.name,
+                pool=admitted.pool.name,
+                arrived_at=read_boottime(),
+                repeatable=repeatable,
+                operation=normalize_key(key),
+            ),
+            method=scope['method'],
+            path=_service_path(public_path),
+            public_path=public_path,
+            body=body,
+            headers=caller.headers,
+            stream=False,
+            send=send,
+            key=key,
+            forwarded=HOP_HEADER in caller.headers,
+        )
+        await self._front.exchange.serve(call, receive)
+
+
+class OperationKeys(Endpoint):
+    """``POST /v1/operation-keys``."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Issue a key that this process alone may run, at most once."""
+        runtime = self._front.runtime
+        if runtime.core.state.stopping:
+            refusal = Refusal(503, 'stopping', 'this VM is stopping')
+            await refuse(send, refusal, caller.req_id)
+            return
+        token = secrets.token_hex(_TOKEN_BYTES)
+        runtime.submit(KeyRequested(caller.workspace.name, token))
+        settings = runtime.core.state.settings
+        key = make_issued_key(settings.vm, settings.incarnation, token)
+        await send_json(send, 201, {'key': key, 'issuer': settings.vm})
+
+
+class Models(Endpoint):
+    """``GET /v1/models``."""
+
+    async def serve(
+        self,
+        caller: Caller,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """List the models the caller is approved for."""
+        offers = list_offers(caller.catalog, caller.workspace)
+        models = [
+            {
+                'id': offer,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'bilberryspoke',
+            }
+            for offer in offers
+        ]
+        await send_json(send, 200, {'object': 'list', 'data': models})
+
+
+def make_entry_app(front: Front) -> Starlette:
+    """Return the application for callers."""
+    return Starlette(
+        routes=[
+            Route(
+                '/v1/chat/completions',
+                ChatCompletions(front),
+                methods=['POST'],
+            ),
+            Route('/v1/models', Models(front), methods=['GET']),
+            Route(
+                '/v1/operation-keys',
+                OperationKeys(front),
+                methods=['POST'],
+            ),
+            Route(
+                '/v1/services/{name}/{path:path}',
+                ServiceCalls(front),
+                methods=list(_SERVICE_METHODS),
+            ),
+            *health_routes(front.runtime, kinds=('class',)),
+        ],
+    )
+
+
+def _deduplicates(catalog: Catalog, pool: Pool) -> bool:
+    upstreams = catalog.list_upstreams(pool.name)
+    return all(upstream.deduplicates for upstream in upstreams)
+
+
+def _service_path(public_path: str) -> str:
+    parts = public_path.split('/', _SERVICE_PATH_PARTS)
+    return '/' + '/'.join(parts[_SERVICE_PATH_PARTS:])
+
+
+def _public_path(scope: Any) -> str:
+    raw_path = scope.get('raw_path') or scope['path'].encode()
+    path = raw_path.split(b'?')[0].decode('latin-1')
+    query = scope.get('query_string', b'')
+    suffix = '?' + query.decode('latin-1') if query else ''
+    return path + suffix
--- a/tests/unit/test_borders.py
+++ b/tests/unit/test_borders.py
@@ -30,10 +30,11 @@
 from bilberryspoke._internal.models.messages import Envelope, PeerMessage
 from bilberryspoke._internal.models.requests import AttemptStatus
 from bilberryspoke._internal.network.bodies import summarize_chat
+from bilberryspoke._internal.network.endpoints import make_entry_app
 from bilberryspoke._internal.network.exchange import Exchange
-from bilberryspoke._internal.network.front import Front, make_entry_app
+from bilberryspoke._internal.network.front import Front
+from bilberryspoke._internal.network.relaying import AttemptResult
 from bilberryspoke._internal.network.runtime import Runtime
-from bilberryspoke._internal.network.upstreams import AttemptResult
 from tests.lib.builders import build_catalog, build_class, build_objects
 
 FUZZ = settings(max_examples=150, derandomize=True, deadline=None)
