Keep a class out of its own slow estimates; preempt two tiers down

Change: an estimate takes at most half of a target; an owner is suspected only for a report it left unanswered; urgent asks preempt running work at least two tiers below theirs, protected ones every lower tier.

--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -155,7 +155,7 @@
     """Ask again for requests whose ask the owner does not have."""
     contact = state.owner_heard.get(message.pool)
     if contact is not None and contact.owner == sender:
-        contact.answered_at = now
+        contact.unanswered_since = None
     for req_id in message.req_ids:
         ticket = state.tickets.get(req_id)
         if ticket is not None and ticket.stage is Stage.asking:
--- a/src/bilberryspoke/_internal/core/granting.py
+++ b/src/bilberryspoke/_internal/core/granting.py
@@ -150,13 +150,20 @@
     slots: int,
     now: float,
 ) -> None:
-    urgent = count_urgent(owner, state.catalog, now)
-    coming = sum(1 for slot in owner.held.values() if slot.preempting)
-    if urgent <= coming:
-        return
-    wanted = urgent - coming
-    chosen = choose_victims(owner, state.catalog, slots, wanted)
-    _preempt(state, chosen, 'protected_work')
+    # Between neighbouring tiers the computation lost outweighs the gain.
+    coming = sum(slot.preempting for slot in owner.held.values())
+    for tier, urgent in count_urgent(owner, state.catalog, now):
+        wanted = urgent - coming
+        coming = max(0, coming - urgent)
+        if wanted > 0:
+            chosen = choose_victims(
+                owner,
+                state.catalog,
+                slots,
+                wanted,
+                above=tier + 1 if tier else 0,
+            )
+            _preempt(state, chosen, 'higher_tier')
 
 
 def _preempt(state: NodeState, chosen: list[HeldSlot], reason: str) -> None:
--- a/src/bilberryspoke/_internal/core/handover.py
+++ b/src/bilberryspoke/_internal/core/handover.py
@@ -62,7 +62,9 @@
     contact = state.owner_heard.get(pool)
     if contact is None or contact.owner != owner:
         state.owner_heard[pool] = OwnerContact(owner, now)
-    elif now - contact.answered_at > _OWNER_SILENCE_S:
+    elif contact.unanswered_since is None:
+        contact.unanswered_since = now
+    elif now - contact.unanswered_since > _OWNER_SILENCE_S:
         state.emit(Count('owners_suspected', owner))
         state.membership.suspect(owner, now + _SUSPICION_S)
         state.owner_heard.pop(pool)
--- a/src/bilberryspoke/_internal/core/intake.py
+++ b/src/bilberryspoke/_internal/core/intake.py
@@ -1,7 +1,7 @@
 """Whether an ask is queued at an owner, or refused at once."""
 
 from bilberryspoke._internal.core.ordering import WaitingAsk
-from bilberryspoke._internal.core.poolqueue import PoolOwner
+from bilberryspoke._internal.core.poolqueue import ClassStats, PoolOwner
 from bilberryspoke._internal.core.scheduling import (
     choose_eviction,
 )
@@ -20,6 +20,7 @@
 
 
 _NO_TARGET_S = 3600.0
+_RESERVED_PART = 0.5
 
 
 def charge_limit(
@@ -99,20 +100,13 @@
 ) -> WaitingAsk:
     arrived_at = now - ask.age_s
     stats = owner.find_stats(ask.service_class)
-    start_by = arrived_at + _NO_TARGET_S
-    if service_class.first_token_ms is not None and ask.offset == 0:
-        first_s = service_class.first_token_ms / MS_PER_S
-        start_by = min(start_by, arrived_at + first_s - stats.first_s_bound)
-    if service_class.total_ms is not None:
-        total_s = service_class.total_ms / MS_PER_S
-        start_by = min(start_by, arrived_at + total_s - stats.run_s_bound)
     workspace = state.catalog.workspaces.get(ask.workspace)
     return WaitingAsk(
         ask=ask,
         entry=sender,
         arrived_at=arrived_at,
         queued_at=now,
-        start_by=start_by,
+        start_by=arrived_at + _slack_s(ask, service_class, stats),
         weight=workspace.weight if workspace else 1.0,
     )
 
@@ -129,3 +123,23 @@
         entry,
         Refused(ask.req_id, ask.attempt, reason, retry_after_s),
     )
+
+
+def _slack_s(ask: Ask, service_class: ServiceClass, stats: ClassStats) -> float:
+    """Return how long after its arrival an ask may start at the latest.
+
+    An estimate takes at most a part of a target: slow answers must not make
+    every later ask of the class late from its arrival, since then nothing
+    faster would ever be learned.
+    """
+    slack_s = _NO_TARGET_S
+    first_ms = service_class.first_token_ms
+    if first_ms is not None and ask.offset == 0:
+        first_s = first_ms / MS_PER_S
+        reserve_s = min(stats.first_s_bound, first_s * _RESERVED_PART)
+        slack_s = min(slack_s, first_s - reserve_s)
+    if service_class.total_ms is not None:
+        total_s = service_class.total_ms / MS_PER_S
+        reserve_s = min(stats.run_s_bound, total_s * _RESERVED_PART)
+        slack_s = min(slack_s, total_s - reserve_s)
+    return slack_s
--- a/src/bilberryspoke/_internal/core/ordering.py
+++ b/src/bilberryspoke/_internal/core/ordering.py
@@ -92,6 +92,14 @@
             return min(late, key=_virtual_time).late[0]
         return None
 
+    def list_fresh(self, limit: int) -> list[WaitingAsk]:
+        """Return the oldest asks of each lane that may meet their target."""
+        return [
+            waiting
+            for lane in self.lanes.values()
+            for waiting in lane.fresh[:limit]
+        ]
+
     def oldest_late(self, now: float) -> WaitingAsk | None:
         """Return the oldest ask that missed its target and never started."""
         late = []
--- a/src/bilberryspoke/_internal/core/scheduling.py
+++ b/src/bilberryspoke/_internal/core/scheduling.py
@@ -9,6 +9,8 @@
 
 _PREEMPT_ROUND_TRIP_S = 0.05
 _MAX_PREEMPTIONS = 3
+_LEAST_RATE = 0.1
+_URGENT_LIMIT = 32
 _STUCK_S = 0.3
 
 
@@ -61,22 +63,53 @@
     return (3 if late else 2, tier, head.start_by)
 
 
-def count_urgent(owner: PoolOwner, catalog: Catalog, now: float) -> int:
-    """Count protected asks that releases alone would start too late."""
-    rate = max(0.1, owner.release_rate(now))
-    protected = [
-        waiting
-        for waiting in owner.waiting.values()
-        if _is_protected(catalog, waiting.ask.service_class)
-        and waiting.start_by >= now
-    ]
-    protected.sort(key=lambda waiting: waiting.start_by)
-    urgent = 0
-    for position, waiting in enumerate(protected, start=1):
-        expected_start = now + position / rate + _PREEMPT_ROUND_TRIP_S
-        if expected_start > waiting.start_by:
-            urgent += 1
-    return urgent
+def count_urgent(
+    owner: PoolOwner,
+    catalog: Catalog,
+    now: float,
+) -> list[tuple[int, int]]:
+    """Count asks that releases alone would start too late, by tier.
+
+    Returns pairs of tier and count, the highest tier first. Protected asks
+    count as of tier 0, since they may preempt every other class.
+    """
+    rate = max(_LEAST_RATE, owner.release_rate(now))
+    ahead = 0
+    counts: dict[int, int] = {}
+    for tier, start_by in _list_fresh(owner, catalog, now):
+        ahead += 1
+        expected_start = now + ahead / rate + _PREEMPT_ROUND_TRIP_S
+        if expected_start > start_by:
+            counts[tier] = counts.get(tier, 0) + 1
+    return sorted(counts.items())
+
+
+def _list_fresh(
+    owner: PoolOwner,
+    catalog: Catalog,
+    now: float,
+) -> list[tuple[int, float]]:
+    """Return tier and latest start of asks that may yet preempt."""
+    lowest = max(
+        (
+            catalog.classes[name].tier
+            for name, running in owner.running.items()
+            if running and name in catalog.classes
+        ),
+        default=0,
+    )
+    fresh = []
+    for name, queue in owner.queues.items():
+        service_class = catalog.classes.get(name)
+        if service_class is None or service_class.tier >= lowest:
+            continue
+        tier = 0 if service_class.protected else service_class.tier
+        fresh.extend(
+            (tier, waiting.start_by)
+            for waiting in queue.list_fresh(_URGENT_LIMIT)
+            if waiting.start_by >= now
+        )
+    return sorted(fresh)
 
 
 def count_stuck(
@@ -100,14 +133,21 @@
     catalog: Catalog,
     total_slots: int,
     wanted: int,
+    *,
     upstream: str = '',
+    above: int = 0,
 ) -> list[HeldSlot]:
     """Return running attempts to cancel, of the lowest tier first.
 
-    Only attempts that can be resumed at their offset are chosen, and never
-    one of a protected class or within its class's guaranteed slots.
+    Only attempts that can be resumed at their offset are chosen, of a tier
+    number greater than ``above``, and never one of a protected class or
+    within its class's guaranteed slots.
     """
-    spare = _spare_slots(owner, catalog, total_slots)
+    spare = {
+        name: count
+        for name, count in _spare_slots(owner, catalog, total_slots).items()
+        if catalog.classes[name].tier > above
+    }
     candidates = [
         slot
         for slot in owner.held.values()
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -51,10 +51,13 @@
 
 @dataclass(slots=True)
 class OwnerContact:
-    """When the owner of a pool last answered this VM's report."""
+    """Since when the owner of a pool leaves this VM's reports unanswered.
+
+    ``unanswered_since`` is ``None`` while no report waits for its answer.
+    """
 
     owner: str
-    answered_at: float
+    unanswered_since: float | None
 
 
 @dataclass(slots=True)
--- a/tests/unit/test_core_decisions.py
+++ b/tests/unit/test_core_decisions.py
@@ -356,3 +356,17 @@
             if req_id in core.core.state.tickets
             and core.core.state.tickets[req_id].stage == 'running'
         ]
+
+
+def test_slow_answers_do_not_make_a_class_late_from_its_arrival():
+    slow = build_class('slow', 2, first_token_ms=1000, total_ms=4000)
+    core = make_core(slow, LOW, slots=1)
+    for number in range(30):
+        core.request(f'slow-{number}', 'slow')
+        core.pass_time(6)
+        core.end(f'slow-{number}', tokens=30)
+    core.request('running', 'low', resumable=False)
+    core.request('low', 'low')
+    core.request('slow', 'slow')
+    core.end('running')
+    assert core.dispatched()[-1] == 'slow'
--- a/tests/unit/test_promises.py
+++ b/tests/unit/test_promises.py
@@ -90,3 +90,16 @@
     }
     assert len(revisions) == 1
     assert revisions != {1}
+
+
+def test_quiet_vm_does_not_suspect_an_owner_that_answers():
+    """A VM without requests sends no reports, so that none is unanswered."""
+    requests = make_workload(CATALOG, 'maree', 4, 30.0, 0.1)
+    sim = Simulation(SimSettings(CATALOG, 'slot_owner', 4, 40.0))
+    ledger = sim.run(requests)
+    suspected = [
+        count
+        for (name, _), count in ledger.counters.items()
+        if name == 'owners_suspected'
+    ]
+    assert not suspected
