Report first tokens at once; findings at their place, once

Cause: running every command of the README as a new user showed no first token for short answers (progress was reported every 0.25 s, so estimates of the first token were late as well), a finding's path with the kind in it twice, and follow-up findings for names whose object was itself broken. Change: the first event is reported when it is passed on; an answer that ends sets its first token; places skip the kind; a broken object's name counts as defined. Events are cut by one function, fuzzed at every break. Conclusion: top and explain show first tokens; a wrong tier is one finding.

--- a/src/bilberryspoke/_internal/commands/bundle.py
+++ b/src/bilberryspoke/_internal/commands/bundle.py
@@ -66,5 +66,5 @@
         print_json(written)
     else:
         print(f'revision {number}, digest {bundle.digest}')
-        print(f'{len(bundle.values)} values and the manifest in {target}')
+        print(f'manifest and values ({len(bundle.values)}) in {target}')
     return ExitCode.ok
--- a/src/bilberryspoke/_internal/config/validation.py
+++ b/src/bilberryspoke/_internal/config/validation.py
@@ -33,6 +33,7 @@
     items: dict[str, dict[str, ObjectModel]] = field(default_factory=dict)
     sources: dict[str, str] = field(default_factory=dict)
     findings: list[Finding] = field(default_factory=list)
+    broken: set[str] = field(default_factory=set)
 
     def of_kind(self, kind: str) -> dict[str, Any]:
         """Return the objects of a kind by name."""
@@ -84,11 +85,15 @@
     *,
     source: str,
     prefix: str,
+    skipped: int = 0,
 ) -> list[Finding]:
-    """Turn a validation error into one finding a place."""
+    """Turn a validation error into one finding a place.
+
+    ``skipped`` leaves out the first parts of each place.
+    """
     findings = []
     for detail in exc.errors(include_url=False, include_input=False):
-        parts = [str(part) for part in detail['loc']]
+        parts = [str(part) for part in detail['loc'][skipped:]]
         path = '.'.join([prefix, *parts]) if prefix else '.'.join(parts)
         findings.append(Finding(source, path, detail['msg']))
     return findings
@@ -99,8 +104,15 @@
         item = OBJECT_ADAPTER.validate_python(raw.raw)
     except ValidationError as exc:
         prefix = _label(raw)
+        objects.broken.add(prefix)
         objects.findings.extend(
-            describe_errors(exc, source=raw.source, prefix=prefix),
+            describe_errors(
+                exc,
+                source=raw.source,
+                prefix=prefix,
+                # The place begins with the kind, which is in the prefix.
+                skipped=1 if '/' in prefix else 0,
+            ),
         )
         return
     label = f'{item.kind}/{item.name}'
@@ -217,6 +229,8 @@
     upstreams = objects.of_kind('upstream')
     for index, name in enumerate(pool.upstreams):
         path = f'upstreams.{index}'
+        if f'upstream/{name}' in objects.broken:
+            continue
         if name not in upstreams:
             objects.report(pool, path, f'no upstream is named {name}')
         elif upstreams[name].serves != pool.serves:
@@ -233,6 +247,9 @@
     kind: str,
 ) -> None:
     wanted = getattr(item, attribute)
+    # A name whose object is itself a finding is not missing as well.
+    if f'{kind}/{wanted}' in objects.broken:
+        return
     if wanted not in objects.of_kind(kind):
         path = 'class' if attribute == 'service_class' else attribute
         objects.report(item, path, f'no {kind} is named {wanted}')
--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -188,6 +188,8 @@
     if ticket.stage is not Stage.running:
         return
     ticket.tokens = max(ticket.tokens, event.tokens)
+    if ticket.first_token_at is None and ticket.tokens > 0:
+        ticket.first_token_at = now
     ticket.note(now, event.status.value, event.detail)
     _give_back(state, ticket, event.status, now)
     if event.status not in CERTAINLY_NOT_RUN:
--- a/src/bilberryspoke/_internal/network/calls.py
+++ b/src/bilberryspoke/_internal/network/calls.py
@@ -1,7 +1,7 @@
 """One caller's request inside the shell."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -39,6 +39,7 @@
     headers: Mapping[str, str]
     stream: bool
     send: Any
+    report_first: Callable[[], None] | None = None
     commands: asyncio.Queue[Command] = field(default_factory=asyncio.Queue)
     attempt_task: asyncio.Task[Any] | None = None
     attempt: int = 0
--- a/src/bilberryspoke/_internal/network/exchange.py
+++ b/src/bilberryspoke/_internal/network/exchange.py
@@ -1,6 +1,7 @@
 """One request from its admission to the last byte of its answer."""
 
 import asyncio
+import functools
 import hashlib
 import time
 from collections.abc import Callable
@@ -71,6 +72,10 @@
             await self._refuse_duplicate(call)
             return
         self._runtime.calls[req_id] = call
+        call.report_first = functools.partial(
+            self._runtime.report_progress_of,
+            call,
+        )
         watcher = asyncio.create_task(self._watch_caller(call, receive))
         try:
             self._runtime.submit(_make_arrival(call))
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -62,16 +62,9 @@
         chunk = await resp.content.readany()
         if not chunk:
             break
-        whole = tail + chunk if tail else chunk
-        if whole.endswith(_EVENT_END):
-            tail = b''
-        else:
-            cut = whole.rfind(_EVENT_END) + len(_EVENT_END)
-            if cut < len(_EVENT_END):
-                tail = whole
-                continue
-            tail = whole[cut:]
-            whole = whole[:cut]
+        whole, tail = cut_events(tail + chunk if tail else chunk)
+        if not whole:
+            continue
         call.delivered += whole.count(_EVENT_END)
         if call.req.resumable:
             call.keep(whole)
@@ -84,6 +77,9 @@
             }
         )
         call.sending_since = 0
+        if call.report_first is not None:
+            call.report_first()
+            call.report_first = None
         if whole.endswith(_DONE):
             call.delivered -= 1
             call.complete = True
@@ -91,6 +87,16 @@
     return AttemptResult(AttemptStatus.broken, 'stream ended without its end')
 
 
+def cut_events(raw: bytes) -> tuple[bytes, bytes]:
+    """Split bytes after their last whole event."""
+    if raw.endswith(_EVENT_END):
+        return raw, b''
+    cut = raw.rfind(_EVENT_END) + len(_EVENT_END)
+    if cut < len(_EVENT_END):
+        return b'', raw
+    return raw[:cut], raw[cut:]
+
+
 async def start_response(call: Call, status: int, content_type: str) -> None:
     """Send the status line and the headers to the caller."""
     call.started = True
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -101,14 +101,14 @@
         """Tell the core how far each running answer has come."""
         for call in list(self.calls.values()):
             if call.delivered != call.reported:
-                call.reported = call.delivered
-                self.submit(
-                    AttemptProgressed(
-                        call.req.req_id,
-                        call.attempt,
-                        call.delivered,
-                    ),
-                )
+                self.report_progress_of(call)
+
+    def report_progress_of(self, call: Call) -> None:
+        """Tell the core how far one answer has come."""
+        call.reported = call.delivered
+        self.submit(
+            AttemptProgressed(call.req.req_id, call.attempt, call.delivered),
+        )
 
     def drop_stuck_callers(self, timeout_s: float) -> None:
         """Give up on callers that take no bytes of their answer."""
--- a/tests/functional/test_path.py
+++ b/tests/functional/test_path.py
@@ -96,6 +96,10 @@
     for content, (status, raw) in zip(contents, answers, strict=True):
         assert status == 200, raw
         assert raw == expect_bytes(content)
+    url = f'{fleet.vms[0].admin_url}/admin/requests/stream-0'
+    record = await read_json(url)
+    assert record['outcome'] == 'completed'
+    assert 0 < record['first_token_s'] <= record['total_s']
 
 
 async def check_unapproved(fleet):
--- a/tests/unit/test_borders.py
+++ b/tests/unit/test_borders.py
@@ -33,7 +33,7 @@
 from bilberryspoke._internal.network.endpoints import make_entry_app
 from bilberryspoke._internal.network.exchange import Exchange
 from bilberryspoke._internal.network.front import Front
-from bilberryspoke._internal.network.relaying import AttemptResult
+from bilberryspoke._internal.network.relaying import AttemptResult, cut_events
 from bilberryspoke._internal.network.runtime import Runtime
 from tests.lib.builders import build_catalog, build_class, build_objects
 
@@ -284,3 +284,21 @@
     assert error['type'] == kind
     assert error['outcome'] == 'not_run'
     assert error['request_id']
+
+
+@FUZZ
+@given(
+    events=st.lists(st.binary(max_size=8).filter(lambda b: b'\n' not in b)),
+    cuts=st.lists(st.integers(0, 200), max_size=6),
+)
+def test_events_are_cut_at_their_ends_wherever_chunks_break(events, cuts):
+    raw = b''.join(event + b'\n\n' for event in events)
+    places = sorted({min(cut, len(raw)) for cut in cuts} | {0, len(raw)})
+    tail = b''
+    passed = b''
+    for start, end in zip(places, places[1:], strict=False):
+        whole, tail = cut_events(tail + raw[start:end])
+        assert not whole or whole.endswith(b'\n\n')
+        passed += whole
+    assert passed + tail == raw
+    assert tail == b''
--- a/tests/unit/test_validation.py
+++ b/tests/unit/test_validation.py
@@ -54,6 +54,12 @@
     assert any('duplicate' in each for each in find_messages(objects))
 
 
+def test_broken_object_is_one_finding_at_its_place():
+    messages = find_messages(build_objects(**{'class': {'tier': 9}}))
+    assert len(messages) == 1
+    assert messages[0].startswith('f.jsonc: class/counter.tier: error:')
+
+
 def test_unused_object_is_a_warning_only():
     extra = {'kind': 'data_centre', 'name': 'unused'}
     raw = [RawObject('f', '', each) for each in [*build_objects(), extra]]
