End queued operations whose caller left; check bundles in a thread

Cause: reading the exchange: a keyed operation that still waited when its caller left was closed by the core without a command to its call, which then waited for ever and would have held a graceful stop until its limit. And the check of a bundle of 43,000 workspaces, at 0.04 ms each, would stand still the loop for 1.7 s, longer than heartbeats allow. Change: a call whose ticket is gone ends; bundles are checked in a thread. Figures: the new test hung for its 5 s limit before and passes now. Conclusion: every call ends with its ticket.

--- a/src/bilberryspoke/_internal/network/configuration.py
+++ b/src/bilberryspoke/_internal/network/configuration.py
@@ -39,6 +39,7 @@
         self._seen_digest = ''
         self._refused_digest = ''
         self._reachable = True
+        self._checks: set[asyncio.Task[None]] = set()
 
     async def follow(self) -> None:
         """Read and watch the manifest until cancelled."""
@@ -65,7 +66,12 @@
             await asyncio.sleep(self._platform.settings.list_s)
 
     def take_push(self, message: Push) -> None:
-        """Check a configuration passed on by a peer and offer it."""
+        """Check a configuration passed on by a peer, in the background."""
+        task = asyncio.create_task(self._check_push(message))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _check_push(self, message: Push) -> None:
         decoded = decode_bundle(message.bundle)
         if decoded.is_error():
             self._refuse(message.digest, [decoded.error])
@@ -75,7 +81,7 @@
             finding = Finding('push', 'digest', 'does not match the manifest')
             self._refuse(message.digest, [finding])
             return
-        self._offer(bundle, load_bundle(bundle))
+        await self._check(bundle)
 
     async def _follow_once(self) -> None:
         if self._seen_digest:
@@ -92,7 +98,13 @@
             return
         bundle = read.ok
         self._seen_digest = bundle.digest
-        self._offer(bundle, load_bundle(bundle))
+        await self._check(bundle)
+
+    async def _check(self, bundle: Bundle) -> None:
+        # In a thread: the check of a large bundle takes seconds, for which
+        # streams and heartbeats must not stand still.
+        loaded = await asyncio.to_thread(load_bundle, bundle)
+        self._offer(bundle, loaded)
 
     def _offer(
         self,
--- a/src/bilberryspoke/_internal/network/exchange.py
+++ b/src/bilberryspoke/_internal/network/exchange.py
@@ -214,8 +214,11 @@
             if message['type'] == 'http.disconnect':
                 break
         if not call.complete:
-            call.aborted = not call.req.operation
             self._runtime.submit(CallerGone(call.req.req_id))
+            # A running operation goes on without its caller.
+            tickets = self._runtime.core.state.tickets
+            queued = call.req.req_id not in tickets
+            call.aborted = queued or not call.req.operation
             if call.attempt_task is None and call.aborted:
                 call.commands.put_nowait(
                     Answer(call.req.req_id, Outcome.unknown, 'caller_gone'),
--- a/tests/unit/test_borders.py
+++ b/tests/unit/test_borders.py
@@ -25,8 +25,15 @@
     validate_objects,
 )
 from bilberryspoke._internal.core import Core, CoreSettings
-from bilberryspoke._internal.core.operations.keys import parse_key
-from bilberryspoke._internal.models.events import CatalogOffered, PeerReceived
+from bilberryspoke._internal.core.operations.keys import (
+    make_issued_key,
+    parse_key,
+)
+from bilberryspoke._internal.models.events import (
+    CatalogOffered,
+    KeyRequested,
+    PeerReceived,
+)
 from bilberryspoke._internal.models.messages import Envelope, PeerMessage
 from bilberryspoke._internal.models.requests import AttemptStatus
 from bilberryspoke._internal.network.bodies import summarize_chat
@@ -302,3 +309,63 @@
         passed += whole
     assert passed + tail == raw
     assert tail == b''
+
+
+class StuckClient:
+    """A client whose upstream never answers."""
+
+    async def run(self, call, dispatch, base_url):
+        await asyncio.sleep(60)
+
+
+def test_queued_operation_ends_when_its_caller_leaves():
+    async def run():
+        core = Core(CoreSettings('a', 'dc1', 1))
+        runtime = Runtime(core)
+        booking = build_class('book', 1, protected=True, repeatable=False)
+        catalog = build_catalog(booking, serves='service', engines=1, slots=1)
+        runtime.submit(CatalogOffered(catalog, b''))
+        limits = LimitSettings()
+        exchange = Exchange(runtime, StuckClient(), limits)
+        app = make_entry_app(Front(runtime, exchange, limits))
+        tasks = []
+        gone = asyncio.Event()
+        for number in range(2):
+            runtime.submit(KeyRequested('w', f'{number:032x}'))
+            key = make_issued_key('a', 1, f'{number:032x}')
+            messages = [{'type': 'http.request', 'body': b'{}'}]
+
+            async def receive(left=messages):
+                if left:
+                    return left.pop()
+                await gone.wait()
+                return {'type': 'http.disconnect'}
+
+            async def send(message):
+                """Take what a caller that has gone would not read."""
+
+            headers = [
+                (b'authorization', b'Bearer w'),
+                (b'idempotency-key', key.encode()),
+            ]
+            scope = {
+                'type': 'http',
+                'method': 'POST',
+                'path': '/v1/services/offer/x',
+                'raw_path': b'/v1/services/offer/x',
+                'query_string': b'',
+                'root_path': '',
+                'headers': headers,
+            }
+            tasks.append(asyncio.create_task(app(scope, receive, send)))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0.01)
+        assert len(runtime.calls) == 2
+        gone.set()
+        await asyncio.wait_for(tasks[1], 5)
+        # The one under way goes on; its key must not be called free.
+        assert len(runtime.calls) == 1
+        assert len(core.state.tickets) == 1
+        tasks[0].cancel()
+
+    asyncio.run(run())
