Pass on changed values only; report less often in large fleets

Cause: make slopes showed 209 KB/s of configuration a node at the size to design for, since every change passed the whole bundle on, and 21 KB/s of heartbeats with 12 neighbours every 0.2 s.

--- /dev/null
+++ b/bench/slope.py
@@ -0,0 +1,29 @@
+"""A measured slope."""
+
+from dataclasses import dataclass
+from statistics import linear_regression
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Cost = ``base`` + ``per_unit`` × size, by least squares."""
+
+    name: str
+    size: str
+    cost: str
+    points: list[tuple[float, float]]
+
+    @property
+    def per_unit(self) -> float:
+        """Cost of one more unit."""
+        return self._fit().slope
+
+    @property
+    def base(self) -> float:
+        """Cost at size zero."""
+        return self._fit().intercept
+
+    def _fit(self):
+        sizes = [size for size, _ in self.points]
+        costs = [cost for _, cost in self.points]
+        return linear_regression(sizes, costs)
--- a/src/bilberryspoke/_internal/config/bundles.py
+++ b/src/bilberryspoke/_internal/config/bundles.py
@@ -30,10 +30,13 @@
     Workspace,
 )
 from bilberryspoke._internal.models.findings import Finding
+from bilberryspoke._internal.utils.hashing import hash_word
 
 MANIFEST_NAME = 'manifest'
 VALUE_LIMIT_BYTES = 1_000_000
 _CHUNK_BYTES = 900_000
+_LEAST_BYTES = 20_000
+_OBJECTS = 1000
 _FORMAT = 1
 
 
@@ -45,13 +48,6 @@
     values: list[str]
 
 
-class WireBundle(msgspec.Struct, array_like=True):
-    """A bundle as VMs pass it on."""
-
-    manifest: bytes
-    values: dict[str, bytes]
-
-
 @dataclass(frozen=True, slots=True)
 class Bundle:
     """A manifest and the values it names by digest, as bytes."""
@@ -64,9 +60,19 @@
         """Digest of the manifest, and so of all values."""
         return digest_bytes(self.manifest)
 
-    def encode(self) -> bytes:
-        """Encode for passing to another VM."""
-        return msgspec.msgpack.encode(WireBundle(self.manifest, self.values))
+    def prune(self) -> 'Bundle':
+        """Return the bundle without values that its manifest does not name.
+
+        A manifest that can not be parsed leaves no values.
+        """
+        parsed = parse_manifest(self.manifest)
+        named = parsed.ok.values if parsed.is_ok() else []
+        kept = {
+            digest: self.values[digest]
+            for digest in named
+            if digest in self.values
+        }
+        return Bundle(self.manifest, kept)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,16 +90,17 @@
 
 def make_bundle(objects: ObjectSet, revision: int) -> Bundle:
     """Encode checked objects as values below the platform's limit."""
-    values = {}
+    values: dict[str, bytes] = {}
     chunk: list[bytes] = []
     size = 0
-    for raw in _encode_objects(objects):
-        if chunk and size + len(raw) > _CHUNK_BYTES:
-            _add_value(values, chunk)
-            chunk, size = [], 0
+    for label, raw in _encode_objects(objects):
         chunk.append(raw)
         size += len(raw) + 1
-    _add_value(values, chunk)
+        if size > _CHUNK_BYTES or _ends_value(label, size):
+            _add_value(values, chunk)
+            chunk, size = [], 0
+    if chunk:
+        _add_value(values, chunk)
     manifest = {
         'format': _FORMAT,
         'revision': revision,
@@ -117,15 +124,6 @@
     return Ok(manifest)
 
 
-def decode_bundle(raw: bytes) -> Result[Bundle, Finding]:
-    """Decode a bundle passed on by another VM."""
-    try:
-        wire = msgspec.msgpack.decode(raw, type=WireBundle)
-    except msgspec.MsgspecError as exc:
-        return Error(Finding('bundle', '', str(exc)))
-    return Ok(Bundle(wire.manifest, wire.values))
-
-
 def load_bundle(bundle: Bundle) -> Result[LoadedBundle, list[Finding]]:
     """Check a bundle whole: manifest, digests and objects."""
     parsed = parse_manifest(bundle.manifest)
@@ -186,7 +184,16 @@
     ]
 
 
-def _encode_objects(objects: ObjectSet) -> list[bytes]:
+def _ends_value(label: str, size: int) -> bool:
+    """Tell whether a value ends after an object.
+
+    Ends follow from names, so that a change moves no object to another value
+    and only the values it touches get new digests.
+    """
+    return size > _LEAST_BYTES and hash_word('end', label) % _OBJECTS == 0
+
+
+def _encode_objects(objects: ObjectSet) -> list[tuple[str, bytes]]:
     encoded = []
     for kind in sorted(objects.items):
         for name in sorted(objects.items[kind]):
@@ -197,7 +204,8 @@
                 exclude_defaults=True,
             )
             fields['kind'] = kind
-            encoded.append(json.dumps(fields, sort_keys=True).encode())
+            raw = json.dumps(fields, sort_keys=True).encode()
+            encoded.append((f'{kind}/{name}', raw))
     return encoded
 
 
--- a/src/bilberryspoke/_internal/core/configuration.py
+++ b/src/bilberryspoke/_internal/core/configuration.py
@@ -30,7 +30,8 @@
             state.emit(Count('config_stale_offers'))
             return
     state.catalog = offered
-    state.bundle = event.bundle
+    state.manifest = event.manifest
+    state.values = event.values
     state.emit(Adopt(offered.revision, offered.digest))
     send_heartbeats(state, now)
     for owner in list(state.owned.values()):
@@ -48,5 +49,16 @@
     catalog = state.catalog
     if catalog is not None and catalog.revision > message.revision:
         state.emit(Count('config_pushes'))
-        push = Push(catalog.revision, catalog.digest, state.bundle)
+        known = frozenset(message.known)
+        missing = {
+            digest: value
+            for digest, value in state.values.items()
+            if digest not in known
+        }
+        push = Push(
+            catalog.revision,
+            catalog.digest,
+            state.manifest,
+            missing,
+        )
         send(state, sender, push)
--- a/src/bilberryspoke/_internal/core/handover.py
+++ b/src/bilberryspoke/_internal/core/handover.py
@@ -59,12 +59,13 @@
 ) -> None:
     if owner == state.vm:
         return
+    silence_s = _OWNER_SILENCE_S * state.membership.pace
     contact = state.owner_heard.get(pool)
     if contact is None or contact.owner != owner:
         state.owner_heard[pool] = OwnerContact(owner, now)
     elif contact.unanswered_since is None:
         contact.unanswered_since = now
-    elif now - contact.unanswered_since > _OWNER_SILENCE_S:
+    elif now - contact.unanswered_since > silence_s:
         state.emit(Count('owners_suspected', owner))
         state.membership.suspect(owner, now + _SUSPICION_S)
         state.owner_heard.pop(pool)
--- a/src/bilberryspoke/_internal/core/heartbeats.py
+++ b/src/bilberryspoke/_internal/core/heartbeats.py
@@ -26,7 +26,7 @@
     join_leaving(state, now)
     revision = state.catalog.revision if state.catalog else 0
     if message.revision > revision:
-        send(state, sender, Pull(revision))
+        send(state, sender, Pull(revision, list(state.values)))
 
 
 def send_heartbeats(state: NodeState, now: float) -> None:
--- a/src/bilberryspoke/_internal/core/membership.py
+++ b/src/bilberryspoke/_internal/core/membership.py
@@ -5,6 +5,8 @@
 from bilberryspoke._internal.models.messages import Heartbeat
 from bilberryspoke._internal.utils.hashing import hash_word, rank_members
 
+_LARGE_FLEET_PACE = 6.0
+
 
 @dataclass(slots=True)
 class Member:
@@ -32,17 +34,29 @@
     """View of the fleet held by one VM.
 
     A member counts as alive while its last heartbeat is younger than
-    ``dead_after_s``. Messages of an incarnation older than the newest one
+    ``silence_s``. Messages of an incarnation older than the newest one
     seen are dropped: incarnations of a VM grow with its start time.
     """
 
     own_name: str
     dead_after_s: float
     neighbour_limit: int = 12
+    sparse_neighbours: int = 6
     members: dict[str, Member] = field(default_factory=dict)
     ring: tuple[str, ...] = ()
     neighbours: frozenset[str] = frozenset()
 
+    @property
+    def pace(self) -> float:
+        """Factor of all intervals: a large fleet reports less often."""
+        large = len(self.members) > self.neighbour_limit
+        return _LARGE_FLEET_PACE if large else 1.0
+
+    @property
+    def silence_s(self) -> float:
+        """Seconds after which a neighbour that is not heard is dead."""
+        return self.dead_after_s * self.pace
+
     def find_neighbours(self) -> frozenset[str]:
         """Return the VMs to exchange heartbeats with.
 
@@ -106,7 +120,7 @@
         member = self.members.get(name)
         if member is None:
             return False
-        return now - member.heard_at <= self.dead_after_s
+        return now - member.heard_at <= self.silence_s
 
     def list_alive(self, now: float) -> list[str]:
         """Return the other VMs that are alive, stopping ones included."""
@@ -156,7 +170,7 @@
             # in vain.
             return member.listed
         # A VM that is heard but does not hear us would never get our asks.
-        hears_us = now - member.hears_us_at <= self.dead_after_s
+        hears_us = now - member.hears_us_at <= self.silence_s
         return hears_us and self.is_alive(name, now)
 
     def _order_ring(self) -> None:
@@ -166,7 +180,7 @@
             self.neighbours = frozenset(self.members)
             return
         place = self.ring.index(self.own_name)
-        side = self.neighbour_limit // 2
+        side = self.sparse_neighbours // 2
         near = [
             self.ring[(place + step) % len(self.ring)]
             for step in range(-side, side + 1)
--- a/src/bilberryspoke/_internal/core/owner.py
+++ b/src/bilberryspoke/_internal/core/owner.py
@@ -110,6 +110,7 @@
     """Refuse asks that waited too long and free slots of silent VMs."""
     if state.catalog is None:
         return
+    reclaim_s = state.settings.reclaim_s * state.membership.pace
     for waiting in list(owner.waiting.values()):
         service_class = state.catalog.classes.get(waiting.ask.service_class)
         if service_class is None or _may_expire(waiting, service_class, now):
@@ -118,7 +119,7 @@
                 state, waiting.entry, waiting.ask, 'waited_too_long', 1.0
             )
     for slot in list(owner.held.values()):
-        if now - slot.seen_at > state.settings.reclaim_s:
+        if now - slot.seen_at > reclaim_s:
             _free_slot(state, owner, slot, now)
             state.emit(Count('slots_reclaimed', slot.upstream))
     serve_pool(state, owner, now)
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -1,6 +1,7 @@
 """State of one VM, as the reducer holds it."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from bilberryspoke._internal.core.membership import Membership
@@ -70,7 +71,8 @@
     operations: OperationTable
     ownership: KeyOwnership
     catalog: Catalog | None = None
-    bundle: bytes = b''
+    manifest: bytes = b''
+    values: Mapping[str, bytes] = field(default_factory=dict)
     stopping: bool = False
     orders: OrderBook = field(default_factory=OrderBook)
     tickets: dict[str, Ticket] = field(default_factory=dict)
--- a/src/bilberryspoke/_internal/core/upkeep.py
+++ b/src/bilberryspoke/_internal/core/upkeep.py
@@ -30,11 +30,12 @@
 @on_event(Tick)
 def do_periodic_work(state: NodeState, event: Tick, now: float) -> None:
     """Send what is due and look for what has lapsed."""
-    if now - state.heartbeat_at >= state.settings.heartbeat_s:
+    pace = state.membership.pace
+    if now - state.heartbeat_at >= state.settings.heartbeat_s * pace:
         state.heartbeat_at = now
         send_heartbeats(state, now)
     follow_owners(state, now)
-    if now - state.holding_at >= state.settings.holding_s:
+    if now - state.holding_at >= state.settings.holding_s * pace:
         state.holding_at = now
         report_holding(state, now)
     for owner in list(state.owned.values()):
--- a/src/bilberryspoke/_internal/network/configuration.py
+++ b/src/bilberryspoke/_internal/network/configuration.py
@@ -8,7 +8,6 @@
 from bilberryspoke._internal.config.bundles import (
     Bundle,
     LoadedBundle,
-    decode_bundle,
     load_bundle,
 )
 from bilberryspoke._internal.exceptions import PlatformUnavailableError
@@ -35,7 +34,6 @@
         """Create the follower of a VM."""
         self._runtime = runtime
         self._platform = platform
-        self._values: dict[str, bytes] = {}
         self._seen_digest = ''
         self._refused_digest = ''
         self._reachable = True
@@ -72,11 +70,8 @@
         task.add_done_callback(self._checks.discard)
 
     async def _check_push(self, message: Push) -> None:
-        decoded = decode_bundle(message.bundle)
-        if decoded.is_error():
-            self._refuse(message.digest, [decoded.error])
-            return
-        bundle = decoded.ok
+        held = self._runtime.core.state.values
+        bundle = Bundle(message.manifest, {**held, **message.values}).prune()
         if bundle.digest != message.digest:
             finding = Finding('push', 'digest', 'does not match the manifest')
             self._refuse(message.digest, [finding])
@@ -91,7 +86,8 @@
         self._note_reachable(reachable=True)
         if manifest is None:
             return
-        read = await self._platform.read_bundle(manifest, self._values)
+        held = self._runtime.core.state.values
+        read = await self._platform.read_bundle(manifest, held)
         if read.is_error():
             self._refuse('', read.error)
             await asyncio.sleep(self._platform.settings.retry_s)
@@ -115,11 +111,12 @@
             self._refuse(bundle.digest, loaded.error)
             return
         self._runtime.submit(
-            CatalogOffered(loaded.ok.catalog, bundle.encode()),
+            CatalogOffered(
+                loaded.ok.catalog,
+                bundle.manifest,
+                bundle.values,
+            ),
         )
-        catalog = self._runtime.core.state.catalog
-        if catalog is not None and catalog.digest == bundle.digest:
-            self._values = bundle.values
 
     def _refuse(self, digest: str, findings: list[Finding]) -> None:
         self._runtime.counters.add('config_refused')
--- a/src/bilberryspoke/_internal/network/platform.py
+++ b/src/bilberryspoke/_internal/network/platform.py
@@ -1,5 +1,6 @@
 """Reading and watching of the platform's configuration service."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -55,7 +56,7 @@
     async def read_bundle(
         self,
         manifest: bytes,
-        known: dict[str, bytes],
+        known: Mapping[str, bytes],
     ) -> Result[Bundle, Any]:
         """Read the values of a manifest that are not known yet."""
         parsed = parse_manifest(manifest)
