Notice lost peers at once; refuse crowding and oversized headers

Cause: the core handled the loss of a peer's connection, but nothing told it; header and connection limits of the settings were not enforced with the faster parser, or answered without an outcome. Change: the peers' sockets are monitored; oversized headers get 431 and requests over the limit 503, both not_run. The first monitor hung: its descriptor is edge-triggered and has to be read once after it is added, and its socket be closed before the context ends. Conclusion: a killed VM is passed over without waiting for its silence.

--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,187 @@
+"""``python -m bench.plots``: tables, verdicts and a plot of a bench run."""
+
+import json
+import statistics
+import sys
+from collections import defaultdict
+from collections.abc import Callable
+from pathlib import Path
+
+import matplotlib as mpl
+
+from bench.results import RESULTS
+from bench.runs import OMNISCIENT
+from bench.workload import MIXES, load_catalog
+
+mpl.use('Agg')
+
+from matplotlib import pyplot as plt
+
+DOCS = Path(__file__).parent.parent / 'docs' / 'design'
+OWN = 'slot_owner'
+_ATTAINMENT_PART = 0.99
+_GOODPUT_PART = 0.90
+_WASTED = 0.02
+_WASTED_WITH_FAULTS = 0.05
+_NO_FAULT = frozenset(('calm', 'burst_low', 'burst_top', 'burst_all'))
+_NO_CAPACITY = frozenset(('burst_top',))
+
+Runs = dict[tuple[str, str, str], list[dict]]
+
+
+def read_runs() -> tuple[str, Runs]:
+    """Return the commit and the runs by fleet, scenario and policy."""
+    document = json.loads((RESULTS / 'policies.json').read_text())
+    runs: Runs = defaultdict(list)
+    for run in document['runs']:
+        runs[run['fleet'], run['scenario'], run['policy']].append(run)
+    return document['commit'], runs
+
+
+def find_protected(fleet: str) -> str:
+    """Return the protected class of a fleet's model traffic."""
+    classes = load_catalog(fleet).classes
+    return next(name for name in MIXES[fleet] if classes[name].protected)
+
+
+def summarize(group: list[dict], pick: Callable[[dict], float]) -> float:
+    """Return the median over the seeds."""
+    return statistics.median(pick(run) for run in group)
+
+
+def judge(fleet: str, scenario: str, runs: Runs) -> tuple[list, list[str]]:
+    """Return a table row and the targets that are missed."""
+    name = find_protected(fleet)
+
+    def attained(run: dict) -> float:
+        return run['attainment'][name]
+
+    def goodput(run: dict) -> float:
+        return run['goodput']
+
+    own = runs[fleet, scenario, OWN]
+    bound = runs[fleet, scenario, OMNISCIENT]
+    policies = {policy for _, _, policy in runs} - {OWN, OMNISCIENT}
+    baselines = {
+        policy: summarize(runs[fleet, scenario, policy], attained)
+        for policy in policies
+    }
+    best = max(baselines, key=lambda policy: baselines[policy])
+    wasted = summarize(own, lambda run: run['wasted'])
+    broken = sum(sum(run['violations'].values()) for run in own)
+    attained_own = summarize(own, attained)
+    attained_bound = summarize(bound, attained)
+    parts = (
+        attained_own / attained_bound,
+        summarize(own, goodput) / summarize(bound, goodput),
+    )
+    row = [
+        scenario,
+        f'{attained_own:.3f} ({min(map(attained, own)):.3f})',
+        f'{attained_bound:.3f}',
+        f'{best} {baselines[best]:.3f}',
+        f'{parts[0]:.3f}',
+        f'{parts[1]:.3f}',
+        f'{wasted:.3f}',
+        str(broken),
+    ]
+    missed = _list_missed(scenario, parts, wasted, broken)
+    if attained_own < baselines[best]:
+        missed.append(f'protected attainment below {best}')
+    return row, [f'{fleet} {scenario}: {each}' for each in missed]
+
+
+def _list_missed(
+    scenario: str,
+    parts: tuple[float, float],
+    wasted: float,
+    broken: int,
+) -> list[str]:
+    missed = []
+    if scenario not in _NO_CAPACITY and parts[0] < _ATTAINMENT_PART:
+        missed.append(f'protected attainment {parts[0]:.3f} of the bound')
+    if parts[1] < _GOODPUT_PART:
+        missed.append(f'goodput {parts[1]:.3f} of the bound')
+    limit = _WASTED if scenario in _NO_FAULT else _WASTED_WITH_FAULTS
+    if wasted > limit:
+        missed.append(f'wasted work {wasted:.3f}, limit {limit}')
+    if broken:
+        missed.append(f'{broken} broken promises')
+    return missed
+
+
+def render(commit: str, runs: Runs) -> tuple[str, list[str]]:
+    """Return the page and all missed targets."""
+    lines = [
+        '# Measurements of the policies',
+        '',
+        'Written by `python -m bench.plots` from `bench/results/policies.json`',
+        f'(commit `{commit[:12]}`, 5 seeds). Attainment is that of the',
+        'protected class of model traffic: median over the seeds, worst in',
+        'brackets. "Part" is the ratio to the omniscient queue.',
+        '',
+        '![attainment](policies.png)',
+    ]
+    missed: list[str] = []
+    scenarios = list(dict.fromkeys(scenario for _, scenario, _ in runs))
+    for fleet in MIXES:
+        lines += [
+            '',
+            f'## {fleet}: {find_protected(fleet)}',
+            '',
+            '| scenario | slot_owner | omniscient | best baseline '
+            '| part of attainment | part of goodput | wasted | broken |',
+            '| --- | --- | --- | --- | --- | --- | --- | --- |',
+        ]
+        for scenario in scenarios:
+            row, problems = judge(fleet, scenario, runs)
+            lines.append('| ' + ' | '.join(row) + ' |')
+            missed += problems
+    lines += ['', '## Targets missed', '']
+    lines += [f'- {each}' for each in missed] or ['None.']
+    return '\n'.join(lines) + '\n', missed
+
+
+def plot(runs: Runs) -> None:
+    """Plot the protected class's attainment by scenario and policy."""
+    scenarios = list(dict.fromkeys(scenario for _, scenario, _ in runs))
+    policies = list(dict.fromkeys(policy for _, _, policy in runs))
+    figure, axes = plt.subplots(len(MIXES), 1, figsize=(13, 8))
+    for axis, fleet in zip(axes, MIXES, strict=True):
+        name = find_protected(fleet)
+        for position, policy in enumerate(policies):
+            heights = [
+                summarize(
+                    runs[fleet, scenario, policy],
+                    lambda run, each=name: run['attainment'][each],
+                )
+                for scenario in scenarios
+            ]
+            places = [
+                index + position / (len(policies) + 1)
+                for index in range(len(scenarios))
+            ]
+            axis.bar(places, heights, 1 / (len(policies) + 1), label=policy)
+        axis.set_title(f'{fleet}: attainment of {name}, median of the seeds')
+        axis.set_xticks(range(len(scenarios)))
+        axis.set_xticklabels(scenarios, rotation=30, ha='right', fontsize=7)
+        axis.set_ylim(0, 1.02)
+    axes[0].legend(ncol=len(policies), fontsize=7, loc='lower left')
+    figure.tight_layout()
+    figure.savefig(DOCS / 'policies.png', dpi=90)
+
+
+def main() -> int:
+    """Write the page and the plot; print the missed targets."""
+    commit, runs = read_runs()
+    page, missed = render(commit, runs)
+    (DOCS / 'measurements.md').write_text(page)
+    plot(runs)
+    print(f'{len(missed)} targets missed')
+    for each in missed:
+        print(each)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -201,7 +201,7 @@
             members[seed.name] = Member(seed.name, peer_address=seed.address)
             peers.learn_address(seed.name, seed.address)
     runtime = Runtime(core, peers=peers)
-    peers.receive_with(runtime.receive)
+    peers.receive_with(runtime.receive, runtime.lose_peer)
     return runtime
 
 
--- a/src/bilberryspoke/_internal/network/front.py
+++ b/src/bilberryspoke/_internal/network/front.py
@@ -53,6 +53,17 @@
     exchange: Exchange
     limits: LimitSettings
 
+    def find_crowding(self, scope: Any) -> Refusal | None:
+        """Refuse oversized headers, and requests beyond the limit."""
+        size = sum(len(name) + len(text) for name, text in scope['headers'])
+        if size > self.limits.header_bytes:
+            message = f'the headers are over {self.limits.header_bytes} bytes'
+            return Refusal(431, 'headers_too_large', message)
+        if len(self.runtime.calls) >= self.limits.connections:
+            message = f'over {self.limits.connections} requests are open here'
+            return Refusal(503, 'too_many_requests', message)
+        return None
+
     def find_caller(
         self,
         headers: Mapping[str, str],
@@ -89,6 +100,10 @@
             refusal = Refusal(400, 'malformed', text)
             await refuse(send, refusal, uuid.uuid4().hex)
             return
+        crowded = self._front.find_crowding(scope)
+        if crowded is not None:
+            await refuse(send, crowded, req_id)
+            return
         found = self._front.find_caller(headers, req_id)
         if found.is_error():
             await refuse(send, found.error, req_id)
--- a/src/bilberryspoke/_internal/network/listeners.py
+++ b/src/bilberryspoke/_internal/network/listeners.py
@@ -67,7 +67,9 @@
         access_log=False,
         lifespan='off',
         ws='none',
-        limit_concurrency=settings.limits.connections,
+        # Callers over the limit get an answer of ours; beyond twice that the
+        # server turns connections away by itself.
+        limit_concurrency=2 * settings.limits.connections,
         h11_max_incomplete_event_size=settings.limits.header_bytes,
         server_header=False,
         timeout_keep_alive=_IDLE_S,
--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -16,6 +16,7 @@
 _MESSAGE_LIMIT_BYTES = 64_000_000
 
 Receiver = Callable[[Envelope], None]
+LossListener = Callable[[str], None]
 
 
 class PeerTransport:
@@ -37,6 +38,8 @@
         self._vm = vm
         self._incarnation = incarnation
         self._receiver: Receiver | None = None
+        self._loss_listener: LossListener | None = None
+        self._monitors: dict[str, zmq.Socket] = {}
         self._context = zmq.Context()
         self._inbound = self._context.socket(zmq.PULL)
         self._outbound: dict[str, zmq.Socket] = {}
@@ -62,9 +65,17 @@
         endpoint = self._inbound.getsockopt_string(zmq.LAST_ENDPOINT)
         return endpoint.removeprefix('tcp://')
 
-    def receive_with(self, receiver: Receiver) -> None:
-        """Hand every envelope that arrives to a receiver."""
+    def receive_with(
+        self,
+        receiver: Receiver,
+        loss_listener: LossListener | None = None,
+    ) -> None:
+        """Hand every envelope that arrives to a receiver.
+
+        The loss listener gets the name of a peer whose connection broke.
+        """
         self._receiver = receiver
+        self._loss_listener = loss_listener
         loop = asyncio.get_running_loop()
         loop.add_reader(self._inbound.fileno(), self._drain)
         self._drain()
@@ -73,9 +84,9 @@
         """Connect to a peer, anew if its address has changed."""
         if not address or self._addresses.get(peer) == address:
             return
-        previous = self._outbound.pop(peer, None)
-        if previous is not None:
-            previous.close(linger=0)
+        if peer in self._outbound:
+            self._unwatch(peer)
+            self._outbound.pop(peer).close(linger=0)
         self._addresses[peer] = address
         socket = self._context.socket(zmq.PUSH)
         socket.setsockopt(zmq.SNDHWM, _QUEUE_LENGTH)
@@ -84,6 +95,7 @@
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
         socket.connect(f'tcp://{address}')
         self._outbound[peer] = socket
+        self._watch(peer, socket)
 
     def send(self, peer: str, message: PeerMessage) -> None:
         """Queue a message for the end of this turn of the event loop."""
@@ -98,10 +110,39 @@
         loop = asyncio.get_running_loop()
         loop.remove_reader(self._inbound.fileno())
         self._inbound.close(linger=0)
-        for socket in self._outbound.values():
+        for peer, socket in self._outbound.items():
+            self._unwatch(peer)
             socket.close(linger=_LINGER_MS)
         self._context.term()
 
+    def _watch(self, peer: str, socket: zmq.Socket) -> None:
+        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        self._monitors[peer] = monitor
+        asyncio.get_running_loop().add_reader(
+            monitor.fileno(),
+            self._notice_loss,
+            peer,
+        )
+        self._notice_loss(peer)
+
+    def _unwatch(self, peer: str) -> None:
+        monitor = self._monitors.pop(peer)
+        asyncio.get_running_loop().remove_reader(monitor.fileno())
+        self._outbound[peer].disable_monitor()
+        monitor.close(linger=0)
+
+    def _notice_loss(self, peer: str) -> None:
+        monitor = self._monitors[peer]
+        lost = False
+        while True:
+            try:
+                monitor.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                break
+            lost = True
+        if lost and self._loss_listener is not None:
+            self._loss_listener(peer)
+
     def _flush(self) -> None:
         self._flush_planned = False
         pending = self._pending
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -30,6 +30,7 @@
     AttemptProgressed,
     CallerGone,
     Event,
+    PeerLost,
     PeerReceived,
 )
 from bilberryspoke._internal.models.messages import Envelope, Push
@@ -97,6 +98,11 @@
                 PeerReceived(envelope.sender, envelope.incarnation, message),
             )
 
+    def lose_peer(self, peer: str) -> None:
+        """Take the news that the connection to a peer broke."""
+        self.counters.add('peers_lost', peer)
+        self.submit(PeerLost(peer))
+
     def report_progress(self) -> None:
         """Tell the core how far each running answer has come."""
         for call in list(self.calls.values()):
--- a/tests/unit/test_borders.py
+++ b/tests/unit/test_borders.py
@@ -368,3 +368,10 @@
         tasks[0].cancel()
 
     asyncio.run(run())
+
+
+def test_oversized_headers_are_refused():
+    headers = [(b'authorization', b'Bearer w'), (b'x-long', b'x' * 40_000)]
+    sent = call_entry('/v1/models', 'GET', headers, b'')
+    assert sent[0]['status'] == 431
+    assert json.loads(sent[1]['body'])['error']['outcome'] == 'not_run'
--- /dev/null
+++ b/tests/unit/test_peers.py
@@ -0,0 +1,69 @@
+"""The transport between VMs."""
+
+import asyncio
+
+from bilberryspoke._internal.models.messages import Pull
+from bilberryspoke._internal.network.peers import PeerTransport
+
+
+async def wait_until(check):
+    for _ in range(400):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('the condition did not come true')
+
+
+def test_messages_of_one_turn_arrive_in_order_and_a_loss_is_noticed():
+    async def run():
+        received = []
+        lost = []
+        one = PeerTransport('one', 1)
+        address = one.bind('127.0.0.1', 0)
+        one.receive_with(received.append)
+        two = PeerTransport('two', 2)
+        two.bind('127.0.0.1', 0)
+        two.receive_with(received.append, lost.append)
+        two.learn_address('one', address)
+        await asyncio.sleep(0.2)
+        for number in range(1, 4):
+            two.send('one', Pull(number))
+        await wait_until(lambda: received)
+        assert [each.revision for each in received[0].messages] == [1, 2, 3]
+        assert (received[0].sender, received[0].incarnation) == ('two', 2)
+        one.close()
+        await wait_until(lambda: lost)
+        assert lost[0] == 'one'
+        two.send('nobody', Pull(1))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert two.dropped == 1
+        two.close()
+
+    asyncio.run(run())
+
+
+def test_bytes_that_are_no_envelope_are_counted_and_skipped():
+    import zmq
+
+    async def run():
+        received = []
+        one = PeerTransport('one', 1)
+        address = one.bind('127.0.0.1', 0)
+        one.receive_with(received.append)
+        context = zmq.Context()
+        socket = context.socket(zmq.PUSH)
+        socket.connect(f'tcp://{address}')
+        socket.send(b'\xff nonsense')
+        two = PeerTransport('two', 2)
+        two.learn_address('one', address)
+        await wait_until(lambda: one.rejected == 1)
+        await asyncio.sleep(0.2)
+        two.send('one', Pull(5))
+        await wait_until(lambda: received)
+        socket.close(linger=0)
+        context.term()
+        two.close()
+        one.close()
+
+    asyncio.run(run())
