--- a/src/bilberryspoke/_internal/network/calls.py
+++ b/src/bilberryspoke/_internal/network/calls.py
@@ -26,7 +26,8 @@
 class Call:
     """State of a request that only the shell needs.
 
-    ``delivered`` counts whole events passed to the caller. ``kept`` holds
+    ``delivered`` counts whole events passed to the caller; ``moved_at`` is when
+    its change was last seen, in seconds of the boot-time clock. ``kept`` holds
     delivered bytes from which the text is taken if the answer has to be
     resumed; it is folded into ``text`` when it grows large.
     """
@@ -48,7 +49,9 @@
     reported: int = 0
     started: bool = False
     complete: bool = False
-    sending_since: float = 0.0
+    sending: bool = False
+    moved_at: float = 0.0
+    idle: bool = False
     aborted: bool = False
     kept: list[bytes] = field(default_factory=list)
     kept_size: int = 0
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -166,10 +166,13 @@
             await asyncio.sleep(_TICK_S)
 
     async def _watch_calls(self, runtime: Runtime) -> None:
-        limit_s = self._settings.limits.send_timeout_s
+        limits = self._settings.limits
         while True:
             runtime.report_progress()
-            runtime.drop_stuck_callers(limit_s)
+            runtime.drop_stuck(
+                limits.send_timeout_s,
+                limits.upstream_idle_s,
+            )
             await asyncio.sleep(_PROGRESS_S)
 
 
--- a/src/bilberryspoke/_internal/network/exchange.py
+++ b/src/bilberryspoke/_internal/network/exchange.py
@@ -24,6 +24,7 @@
 )
 from bilberryspoke._internal.models.requests import AttemptStatus, Outcome
 from bilberryspoke._internal.network.calls import Call
+from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.responses import (
     REQUEST_ID_HEADER,
     encode_error_event,
@@ -118,12 +119,17 @@
         upstream = catalog.upstreams.get(dispatch.upstream)
         if upstream is None:
             return AttemptResult(AttemptStatus.lapsed, 'upstream withdrawn')
+        call.idle = False
+        call.moved_at = read_boottime()
         call.attempt_task = asyncio.create_task(
             self._client.run(call, dispatch, upstream.url),
         )
         try:
             return await call.attempt_task
         except asyncio.CancelledError:
+            if call.idle:
+                detail = 'nothing was sent for too long'
+                return AttemptResult(AttemptStatus.broken, detail)
             if call.cancelled_attempt != dispatch.attempt:
                 call.attempt_task.cancel()
                 raise
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -10,7 +10,6 @@
     RecordedAnswer,
 )
 from bilberryspoke._internal.network.calls import Call
-from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.responses import (
     REQUEST_ID_HEADER,
     encode_headers,
@@ -58,28 +57,20 @@
     tail = b''
     if not call.started:
         await start_response(call, 200, 'text/event-stream')
-    while True:
-        chunk = await resp.content.readany()
-        if not chunk:
-            break
-        whole, tail = cut_events(tail + chunk if tail else chunk)
-        if not whole:
-            continue
+    read = resp.content.readany
+    keep = call.keep if call.req.resumable else None
+    while chunk := await read():
+        whole = tail + chunk if tail else chunk
+        if whole.endswith(_EVENT_END):
+            tail = b''
+        else:
+            whole, tail = cut_events(whole)
+            if not whole:
+                continue
         call.delivered += whole.count(_EVENT_END)
-        if call.req.resumable:
-            call.keep(whole)
-        call.sending_since = read_boottime()
-        await call.send(
-            {
-                'type': 'http.response.body',
-                'body': whole,
-                'more_body': True,
-            }
-        )
-        call.sending_since = 0
-        if call.report_first is not None:
-            call.report_first()
-            call.report_first = None
+        if keep is not None:
+            keep(whole)
+        await _pass_on(call, whole)
         if whole.endswith(_DONE):
             call.delivered -= 1
             call.complete = True
@@ -87,6 +78,17 @@
     return AttemptResult(AttemptStatus.broken, 'stream ended without its end')
 
 
+async def _pass_on(call: Call, raw: bytes) -> None:
+    call.sending = True
+    await call.send(
+        {'type': 'http.response.body', 'body': raw, 'more_body': True},
+    )
+    call.sending = False
+    if call.report_first is not None:
+        call.report_first()
+        call.report_first = None
+
+
 def cut_events(raw: bytes) -> tuple[bytes, bytes]:
     """Split bytes after their last whole event."""
     if raw.endswith(_EVENT_END):
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -112,17 +112,30 @@
     def report_progress_of(self, call: Call) -> None:
         """Tell the core how far one answer has come."""
         call.reported = call.delivered
+        call.moved_at = read_boottime()
         self.submit(
             AttemptProgressed(call.req.req_id, call.attempt, call.delivered),
         )
 
-    def drop_stuck_callers(self, timeout_s: float) -> None:
-        """Give up on callers that take no bytes of their answer."""
-        limit = read_boottime() - timeout_s
+    def drop_stuck(self, caller_s: float, upstream_s: float) -> None:
+        """Give up on callers that take nothing, on upstreams that send nothing.
+
+        Both show as an answer that has not moved since ``moved_at``.
+        """
+        now = read_boottime()
         for call in list(self.calls.values()):
-            if call.sending_since and call.sending_since < limit:
+            still_s = now - call.moved_at
+            if call.sending and still_s > caller_s:
                 self.counters.add('stuck_callers', call.req.service_class)
                 self.submit(CallerGone(call.req.req_id))
+            elif not call.sending and still_s > upstream_s:
+                self._drop_idle(call)
+
+    def _drop_idle(self, call: Call) -> None:
+        if call.attempt_task is not None and not call.idle:
+            self.counters.add('idle_upstreams', call.req.service_class)
+            call.idle = True
+            call.attempt_task.cancel()
 
     def _take_push(self, message: Push) -> None:
         if self.on_push is not None:
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -64,7 +64,9 @@
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=limits.upstream_connect_s,
-            sock_read=limits.upstream_idle_s,
+            # Idle upstreams are found by the watch over all calls: a timer
+            # for each chunk costs more than passing it on.
+            sock_read=None,
         )
         self._session = aiohttp.ClientSession(
             timeout=timeout,
--- a/tests/unit/test_borders.py
+++ b/tests/unit/test_borders.py
@@ -375,3 +375,64 @@
     sent = call_entry('/v1/models', 'GET', headers, b'')
     assert sent[0]['status'] == 431
     assert json.loads(sent[1]['body'])['error']['outcome'] == 'not_run'
+
+
+class SilentClient:
+    """A client whose upstream takes a request and sends nothing."""
+
+    def __init__(self):
+        self.attempts = 0
+
+    async def run(self, call, dispatch, base_url):
+        self.attempts += 1
+        await asyncio.sleep(60)
+
+
+def test_idle_upstream_breaks_the_attempt():
+    async def run():
+        core = Core(CoreSettings('a', 'dc1', 1, retry_share=0.0))
+        core.state.retries.balance = 1
+        runtime = Runtime(core)
+        catalog = build_catalog(build_class('low', 4))
+        runtime.submit(CatalogOffered(catalog, b''))
+        client = SilentClient()
+        limits = LimitSettings()
+        exchange = Exchange(runtime, client, limits)
+        app = make_entry_app(Front(runtime, exchange, limits))
+        sent = []
+        messages = [
+            {
+                'type': 'http.request',
+                'body': b'{"model":"offer","messages":[{"content":""}]}',
+            },
+        ]
+
+        async def receive():
+            if messages:
+                return messages.pop()
+            await asyncio.sleep(60)
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {
+            'type': 'http',
+            'method': 'POST',
+            'path': '/v1/chat/completions',
+            'raw_path': b'/v1/chat/completions',
+            'query_string': b'',
+            'root_path': '',
+            'headers': [(b'authorization', b'Bearer w')],
+        }
+        task = asyncio.create_task(app(scope, receive, send))
+        for _ in range(400):
+            await asyncio.sleep(0.005)
+            runtime.drop_stuck(30, 0.01)
+            if task.done():
+                break
+        await asyncio.wait_for(task, 5)
+        assert client.attempts == 2
+        assert sent[0]['status'] == 504
+        assert json.loads(sent[1]['body'])['error']['outcome'] == 'unknown'
+
+    asyncio.run(run())
