--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -137,10 +137,22 @@
             'changed values from a peer, cut by names',
         ),
     )
-    return [
+    lines = [
         Line(role, formula, amount, 'B/s sent', BYTES_BUDGET, mechanism)
         for role, formula, amount, mechanism in rows
     ]
+    total = sum(line.amount for line in lines)
+    lines.append(
+        Line(
+            'sum of the four above',
+            'one node holds all of them',
+            total,
+            'B/s sent',
+            BYTES_BUDGET,
+            '',
+        ),
+    )
+    return lines
 
 
 def _memory_lines(by_name: dict[str, Slope]) -> list[Line]:
