--- a/bench/driver.py
+++ b/bench/driver.py
@@ -41,6 +41,7 @@
 _FAR_S = 0.0015
 _CONNECT_S = 0.5
 _SERVICE_STEP_S = 0.03
+_EPSILON = 1e-6
 
 
 @dataclass(slots=True, eq=False)
@@ -285,9 +286,10 @@
         wait_s: float = _FAR_S,
     ) -> None:
         node = self.nodes[seq.entry]
-        tokens = seq.offset + round(seq.produced + 1e-6 - 0.5 + 0.5)
-        if status is not AttemptStatus.finished:
-            tokens = seq.offset + int(seq.produced + 1e-6)
+        produced = int(seq.produced + _EPSILON)
+        if status is AttemptStatus.finished:
+            produced = round(seq.produced)
+        tokens = seq.offset + produced
         self.ledger.stop(seq, status, self.now)
         event = AttemptEnded(seq.req_id, seq.attempt, status, tokens)
 
@@ -350,7 +352,7 @@
         for engine, seq in list(node.sequences.values()):
             if seq.announced:
                 engine.advance(self.now)
-                tokens = seq.offset + int(seq.produced + 1e-6)
+                tokens = seq.offset + int(seq.produced + _EPSILON)
                 event = AttemptProgressed(seq.req_id, seq.attempt, tokens)
                 self.submit(node, event)
 
