Grant urgent protected asks where another owner holds the slots

Protected asks also did not count as urgent while the owner itself held nothing. Change: where others hold half of an engine or more, urgent protected asks are granted all the same, at most two over its slots; the engine's priority orders them.

--- a/src/bilberryspoke/_internal/core/granting.py
+++ b/src/bilberryspoke/_internal/core/granting.py
@@ -26,6 +26,8 @@
     Preempted,
 )
 
+_EXCESS_SLOTS = 2
+
 
 def serve_pool(state: NodeState, owner: PoolOwner, now: float) -> None:
     """Grant free slots in order, then preempt for urgent protected asks."""
@@ -164,6 +166,64 @@
                 above=tier + 1 if tier else 0,
             )
             _preempt(state, chosen, 'higher_tier')
+            if tier == 0:
+                _overcommit(state, owner, wanted - len(chosen), now)
+
+
+def _overcommit(
+    state: NodeState,
+    owner: PoolOwner,
+    wanted: int,
+    now: float,
+) -> None:
+    """Grant urgent protected asks where others hold the slots.
+
+    Another owner across a cut may fill engines that both sides reach. The
+    engine's own priority then puts protected work before what waits there.
+    """
+    for _ in range(wanted):
+        waiting = _find_urgent(state, owner, now)
+        chosen = _find_held_by_others(state, owner, now)
+        if waiting is None or chosen is None:
+            return
+        state.emit(Count('overcommitted', chosen.upstream.name))
+        _grant(state, owner, waiting, chosen, now)
+
+
+def _find_urgent(
+    state: NodeState,
+    owner: PoolOwner,
+    now: float,
+) -> WaitingAsk | None:
+    for waiting in iterate_heads(owner, state.catalog, 0, now):
+        service_class = state.catalog.classes[waiting.ask.service_class]
+        if service_class.protected and waiting.start_by >= now:
+            return waiting
+    return None
+
+
+def _find_held_by_others(
+    state: NodeState,
+    owner: PoolOwner,
+    now: float,
+) -> FreeUpstream | None:
+    found = []
+    for upstream in list_usable(state, owner.pool, now):
+        load = state.find_load(upstream.name)
+        foreign = load.estimate_foreign(now)
+        excess = load.own + foreign - upstream.slots
+        # Fewer slots are other users' own, not those of another owner.
+        crowded = foreign * 2 >= upstream.slots
+        if crowded and excess < _EXCESS_SLOTS:
+            free = FreeUpstream(
+                upstream,
+                upstream.slots,
+                load.own + foreign,
+                load.s_per_token,
+                slow=False,
+            )
+            found.append(free)
+    return min(found, key=lambda each: each.load, default=None)
 
 
 def _preempt(state: NodeState, chosen: list[HeldSlot], reason: str) -> None:
--- a/src/bilberryspoke/_internal/core/scheduling.py
+++ b/src/bilberryspoke/_internal/core/scheduling.py
@@ -101,7 +101,9 @@
     fresh = []
     for name, queue in owner.queues.items():
         service_class = catalog.classes.get(name)
-        if service_class is None or service_class.tier >= lowest:
+        if service_class is None:
+            continue
+        if service_class.tier >= lowest and not service_class.protected:
             continue
         tier = 0 if service_class.protected else service_class.tier
         fresh.extend(
