--- a/bench/loc.py
+++ b/bench/loc.py
@@ -15,6 +15,7 @@
         f'{CORE}/core/owner.py',
         f'{CORE}/core/entry.py',
         f'{CORE}/core/endings.py',
+        f'{CORE}/core/returning.py',
         f'{CORE}/core/granting.py',
         f'{CORE}/core/intake.py',
         f'{CORE}/core/policies',
--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -3,6 +3,10 @@
 from bilberryspoke._internal.core.endings import close_ticket, fail_request
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.reducer import on_event, on_message
+from bilberryspoke._internal.core.returning import (
+    give_back_slot,
+    hand_back_grant,
+)
 from bilberryspoke._internal.core.sending import send
 from bilberryspoke._internal.core.state import NodeState
 from bilberryspoke._internal.core.tickets import Stage, Ticket
@@ -23,7 +27,6 @@
     Missing,
     Preempted,
     Refused,
-    Release,
     Withdraw,
 )
 from bilberryspoke._internal.models.requests import (
@@ -87,11 +90,11 @@
     """Dispatch a granted attempt, or hand the grant back if it is stale."""
     ticket = state.tickets.get(message.req_id)
     if not _awaits(ticket, sender, message.attempt):
-        _hand_back(state, sender, message, ticket)
+        hand_back_grant(state, sender, message, ticket)
         return
     upstream = state.catalog.upstreams.get(message.upstream)
     if upstream is None or state.is_leaving(upstream):
-        _hand_back(state, sender, message, ticket)
+        hand_back_grant(state, sender, message, ticket)
         ticket.excluded = [*ticket.excluded, message.upstream]
         seek_slot(state, ticket, now)
         return
@@ -191,7 +194,7 @@
     if ticket.first_token_at is None and ticket.tokens > 0:
         ticket.first_token_at = now
     ticket.note(now, event.status.value, event.detail)
-    _give_back(state, ticket, event.status, now)
+    give_back_slot(state, ticket, event.status, now)
     if event.status not in CERTAINLY_NOT_RUN:
         ticket.may_have_run = True
     if event.status is AttemptStatus.finished:
@@ -249,57 +252,6 @@
     return state.retries.spend() or protected
 
 
-def _give_back(
-    state: NodeState,
-    ticket: Ticket,
-    status: AttemptStatus,
-    now: float,
-) -> None:
-    first_token_s = 0.0
-    if ticket.first_token_at is not None:
-        first_token_s = max(0.0, ticket.first_token_at - ticket.started_at)
-    release = Release(
-        req_id=ticket.req.req_id,
-        attempt=ticket.attempt,
-        pool=ticket.req.pool,
-        upstream=ticket.upstream,
-        status=status,
-        tokens=ticket.tokens - ticket.offset,
-        run_s=now - ticket.started_at,
-        first_token_s=first_token_s,
-    )
-    policy = find_policy(state.settings.policy)
-    policy.give_back(state, ticket, release, now)
-
-
-def _hand_back(
-    state: NodeState,
-    sender: str,
-    message: Granted,
-    ticket: Ticket | None,
-) -> None:
-    pool = ticket.req.pool if ticket else _find_pool(state, message.upstream)
-    release = Release(
-        req_id=message.req_id,
-        attempt=message.attempt,
-        pool=pool,
-        upstream=message.upstream,
-        status=AttemptStatus.lapsed,
-        tokens=0,
-        run_s=0,
-        first_token_s=0,
-    )
-    send(state, sender, release)
-
-
-def _find_pool(state: NodeState, upstream: str) -> str:
-    if state.catalog is not None:
-        for pool in state.catalog.pools.values():
-            if upstream in pool.upstreams:
-                return pool.name
-    return ''
-
-
 def _awaits(ticket: Ticket | None, sender: str, attempt: int) -> bool:
     return (
         ticket is not None
