--- a/bench/driver.py
+++ b/bench/driver.py
@@ -290,7 +290,7 @@
         if status is AttemptStatus.finished:
             produced = round(seq.produced)
         tokens = seq.offset + produced
-        self.ledger.stop(seq, status, self.now)
+        self.ledger.stop(seq)
         event = AttemptEnded(seq.req_id, seq.attempt, status, tokens)
 
         def deliver() -> None:
--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -8,7 +8,6 @@
 from bilberryspoke._internal.models.catalog import Catalog
 from bilberryspoke._internal.models.effects import Answer, Count
 from bilberryspoke._internal.models.requests import (
-    AttemptStatus,
     Outcome,
     RequestRecord,
 )
@@ -75,12 +74,9 @@
             self.violations['work for a leaving upstream'] += 1
         self._note_start(name, seq.req_id, now)
 
-    def stop(self, seq: Sequence, status: AttemptStatus, now: float) -> None:
+    def stop(self, seq: Sequence) -> None:
         """Note that an attempt ended at its engine."""
-        entry = self.entries[seq.req_id]
-        entry.computed += seq.produced
-        if status is AttemptStatus.unreachable:
-            return
+        self.entries[seq.req_id].computed += seq.produced
 
     def answer(self, effect: Answer, now: float) -> None:
         """Note the final word on a request that did not complete."""
--- a/bench/omniscient.py
+++ b/bench/omniscient.py
@@ -75,7 +75,7 @@
         status: AttemptStatus,
         wait_s: float = 0.0,
     ) -> None:
-        self.ledger.stop(seq, status, self.now)
+        self.ledger.stop(seq)
         request = self._requests[seq.req_id]
         if status is AttemptStatus.finished:
             self._finish(request)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -14,7 +14,6 @@
 _MAX_TOKENS = 600
 _PROMPT_TOKENS = 200
 _PREFIXES = 12
-_SERVICE_S = 0.03
 
 MIXES = {
     'xelaju': {
--- a/src/bilberryspoke/_internal/core/configuration.py
+++ b/src/bilberryspoke/_internal/core/configuration.py
@@ -6,9 +6,7 @@
 from bilberryspoke._internal.core.sending import send
 from bilberryspoke._internal.core.state import NodeState
 from bilberryspoke._internal.models.effects import Adopt, Count, Log
-from bilberryspoke._internal.models.events import (
-    CatalogOffered,
-)
+from bilberryspoke._internal.models.events import CatalogOffered
 from bilberryspoke._internal.models.messages import (
     Pull,
     Push,
--- a/src/bilberryspoke/_internal/core/handover.py
+++ b/src/bilberryspoke/_internal/core/handover.py
@@ -1,9 +1,7 @@
 """Owners as an entry VM follows them, and its reports to them."""
 
 from bilberryspoke._internal.core.entry import seek_slot
-from bilberryspoke._internal.core.orders import (
-    follow_ownership,
-)
+from bilberryspoke._internal.core.orders import follow_ownership
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.sending import send
 from bilberryspoke._internal.core.state import NodeState, OwnerContact
@@ -16,8 +14,6 @@
 )
 
 _OWNER_SILENCE_S = 2.0
-
-
 _SUSPICION_S = 5.0
 
 
--- a/src/bilberryspoke/_internal/core/intake.py
+++ b/src/bilberryspoke/_internal/core/intake.py
@@ -2,9 +2,7 @@
 
 from bilberryspoke._internal.core.ordering import WaitingAsk
 from bilberryspoke._internal.core.poolqueue import ClassStats, PoolOwner
-from bilberryspoke._internal.core.scheduling import (
-    choose_eviction,
-)
+from bilberryspoke._internal.core.scheduling import choose_eviction
 from bilberryspoke._internal.core.sending import send
 from bilberryspoke._internal.core.state import NodeState
 from bilberryspoke._internal.models.catalog import MS_PER_S, ServiceClass
@@ -14,11 +12,7 @@
 )
 
 _BACKLOG_AGE_S = 1.0
-
-
 _LEAST_RATE = 0.1
-
-
 _NO_TARGET_S = 3600.0
 _RESERVED_PART = 0.5
 
--- a/src/bilberryspoke/_internal/core/policies/registry.py
+++ b/src/bilberryspoke/_internal/core/policies/registry.py
@@ -52,8 +52,3 @@
 def find_policy(name: str) -> SharingPolicy:
     """Return the policy registered under a name."""
     return _POLICIES[name]
-
-
-def list_policies() -> list[str]:
-    """Return the names of all registered policies."""
-    return sorted(_POLICIES)
--- a/src/bilberryspoke/_internal/core/returning.py
+++ b/src/bilberryspoke/_internal/core/returning.py
@@ -8,9 +8,7 @@
     Granted,
     Release,
 )
-from bilberryspoke._internal.models.requests import (
-    AttemptStatus,
-)
+from bilberryspoke._internal.models.requests import AttemptStatus
 
 
 def give_back_slot(
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -18,8 +18,6 @@
 from bilberryspoke._internal.models.catalog import Catalog, Upstream
 from bilberryspoke._internal.models.effects import Effect
 
-_RECORD_LIMIT = 4096
-
 
 @dataclass(frozen=True, slots=True)
 class CoreSettings:
--- a/src/bilberryspoke/_internal/core/upkeep.py
+++ b/src/bilberryspoke/_internal/core/upkeep.py
@@ -7,9 +7,7 @@
     send_heartbeats,
 )
 from bilberryspoke._internal.core.membership import Member
-from bilberryspoke._internal.core.orders import (
-    review_engine,
-)
+from bilberryspoke._internal.core.orders import review_engine
 from bilberryspoke._internal.core.owner import expire_and_reclaim
 from bilberryspoke._internal.core.reducer import deliver, on_event
 from bilberryspoke._internal.core.state import NodeState
--- a/src/bilberryspoke/_internal/exceptions.py
+++ b/src/bilberryspoke/_internal/exceptions.py
@@ -1,29 +1,10 @@
 """Errors of the project; each renders its own message for people."""
 
-from collections.abc import Sequence
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from bilberryspoke._internal.models.findings import Finding
-
 
 class BilberryspokeError(Exception):
     """Base of all errors raised by the project."""
 
 
-class FindingsError(BilberryspokeError):
-    """Input was refused; carries every finding."""
-
-    def __init__(self, findings: 'Sequence[Finding]') -> None:
-        """Create the error from findings."""
-        super().__init__(findings)
-        self.findings = tuple(findings)
-
-    def __str__(self) -> str:
-        """Render one line a finding."""
-        return '\n'.join(str(finding) for finding in self.findings)
-
-
 class PlatformUnavailableError(BilberryspokeError):
     """The platform's configuration service did not give a usable answer."""
 
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -14,9 +14,7 @@
 from bilberryspoke._internal.core.membership import Member
 from bilberryspoke._internal.models.events import StopRequested, Tick
 from bilberryspoke._internal.network.admin import make_admin_app
-from bilberryspoke._internal.network.configuration import (
-    ConfigurationFollower,
-)
+from bilberryspoke._internal.network.configuration import ConfigurationFollower
 from bilberryspoke._internal.network.endpoints import make_entry_app
 from bilberryspoke._internal.network.exchange import Exchange
 from bilberryspoke._internal.network.front import Front
--- a/src/bilberryspoke/_internal/network/endpoints.py
+++ b/src/bilberryspoke/_internal/network/endpoints.py
@@ -17,9 +17,7 @@
 from bilberryspoke._internal.models.catalog import Catalog, Pool
 from bilberryspoke._internal.models.events import KeyRequested
 from bilberryspoke._internal.models.requests import Request
-from bilberryspoke._internal.network.bodies import (
-    summarize_chat,
-)
+from bilberryspoke._internal.network.bodies import summarize_chat
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.front import (
@@ -29,20 +27,14 @@
     refuse,
 )
 from bilberryspoke._internal.network.health import health_routes
-from bilberryspoke._internal.network.responses import (
-    send_json,
-)
+from bilberryspoke._internal.network.responses import send_json
 from bilberryspoke._internal.network.upstreams import HOP_HEADER
 
 _SERVICE_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
 
 _SERVICE_PATH_PARTS = 4
-
-
 _TOKEN_BYTES = 16
-
-
 _KEY_HEADER = 'idempotency-key'
 
 
--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -49,11 +49,6 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
 
-    @property
-    def peers(self) -> frozenset[str]:
-        """Names of the peers with a known address."""
-        return frozenset(self._addresses)
-
     def bind(self, host: str, port: int) -> str:
         """Listen for peers and return the address as ``host:port``."""
         self._inbound.setsockopt(zmq.MAXMSGSIZE, _MESSAGE_LIMIT_BYTES)
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -17,8 +17,6 @@
 )
 
 _EVENT_END = b'\n\n'
-
-
 _DONE = b'data: [DONE]\n\n'
 
 
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -1,6 +1,5 @@
 """Carries out the effects of the core."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -71,7 +70,6 @@
     on_order: Callable[[OrderUpstream], None] | None = None
     on_push: Callable[[Push], None] | None = None
     started_at: float = field(default_factory=read_boottime)
-    adopted: asyncio.Event = field(default_factory=asyncio.Event)
 
     def submit(self, event: Event) -> None:
         """Reduce an event now and carry out its effects."""
@@ -220,7 +218,6 @@
 @executes(Adopt)
 def note_adoption(runtime: Runtime, effect: Adopt) -> None:
     """Note that a configuration is in force."""
-    runtime.adopted.set()
     runtime.counters.add('config_adoptions')
     logger.info(
         'config_adopted',
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -6,9 +6,7 @@
 from bilberryspoke._internal.config.settings import LimitSettings
 from bilberryspoke._internal.models.effects import Dispatch, OrderUpstream
 from bilberryspoke._internal.models.requests import AttemptStatus
-from bilberryspoke._internal.network.answers import (
-    AnswerStore,
-)
+from bilberryspoke._internal.network.answers import AnswerStore
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.relaying import (
--- a/src/bilberryspoke/_internal/utils/hashing.py
+++ b/src/bilberryspoke/_internal/utils/hashing.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 
 _WORD_BYTES = 8
-_UNIT_RANGE = float(1 << (_WORD_BYTES * 8))
 
 
 def hash_word(*parts: object) -> int:
@@ -14,11 +13,6 @@
     return int.from_bytes(raw, 'big')
 
 
-def hash_unit(*parts: object) -> float:
-    """Return a hash of the parts as a number from 0 up to 1."""
-    return hash_word(*parts) / _UNIT_RANGE
-
-
 def rank_members(subject: str, members: Iterable[str]) -> list[str]:
     """Order members by rendezvous hashing for a subject, the owner first."""
     return sorted(
--- a/tests/unit/test_borders.py
+++ b/tests/unit/test_borders.py
@@ -191,6 +191,19 @@
         return AttemptResult(AttemptStatus.unreachable)
 
 
+def make_scope(path, method, headers):
+    """Return the ASGI scope of one call."""
+    return {
+        'type': 'http',
+        'method': method,
+        'path': path,
+        'raw_path': path.encode(),
+        'query_string': b'',
+        'root_path': '',
+        'headers': headers,
+    }
+
+
 def call_entry(path, method, headers, body):
     """Send one request to the entry application; return its answer."""
 
@@ -211,15 +224,7 @@
         async def send(message):
             sent.append(message)
 
-        scope = {
-            'type': 'http',
-            'method': method,
-            'path': path,
-            'raw_path': path.encode(),
-            'query_string': b'',
-            'root_path': '',
-            'headers': headers,
-        }
+        scope = make_scope(path, method, headers)
         await make_entry_app(front)(scope, receive, send)
         return sent
 
@@ -347,15 +352,7 @@
                 (b'authorization', b'Bearer w'),
                 (b'idempotency-key', key.encode()),
             ]
-            scope = {
-                'type': 'http',
-                'method': 'POST',
-                'path': '/v1/services/offer/x',
-                'raw_path': b'/v1/services/offer/x',
-                'query_string': b'',
-                'root_path': '',
-                'headers': headers,
-            }
+            scope = make_scope('/v1/services/offer/x', 'POST', headers)
             tasks.append(asyncio.create_task(app(scope, receive, send)))
             await asyncio.sleep(0)
             await asyncio.sleep(0.01)
@@ -415,15 +412,8 @@
         async def send(message):
             sent.append(message)
 
-        scope = {
-            'type': 'http',
-            'method': 'POST',
-            'path': '/v1/chat/completions',
-            'raw_path': b'/v1/chat/completions',
-            'query_string': b'',
-            'root_path': '',
-            'headers': [(b'authorization', b'Bearer w')],
-        }
+        headers = [(b'authorization', b'Bearer w')]
+        scope = make_scope('/v1/chat/completions', 'POST', headers)
         task = asyncio.create_task(app(scope, receive, send))
         for _ in range(400):
             await asyncio.sleep(0.005)
