--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -11,6 +11,8 @@
 from bilberryspoke._internal.core.routing.state import OpenCall, Stage
 from bilberryspoke._internal.core.routing.waiting import (
     await_room,
+    choose_return,
+    is_overdue,
     list_in_order,
 )
 from bilberryspoke._internal.core.routing.work import (
@@ -41,7 +43,6 @@
     SendProgressed,
 )
 
-_RETRY_AFTER_S = 0.3
 # Parts of a repeat budget in which one VM takes its share of the reserve.
 _RESERVE_SHARERS = 8
 _RESERVE_PART = 0.5
@@ -79,6 +80,9 @@
         upstream = state.routing.upstreams.get(opened.instance)
         if upstream is not None:
             learn_slowness(upstream, opened, now)
+    if opened.first_at is not None:
+        gap_s = now - (opened.moved_at or opened.sent_at)
+        opened.longest_gap_s = max(opened.longest_gap_s, gap_s)
     opened.moved_at = now
     opened.first_at = opened.first_at or now
     if event.last_event is not None:
@@ -120,6 +124,9 @@
 def serve_waiting(state: NodeState, now: float) -> None:
     """Place the waiting calls for which there is room by now."""
     for opened in list_in_order(state.routing, now):
+        if is_overdue(opened, now):
+            _refuse(state, opened, 'no_room', now)
+            continue
         state.routing.waiting.remove(opened)
         _place(state, opened, now)
 
@@ -133,11 +140,10 @@
     if opened.stage is not Stage.waiting:
         opened.stage = Stage.waiting
         opened.asked_at = now
-    usable = list_usable(state.routing, opened, now)
-    if not usable:
+    if not list_usable(state.routing, opened, now):
         _find_none(state, opened, before, now)
         return
-    placement = place_call(state.routing, opened, usable, now)
+    placement = place_call(state.routing, opened, now)
     if placement is None:
         await_room(state.routing, opened)
         return
@@ -289,7 +295,7 @@
             reason,
             not_run=not_run,
             timed_out=timed_out,
-            retry_after_s=_RETRY_AFTER_S if not_run else None,
+            retry_after_s=choose_return(call) if not_run else None,
         ),
     )
     facts: dict[str, object] = {
@@ -338,13 +344,25 @@
                 'upstream': opened.instance,
                 'attempts': opened.attempt,
                 'first_s': None if first_s is None else round(first_s, 3),
+                'gap_s': round(opened.longest_gap_s, 3),
+                'waited_s': round(opened.waited_s, 3),
                 'total_s': round(total_s, 3),
+                'on_time': _is_on_time(opened, first_s),
             },
             urgent=outcome not in {'finished', 'caller_gone'},
         ),
     )
 
 
+def _is_on_time(opened: OpenCall, first_s: float | None) -> bool:
+    route = opened.call.route
+    if first_s is None or first_s > route.target_s:
+        return False
+    return (
+        route.event_gap_s is None or opened.longest_gap_s <= route.event_gap_s
+    )
+
+
 def _find_budget(state: NodeState, service: str) -> RepeatBudget:
     budget = state.routing.budgets.get(service)
     if budget is None:
--- a/src/bilberryspoke/_internal/core/routing/placing.py
+++ b/src/bilberryspoke/_internal/core/routing/placing.py
@@ -25,10 +25,10 @@
 # Part of a service's engines kept for streams with the tightest pauses.
 _TIGHT_PART = 0.25
 # Part of a latency target that reading at the chosen engine may take.
-_PATIENT_PART = 0.4
+_PATIENT_PART = 0.25
 # Prompt tokens waiting at an engine beyond which calls wait at their VM: what
 # waits there holds memory and delays whatever comes next.
-_MOST_OWED = 8000
+_MOST_OWED = 6000
 # The same at an engine of another group.
 _MOST_OWED_ASIDE = 1000
 # Part of a latency target for which a call waits for the engine that keeps
@@ -58,31 +58,30 @@
     now: float,
 ) -> list[UpstreamState]:
     """Return upstreams that stay; doubtful ones if there are no others."""
-    staying = [
-        upstream
-        for upstream in routing.list_staying(opened.call.service)
-        if upstream.listed.instance not in opened.tried
-    ]
-    sound = [
-        upstream
-        for upstream in staying
-        if not upstream.suspicion.is_avoided(now)
-    ]
-    return sound or staying
+    return _drop_doubtful(
+        routing.list_staying(opened.call.service), opened, now
+    )
 
 
 def place_call(
     routing: RoutingState,
     opened: OpenCall,
-    usable: list[UpstreamState],
     now: float,
 ) -> Placement | None:
-    """Return where a call should run now; None while it should wait."""
+    """Return where a call should run now; None while it should wait.
+
+    There must be an upstream that is usable.
+    """
     service = opened.call.service
     known = routing.table.services.get(service)
     if known is None or known.engine is None:
+        usable = list_usable(routing, opened, now)
         return _take_less_loaded(routing, usable, opened, now)
-    own, others = _split(routing, opened, usable)
+    own, others = _split(routing, opened)
+    own = _drop_doubtful(own, opened, now)
+    others = _drop_doubtful(others, opened, now)
+    if not own:
+        own, others = others, own
     first = _take_in_time(routing, own, opened, now)
     if first is not None or _is_loyal(opened.call, now):
         return first
@@ -107,21 +106,39 @@
     return len(gaps) > 1 and route.event_gap_s <= min(gaps)
 
 
+def _drop_doubtful(
+    staying: list[UpstreamState],
+    opened: OpenCall,
+    now: float,
+) -> list[UpstreamState]:
+    untried = [
+        upstream
+        for upstream in staying
+        if upstream.listed.instance not in opened.tried
+    ]
+    sound = [
+        upstream
+        for upstream in untried
+        if not upstream.suspicion.is_avoided(now)
+    ]
+    return sound or untried
+
+
 def _split(
     routing: RoutingState,
     opened: OpenCall,
-    usable: list[UpstreamState],
 ) -> tuple[list[UpstreamState], list[UpstreamState]]:
     """Return the engines of a call's own group, and the others.
 
     The order by hash is the same at all VMs and changes little when engines
-    come and go.
+    come and go; doubt about one moves none of them.
     """
     service = opened.call.service
-    if len(usable) < 2:
-        return usable, []
+    staying = routing.list_staying(service)
+    if len(staying) < 2:
+        return staying, []
     ranked = sorted(
-        usable,
+        staying,
         key=lambda each: hash_word(service, each.listed.instance),
     )
     kept = max(1, round(len(ranked) * _TIGHT_PART))
@@ -165,7 +182,7 @@
     now: float,
 ) -> Placement | None:
     """Take an engine of another group that has next to nothing to read."""
-    for placement in _assess_all(routing, group, opened, now):
+    for placement in _assess_all(routing, group, opened, now, own=False):
         if placement.work.owed + placement.owed <= _MOST_OWED_ASIDE:
             return placement
     return None
@@ -207,15 +224,21 @@
     group: list[UpstreamState],
     opened: OpenCall,
     now: float,
+    *,
+    own: bool = True,
 ) -> Iterable[Placement]:
-    """Yield the engines of a group, the one that keeps the prompt first."""
+    """Yield the engines of a group, the one that keeps the prompt first.
+
+    Only in a call's own group do other VMs send its prompt there as well.
+    """
     parts = opened.call.parts
     subject = opened.call.call_id
     if parts:
         subject = parts[-2].name if len(parts) > 1 else parts[-1].name
     by_name = {each.listed.instance: each for each in group}
     for rank, name in enumerate(rank_members(subject, by_name)):
-        yield _assess(routing, by_name[name], opened, now, presumed=not rank)
+        presumed = own and not rank
+        yield _assess(routing, by_name[name], opened, now, presumed=presumed)
 
 
 def _assess(
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -28,7 +28,8 @@
     upstreams that had it. ``asked_at`` is when it began to wait for its next
     send, ``waited_s`` how long it waited for all of them. ``sent_at``,
     ``moved_at``, ``owed`` (prompt tokens to read) and ``expected_s`` (time to
-    the first event) belong to the present send. Times are in seconds of the
+    the first event) belong to the present send. ``longest_gap_s`` is the
+    longest pause after the first event. Times are in seconds of the
     boot-time clock.
     """
 
@@ -42,6 +43,7 @@
     sent_at: float = 0.0
     moved_at: float | None = None
     first_at: float | None = None
+    longest_gap_s: float = 0.0
     last_event: int | None = None
     owed: int = 0
     expected_s: float = 0.0
--- a/src/bilberryspoke/_internal/core/routing/work.py
+++ b/src/bilberryspoke/_internal/core/routing/work.py
@@ -16,6 +16,9 @@
 _READ_PER_S = 30_000
 # Time to the first event of an idle engine.
 _FIRST_S = 0.02
+# The same while the engine reads prompts between the tokens of that event.
+_BUSY_FIRST_S = 0.15
+_BUSY_TOKENS = 2048
 # A peer that is silent for longer no longer counts.
 PEER_SILENCE_S = 1.0
 # Time for which an engine is taken to keep a part of a prompt.
@@ -66,7 +69,9 @@
 ) -> float:
     """Estimate the seconds to the first event of a call sent now."""
     reading_s = (work.owed + uncached) / _READ_PER_S
-    return (_FIRST_S + reading_s) * upstream.slowness
+    busy = work.owed > _BUSY_TOKENS
+    first_s = _BUSY_FIRST_S if busy else _FIRST_S
+    return (first_s + reading_s) * upstream.slowness
 
 
 def count_uncached(
