Bind before the larger imports; avoid silent upstreams, move stuck calls

The sockets now listen as soon as the settings are read; calls that come just after the start wait up to half a second for the configuration. Calls at an upstream that says nothing go elsewhere where they may run again.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,10 +1,15 @@
 """Runs the routing process from a checkout, without an installed package."""
 
+import gc
 import sys
 from pathlib import Path
 
+# Nothing that is imported is garbage; the process turns collection on again.
+gc.disable()
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'src'))
 
-from bilberryspoke._internal.cli.node import main  # noqa: E402
+from bilberryspoke._internal.cli.node import run_node  # noqa: E402
 
-main()
+_METRICS_PORT = 9464
+
+run_node(metrics_port=_METRICS_PORT)
--- a/src/bilberryspoke/_internal/cli/node.py
+++ b/src/bilberryspoke/_internal/cli/node.py
@@ -1,18 +1,23 @@
-"""Entry point of the process that routes calls on the users' platform."""
+"""Entry point of the process that routes calls on the users' platform.
+
+The listening sockets are bound before the larger part of the program is
+imported: callers that connect meanwhile wait for a moment and are not refused.
+"""
 
 import dataclasses
 import gc
 import os
+import socket
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
-import fire
-import uvloop
-
 from bilberryspoke._internal.exceptions import AddressInUseError
 from bilberryspoke._internal.models.node import NodeSettings
-from bilberryspoke._internal.network.logs import configure_logs
-from bilberryspoke._internal.network.routing.daemon import RoutingDaemon
+from bilberryspoke._internal.network.binding import (
+    bind_address,
+    parse_address,
+)
 from bilberryspoke._internal.platform.boot import (
     BOOT_VARIABLE,
     read_boot_settings,
@@ -44,23 +49,52 @@
     node = found.ok
     if metrics_port:
         node = dataclasses.replace(node, metrics_port=metrics_port)
-    configure_logs(node.vm)
     try:
-        code = uvloop.run(_run(node, path))
+        sockets = _bind_all(node)
     except AddressInUseError as exc:
         print(exc, file=sys.stderr)
         sys.exit(EXIT_ADDRESS)
-    sys.exit(code)
+    sys.exit(_serve(node, path, sockets))
+
+
+def _bind_all(node: NodeSettings) -> list[socket.socket]:
+    return [
+        bind_address(*parse_address(node.entry_address)),
+        bind_address(*parse_address(node.ready_address)),
+        bind_address(node.ip, node.metrics_port),
+    ]
 
 
-async def _run(node: NodeSettings, path: Path) -> int:
+def _serve(
+    node: NodeSettings,
+    path: Path,
+    sockets: Sequence[socket.socket],
+) -> int:
+    import uvloop
+
+    from bilberryspoke._internal.network.logs import configure_logs
+    from bilberryspoke._internal.network.routing.daemon import RoutingDaemon
+
+    configure_logs(node.vm)
     # What lives as long as the process need not be looked through again.
     gc.collect()
     gc.freeze()
     gc.set_threshold(_GC_YOUNG_OBJECTS)
-    return await RoutingDaemon(node, path, read_boot_settings).run()
+    gc.enable()
+
+    async def run() -> int:
+        return await RoutingDaemon(
+            node,
+            path,
+            read_boot_settings,
+            sockets,
+        ).run()
+
+    return uvloop.run(run())
 
 
 def main() -> None:
     """Run the command line."""
+    import fire
+
     fire.Fire(run_node, name='bilberryspoke-node')
--- a/src/bilberryspoke/_internal/config/settings.py
+++ b/src/bilberryspoke/_internal/config/settings.py
@@ -6,9 +6,9 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from bilberryspoke._internal.config.errors import describe_errors
 from bilberryspoke._internal.config.jsonc import read_jsonc
 from bilberryspoke._internal.config.objects import Name
-from bilberryspoke._internal.config.validation import describe_errors
 from bilberryspoke._internal.models.findings import Finding
 
 Port = Annotated[int, Field(ge=0, le=65535)]
--- a/src/bilberryspoke/_internal/config/validation.py
+++ b/src/bilberryspoke/_internal/config/validation.py
@@ -6,6 +6,7 @@
 
 from pydantic import ValidationError
 
+from bilberryspoke._internal.config.errors import describe_errors
 from bilberryspoke._internal.config.objects import (
     OBJECT_ADAPTER,
     ClassObject,
@@ -80,25 +81,6 @@
     return any(finding.severity is Severity.error for finding in findings)
 
 
-def describe_errors(
-    exc: ValidationError,
-    *,
-    source: str,
-    prefix: str,
-    skipped: int = 0,
-) -> list[Finding]:
-    """Turn a validation error into one finding a place.
-
-    ``skipped`` leaves out the first parts of each place.
-    """
-    findings = []
-    for detail in exc.errors(include_url=False, include_input=False):
-        parts = [str(part) for part in detail['loc'][skipped:]]
-        path = '.'.join([prefix, *parts]) if prefix else '.'.join(parts)
-        findings.append(Finding(source, path, detail['msg']))
-    return findings
-
-
 def _add_object(objects: ObjectSet, raw: RawObject) -> None:
     try:
         item = OBJECT_ADAPTER.validate_python(raw.raw)
--- a/src/bilberryspoke/_internal/core/routing/budget.py
+++ b/src/bilberryspoke/_internal/core/routing/budget.py
@@ -24,11 +24,15 @@
         self.firsts.append(now)
         self._forget(now)
 
-    def take(self, now: float) -> bool:
-        """Take one repeat, if the budget holds one."""
+    def allows(self, now: float) -> bool:
+        """Tell whether the budget holds one more repeat."""
         self._forget(now)
         allowed = self.share * len(self.firsts) + self.reserve
-        if len(self.repeats) + 1 > allowed:
+        return len(self.repeats) + 1 <= allowed
+
+    def take(self, now: float) -> bool:
+        """Take one repeat, if the budget holds one."""
+        if not self.allows(now):
             return False
         self.repeats.append(now)
         return True
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -8,7 +8,17 @@
     list_usable,
     place_call,
 )
-from bilberryspoke._internal.core.routing.state import OpenCall, Stage
+from bilberryspoke._internal.core.routing.repeating import may_send_again
+from bilberryspoke._internal.core.routing.silence import (
+    is_silent,
+    is_stuck,
+    note_review,
+)
+from bilberryspoke._internal.core.routing.state import (
+    OpenCall,
+    Stage,
+    UpstreamState,
+)
 from bilberryspoke._internal.core.routing.waiting import (
     await_room,
     choose_return,
@@ -25,7 +35,6 @@
 )
 from bilberryspoke._internal.models.routing import (
     NOT_RUN,
-    Repeats,
     SendStatus,
 )
 from bilberryspoke._internal.models.routing_effects import (
@@ -76,9 +85,10 @@
     if opened is None or opened.attempt != event.attempt:
         return
     first = opened.moved_at is None
-    if first:
-        upstream = state.routing.upstreams.get(opened.instance)
-        if upstream is not None:
+    upstream = state.routing.upstreams.get(opened.instance)
+    if upstream is not None:
+        upstream.heard_at = now
+        if first:
             learn_slowness(upstream, opened, now)
     if opened.first_at is not None:
         gap_s = now - (opened.moved_at or opened.sent_at)
@@ -115,12 +125,60 @@
 def review_calls(state: NodeState, now: float) -> None:
     """End the calls whose time is over and drop upstreams that stay away."""
     drop_unlisted(state, now)
+    note_review(state.routing, now)
+    _review_silence(state, now)
     for opened in list(state.routing.calls.values()):
         if now >= opened.call.answer_by:
             _time_out(state, opened, now)
     serve_waiting(state, now)
 
 
+def _review_silence(state: NodeState, now: float) -> None:
+    """Send calls elsewhere that may run again and got stuck."""
+    routing = state.routing
+    for upstream in list(routing.upstreams.values()):
+        silent = is_silent(routing, upstream, now)
+        if silent:
+            _note_silent(state, upstream, now)
+        for opened in list(upstream.sends.values()):
+            if silent or is_stuck(routing, opened, now):
+                _move_call(state, opened, now)
+
+
+def _note_silent(
+    state: NodeState,
+    upstream: UpstreamState,
+    now: float,
+) -> None:
+    if not upstream.suspicion.is_avoided(now):
+        facts = {
+            'upstream': upstream.listed.instance,
+            'calls': len(upstream.sends),
+            'heard_s': round(now - upstream.heard_at, 3),
+        }
+        state.emit(Note('upstream_silent', facts))
+    upstream.suspicion.note_silent(now)
+
+
+def _move_call(state: NodeState, opened: OpenCall, now: float) -> None:
+    call = opened.call
+    ending = SendEnded(
+        call_id=call.call_id,
+        attempt=opened.attempt,
+        status=SendStatus.broken,
+        detail='nothing was heard for too long',
+        delivered=opened.first_at is not None,
+    )
+    if not may_send_again(opened, ending, sends=opened.sends + 1):
+        return
+    if not _find_budget(state, call.service).allows(now):
+        return
+    others = list_usable(state.routing, opened, now)
+    if any(other.listed.instance != opened.instance for other in others):
+        state.emit(StopSend(call.call_id, opened.attempt))
+        end_send(state, ending, now)
+
+
 def serve_waiting(state: NodeState, now: float) -> None:
     """Place the waiting calls for which there is room by now."""
     for opened in list_in_order(state.routing, now):
@@ -241,18 +299,13 @@
     event: SendEnded,
     now: float,
 ) -> bool:
-    call = opened.call
-    if event.status is SendStatus.cancelled or now >= call.answer_by:
-        return False
-    if opened.sends >= call.route.max_attempts:
-        return False
-    if event.status not in NOT_RUN and not call.may_run_again:
+    if event.status is SendStatus.cancelled or now >= opened.call.answer_by:
         return False
-    if event.delivered and call.route.repeats is not Repeats.resumed:
+    if not may_send_again(opened, event, sends=opened.sends):
         return False
     if event.status is SendStatus.unsent:
         return True
-    return _find_budget(state, call.service).take(now)
+    return _find_budget(state, opened.call.service).take(now)
 
 
 def _give_up(
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/silence.py
@@ -0,0 +1,58 @@
+"""Upstreams and calls from which nothing is heard any more."""
+
+from bilberryspoke._internal.core.routing.state import (
+    OpenCall,
+    RoutingState,
+    UpstreamState,
+)
+
+# An upstream is silent after this time beyond what its calls were expected
+# to take.
+_SILENT_S = 0.5
+_EXPECTED_FACTOR = 2.0
+# Latency targets, or pauses between events, after which a single call is sent
+# elsewhere if it may run again.
+_CALL_TARGETS = 1.5
+_CALL_GAPS = 4.0
+_CALL_LEAST_S = 0.25
+# A review that comes so late means that this VM stood still.
+_STANDSTILL_S = 0.5
+
+
+def note_review(routing: RoutingState, now: float) -> None:
+    """Note that time was kept; after a standstill nothing counts as silent."""
+    if now - routing.reviewed_at > _STANDSTILL_S:
+        routing.awake_at = now
+    routing.reviewed_at = now
+
+
+def is_silent(
+    routing: RoutingState,
+    upstream: UpstreamState,
+    now: float,
+) -> bool:
+    """Tell whether an upstream with calls under way says nothing at all."""
+    if not upstream.sends:
+        return False
+    sends = upstream.sends.values()
+    since = max(
+        upstream.heard_at,
+        routing.awake_at,
+        min(opened.sent_at for opened in sends),
+    )
+    expected_s = max(opened.expected_s for opened in sends)
+    return now - since > _SILENT_S + _EXPECTED_FACTOR * expected_s
+
+
+def is_stuck(routing: RoutingState, opened: OpenCall, now: float) -> bool:
+    """Tell whether a call has waited too long for its upstream."""
+    route = opened.call.route
+    if opened.moved_at is None:
+        limit_s = route.target_s * _CALL_TARGETS
+    elif route.event_gap_s is None:
+        return False
+    else:
+        limit_s = route.event_gap_s * _CALL_GAPS
+    limit_s += _EXPECTED_FACTOR * opened.expected_s
+    since = max(opened.moved_at or opened.sent_at, routing.awake_at)
+    return now - since > max(_CALL_LEAST_S, limit_s)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -55,6 +55,7 @@
 class UpstreamState:
     """One incarnation of an upstream, and what this VM has there.
 
+    ``heard_at`` is when bytes of any answer arrived last.
     ``kept`` holds the times at which this VM last sent each shared part of
     a prompt there. ``slowness`` relates measured to expected times.
 
@@ -68,6 +69,7 @@
     suspicion: Suspicion = field(default_factory=Suspicion)
     kept: dict[str, float] = field(default_factory=dict)
     slowness: float = 1.0
+    heard_at: float = -1e9
     gone_at: float | None = None
 
 
@@ -103,6 +105,7 @@
 
     ``revision`` is the store's, as of which the upstreams are known.
     ``stayed`` counts, by service, those known when the store was last back.
+    ``awake_at`` is when this VM last went on after a standstill.
     ``seeds`` are addresses of VMs whose names are not known yet.
     """
 
@@ -120,6 +123,8 @@
     revision: int = 0
     peers: dict[str, PeerView] = field(default_factory=dict)
     seeds: set[str] = field(default_factory=set)
+    reviewed_at: float = -1e9
+    awake_at: float = -1e9
     beat_at: float = -1e9
     wanted_at: float = -1e9
 
--- a/src/bilberryspoke/_internal/core/routing/suspicion.py
+++ b/src/bilberryspoke/_internal/core/routing/suspicion.py
@@ -5,6 +5,7 @@
 
 _UNREACHABLE_PAUSE_S = 0.3
 _LONGEST_PAUSE_S = 4.0
+_SILENT_PAUSE_S = 0.3
 _OUTCOMES_KEPT = 16
 _OUTCOMES_NEEDED = 4
 _DOUBTFUL_SHARE = 0.34
@@ -36,6 +37,10 @@
         self.unreached += 1
         self.avoid_until = now + min(_LONGEST_PAUSE_S, pause_s)
 
+    def note_silent(self, now: float) -> None:
+        """Account for an upstream that says nothing at all."""
+        self.avoid_until = max(self.avoid_until, now + _SILENT_PAUSE_S)
+
     def note_outcome(self, now: float, *, good: bool) -> None:
         """Account for an answer, or for one that broke off."""
         self.unreached = 0
--- a/src/bilberryspoke/_internal/exceptions.py
+++ b/src/bilberryspoke/_internal/exceptions.py
@@ -5,6 +5,10 @@
     """Base of all errors raised by the project."""
 
 
+class CallerGoneError(BilberryspokeError):
+    """The caller closed its connection while it sent its request."""
+
+
 class PlatformUnavailableError(BilberryspokeError):
     """The platform's configuration service did not give a usable answer."""
 
--- a/src/bilberryspoke/_internal/network/bodies.py
+++ b/src/bilberryspoke/_internal/network/bodies.py
@@ -9,15 +9,12 @@
 
 from bilberryspoke._internal.config.settings import LimitSettings
 from bilberryspoke._internal.core.admission import Refusal
+from bilberryspoke._internal.exceptions import CallerGoneError
 from bilberryspoke._internal.utils.hashing import hash_prefix
 
 _CHARACTERS_PER_TOKEN = 4
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection while it sent its request."""
-
-
 @dataclass(frozen=True, slots=True)
 class ChatSummary:
     """What the router needs to know of a completion request."""
--- a/src/bilberryspoke/_internal/network/front.py
+++ b/src/bilberryspoke/_internal/network/front.py
@@ -15,12 +15,10 @@
     admit,
     authenticate,
 )
+from bilberryspoke._internal.exceptions import CallerGoneError
 from bilberryspoke._internal.models.catalog import Catalog, Workspace
 from bilberryspoke._internal.models.requests import Outcome
-from bilberryspoke._internal.network.bodies import (
-    CallerGoneError,
-    read_body,
-)
+from bilberryspoke._internal.network.bodies import read_body
 from bilberryspoke._internal.network.exchange import Exchange
 from bilberryspoke._internal.network.responses import (
     REQUEST_ID_HEADER,
--- a/src/bilberryspoke/_internal/network/listeners.py
+++ b/src/bilberryspoke/_internal/network/listeners.py
@@ -4,14 +4,15 @@
 import socket
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvicorn
 
-from bilberryspoke._internal.config.settings import Listener, Settings
-from bilberryspoke._internal.exceptions import AddressInUseError
+from bilberryspoke._internal.network.binding import bind_address
+
+if TYPE_CHECKING:
+    from bilberryspoke._internal.config.settings import Listener, Settings
 
-_BACKLOG = 2048
 _IDLE_S = 30
 
 
@@ -42,23 +43,12 @@
         yield
 
 
-def bind_listener(listener: Listener) -> socket.socket:
+def bind_listener(listener: 'Listener') -> socket.socket:
     """Bind a listening socket."""
-    family = socket.AF_INET6 if ':' in listener.host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        bound.bind((listener.host, listener.port))
-    except OSError as exc:
-        bound.close()
-        address = f'{listener.host}:{listener.port}'
-        raise AddressInUseError(address, str(exc)) from exc
-    bound.listen(_BACKLOG)
-    bound.setblocking(False)
-    return bound
-
-
-def make_server(app: Any, settings: Settings, *, tls: bool) -> QuietServer:
+    return bind_address(listener.host, listener.port)
+
+
+def make_server(app: Any, settings: 'Settings', *, tls: bool) -> QuietServer:
     """Return a server for an application within the callers' limits."""
     files = settings.tls if tls else None
     config = uvicorn.Config(
@@ -94,17 +84,10 @@
         server_header=False,
         date_header=False,
         timeout_keep_alive=round(idle_s),
-        backlog=_BACKLOG,
     )
     return QuietServer(config)
 
 
-def parse_listener(address: str) -> Listener:
-    """Return the listener of ``host:port``."""
-    host, _, port = address.rpartition(':')
-    return Listener(host=host, port=int(port))
-
-
 def _address_of(bound: socket.socket) -> str:
     host, port = bound.getsockname()[:2]
     return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
--- a/src/bilberryspoke/_internal/network/routing/border.py
+++ b/src/bilberryspoke/_internal/network/routing/border.py
@@ -11,6 +11,7 @@
     choose_service,
     match_call,
 )
+from bilberryspoke._internal.exceptions import CallerGoneError
 from bilberryspoke._internal.models.routing import RoutedCall, RouteTable
 from bilberryspoke._internal.models.routing_effects import (
     PassOn,
@@ -21,7 +22,6 @@
     CallAbandoned,
     CallArrived,
 )
-from bilberryspoke._internal.network.bodies import CallerGoneError
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.exchange import (
     Exchange,
@@ -37,6 +37,9 @@
 logger = structlog.get_logger()
 
 _UNREADY_RETRY_S = 0.5
+# Callers that come just after the start wait for the configuration.
+_START_WAIT_S = 0.5
+_START_POLL_S = 0.02
 
 
 class Border:
@@ -51,9 +54,8 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one call."""
-        routing = self._runtime.core.state.routing
-        table = routing.table
-        if table is None or not routing.ready:
+        table = await self._await_table()
+        if table is None:
             await self._refuse(send, 503, 'not_ready', _UNREADY_RETRY_S)
             return
         headers = read_call_headers(
@@ -92,6 +94,14 @@
         )
         await self._serve(exchange, receive)
 
+    async def _await_table(self) -> RouteTable | None:
+        """Return the configuration; just after the start, wait for it."""
+        routing = self._runtime.core.state.routing
+        limit_at = self._runtime.started_at + _START_WAIT_S
+        while not routing.ready and read_boottime() < limit_at:
+            await asyncio.sleep(_START_POLL_S)
+        return routing.table if routing.ready else None
+
     def _make_call(
         self,
         headers: CallHeaders,
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import signal
+import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -15,7 +16,6 @@
 from starlette.responses import PlainTextResponse
 from starlette.routing import Route as AppRoute
 
-from bilberryspoke._internal.config.settings import Listener
 from bilberryspoke._internal.core import Core, CoreSettings
 from bilberryspoke._internal.models.events import (
     StopRequested,
@@ -26,9 +26,7 @@
 from bilberryspoke._internal.models.routing_events import SeedsNamed
 from bilberryspoke._internal.network.listeners import (
     QuietServer,
-    bind_listener,
     make_routed_server,
-    parse_listener,
 )
 from bilberryspoke._internal.network.peers import PeerTransport
 from bilberryspoke._internal.network.routing.border import Border
@@ -69,9 +67,14 @@
         settings: NodeSettings,
         settings_path: Path,
         read: ReadSettings,
+        sockets: Sequence[socket.socket],
     ) -> None:
-        """Create a daemon; ``read`` reads its settings again on SIGHUP."""
+        """Create a daemon; ``read`` reads its settings again on SIGHUP.
+
+        ``sockets`` listen for callers, for probes and for metrics.
+        """
         self._settings = settings
+        self._sockets = tuple(sockets)
         self._path = settings_path
         self._read = read
         self._stop = asyncio.Event()
@@ -130,15 +133,9 @@
         )
 
     def _start(self, parts: _Parts) -> list[asyncio.Task[Any]]:
-        settings = self._settings
-        listeners = (
-            parse_listener(settings.entry_address),
-            parse_listener(settings.ready_address),
-            Listener(host=settings.ip, port=settings.metrics_port),
-        )
         serving = [
-            asyncio.create_task(server.serve(sockets=[bind_listener(each)]))
-            for server, each in zip(parts.servers, listeners, strict=True)
+            asyncio.create_task(server.serve(sockets=[bound]))
+            for server, bound in zip(parts.servers, self._sockets, strict=True)
         ]
         follower = DiscoveryFollower(parts.runtime, parts.store)
         loops = (
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -191,11 +191,12 @@
                 continue
             if not exchange.started:
                 await exchange.start(200, _drop_length(body.answer))
+            await exchange.write(whole)
+            # Only what was written counts if the send is stopped meanwhile.
             exchange.last_event = cutter.last
             self._report(
                 SendProgressed(effect.call_id, effect.attempt, cutter.last),
             )
-            await exchange.write(whole)
         if cutter.tail or not body.is_whole():
             return _Ending(SendStatus.broken, 'stream was cut off')
         if not exchange.started:
--- a/src/bilberryspoke/_internal/platform/boot.py
+++ b/src/bilberryspoke/_internal/platform/boot.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from bilberryspoke._internal.config.validation import describe_errors
+from bilberryspoke._internal.config.errors import describe_errors
 from bilberryspoke._internal.models.findings import Finding
 from bilberryspoke._internal.models.node import NodeSettings, PromisedBounds
 
