Stand-ins of the platform and tests of its rules; follow every connection's use

The tests found: a connection whose answer came in one piece was given back before its use was noted, so that neither its idle time nor bytes after its answer were watched (test_second_answer_reaches_nobody failed); an upstream that starts again under its name was charged with its predecessor's failures. The budget of repeats is now shared by the number of VMs that know of one another.

--- /dev/null
+++ b/fakes/upstream.py
@@ -0,0 +1,418 @@
+"""Stand-in for an upstream of the platform, with scripted answers.
+
+It speaks HTTP/1.1 on raw connections, so that it can cut, reset, spoil or
+double its answers. Each answer is a function registered under a name.
+"""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import httptools
+
+Headers = dict[str, str]
+EVENTS = 6
+_PAUSE_S = 0.02
+_RESET = struct.pack('ii', 1, 0)
+
+
+@dataclass(slots=True)
+class Run:
+    """One call that reached the upstream."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    ended: bool = False
+    cut: bool = False
+
+    @property
+    def req_id(self) -> str:
+        """The caller's id of the call."""
+        return self.headers.get('x-attempt-id', '')
+
+
+Script = Callable[
+    ['UpstreamStandIn', Run, asyncio.StreamWriter], Awaitable[None]
+]
+_SCRIPTS: dict[str, Script] = {}
+
+
+def script(name: str) -> Callable[[Script], Script]:
+    """Register an answer under a name."""
+
+    def register(function: Script) -> Script:
+        _SCRIPTS[name] = function
+        return function
+
+    return register
+
+
+class _Reader:
+    """Collects requests of one connection from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+        self._headers: Headers = {}
+        self._url = b''
+        self._body = b''
+        self.parser = httptools.HttpRequestParser(self)
+
+    def on_message_begin(self) -> None:
+        self._headers = {}
+        self._url = b''
+        self._body = b''
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        self._headers[name.decode().lower()] = text.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method().decode()
+        run = Run(method, self._url.decode(), self._headers, self._body)
+        self.runs.append(run)
+
+
+@dataclass(slots=True)
+class UpstreamStandIn:
+    """An upstream; ``answers`` names the scripts of its next answers.
+
+    When they are used up, the answer named ``default`` is given.
+    """
+
+    instance: str
+    default: str = 'whole'
+    answers: list[str] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    refusals: int = 0
+    connections: int = 0
+    address: str = ''
+    release: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self, host: str = '127.0.0.1') -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+
+    async def stop(self) -> None:
+        """Reset all connections and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+
+    def count_runs(self, req_id: str) -> int:
+        """Return how often a call ran here."""
+        return sum(run.req_id == req_id for run in self.runs)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        collected = _Reader()
+        answering: asyncio.Task[None] | None = None
+        try:
+            while raw := await reader.read(65536):
+                collected.parser.feed_data(raw)
+                while collected.runs:
+                    run = collected.runs.pop(0)
+                    answering = asyncio.create_task(self._answer(run, writer))
+        except (ConnectionError, httptools.HttpParserError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            if answering is not None and not answering.done():
+                answering.cancel()
+            writer.close()
+
+    async def _answer(self, run: Run, writer: asyncio.StreamWriter) -> None:
+        expected = run.headers.get('x-expect-instance', self.instance)
+        if expected != self.instance:
+            self.refusals += 1
+            head = {'X-Instance-Id': self.instance}
+            write_whole(writer, run, 421, b'', head, sealed=False)
+            return
+        name = self.answers.pop(0) if self.answers else self.default
+        if name == 'busy':
+            self.refusals += 1
+        else:
+            self.runs.append(run)
+        try:
+            await _SCRIPTS[name](self, run, writer)
+            await writer.drain()
+        except asyncio.CancelledError:
+            run.cut = True
+            raise
+        except ConnectionError:
+            run.cut = True
+        finally:
+            run.ended = True
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    bound = writer.get_extra_info('socket')
+    if bound is not None and bound.fileno() >= 0:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    writer.transport.abort()
+
+
+def write_head(
+    writer: asyncio.StreamWriter,
+    run: Run,
+    status: int,
+    headers: Headers,
+    *,
+    sealed: bool = True,
+) -> None:
+    """Write the status line and the headers of an answer."""
+    lines = [f'HTTP/1.1 {status} Scripted']
+    lines.append(f'X-Attempt-Id: {run.req_id}')
+    if sealed:
+        lines.append(f'X-Response-Seal: seal-of-{run.req_id}')
+    lines += [f'{name}: {text}' for name, text in headers.items()]
+    writer.write('\r\n'.join([*lines, '', '']).encode())
+
+
+def write_whole(
+    writer: asyncio.StreamWriter,
+    run: Run,
+    status: int,
+    body: bytes,
+    headers: Headers | None = None,
+    *,
+    sealed: bool = True,
+) -> None:
+    """Write a whole answer with its length."""
+    sized = {'Content-Length': str(len(body)), **(headers or {})}
+    write_head(writer, run, status, sized, sealed=sealed)
+    writer.write(body)
+
+
+def make_body(run: Run) -> bytes:
+    """Return the body that a call is answered with."""
+    return f'answer to {run.req_id}'.encode()
+
+
+def make_event(run: Run, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: {run.req_id} {number}\n\n'.encode()
+
+
+def make_stream(req_id: str, first: int = 1) -> bytes:
+    """Return the whole body of a stream."""
+    run = Run('POST', '', {'x-attempt-id': req_id}, b'')
+    numbers = range(first, EVENTS + 1)
+    return b''.join(make_event(run, number) for number in numbers)
+
+
+def _write_chunk(writer: asyncio.StreamWriter, raw: bytes) -> None:
+    writer.write(b'%x\r\n%s\r\n' % (len(raw), raw))
+
+
+async def _write_events(
+    run: Run,
+    writer: asyncio.StreamWriter,
+    *,
+    until: int = EVENTS,
+) -> None:
+    chunked = {
+        'Content-Type': 'text/event-stream',
+        'Transfer-Encoding': 'chunked',
+    }
+    write_head(writer, run, 200, chunked)
+    first = int(run.headers.get('last-event-id', 0)) + 1
+    for number in range(first, until + 1):
+        _write_chunk(writer, make_event(run, number))
+        await writer.drain()
+        await asyncio.sleep(_PAUSE_S)
+
+
+@script('whole')
+async def answer_whole(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with a whole body."""
+    write_whole(writer, run, 200, make_body(run))
+
+
+@script('error')
+async def answer_error(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with a failure of the upstream's own."""
+    write_whole(writer, run, 500, b'failed')
+
+
+@script('busy')
+async def answer_busy(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Refuse without running."""
+    head = {'X-Not-Executed': '1'}
+    write_whole(writer, run, 503, b'', head, sealed=False)
+
+
+@script('truncated')
+async def answer_truncated(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Break off in the middle of a body whose length was told."""
+    write_head(writer, run, 200, {'Content-Length': '100'})
+    writer.write(make_body(run))
+    await writer.drain()
+    writer.close()
+
+
+@script('unframed')
+async def answer_unframed(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer without a length; the end of the connection ends the body."""
+    write_head(writer, run, 200, {'Connection': 'close'})
+    writer.write(make_body(run))
+    await writer.drain()
+    writer.close()
+
+
+@script('unframed_reset')
+async def answer_unframed_reset(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer without a length and reset the connection on the way."""
+    write_head(writer, run, 200, {'Connection': 'close'})
+    writer.write(make_body(run)[:4])
+    await writer.drain()
+    await asyncio.sleep(_PAUSE_S)
+    reset(writer)
+
+
+@script('reset')
+async def answer_reset(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Run the call and lose its answer."""
+    reset(writer)
+
+
+@script('extra')
+async def answer_extra(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer, and answer once more a little later."""
+    write_whole(writer, run, 200, make_body(run))
+    await writer.drain()
+    await asyncio.sleep(_PAUSE_S)
+    write_whole(writer, run, 200, b'second answer, belongs to nobody')
+
+
+@script('unsealed')
+async def answer_unsealed(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with bytes that do not bear the upstream's mark."""
+    write_whole(writer, run, 200, b'not mine', sealed=False)
+
+
+@script('foreign')
+async def answer_foreign(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with what belongs to another call."""
+    other = Run('GET', '', {'x-attempt-id': 'another'}, b'')
+    write_whole(writer, other, 200, make_body(other))
+
+
+@script('hold')
+async def answer_when_released(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer when the test says so."""
+    await upstream.release.wait()
+    write_whole(writer, run, 200, make_body(run))
+
+
+@script('stream')
+async def answer_stream(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with a whole stream of events."""
+    await _write_events(run, writer)
+    writer.write(b'0\r\n\r\n')
+
+
+@script('stream_cut')
+async def answer_stream_cut(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Break off in the middle of the fourth event."""
+    await _write_events(run, writer, until=3)
+    _write_chunk(writer, make_event(run, 4)[:6])
+    await writer.drain()
+    reset(writer)
+
+
+@script('stream_gap')
+async def answer_stream_gap(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Leave one event out."""
+    await _write_events(run, writer, until=2)
+    _write_chunk(writer, make_event(run, 4))
+    writer.write(b'0\r\n\r\n')
+
+
+@script('stream_hold')
+async def answer_stream_held(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Stop after three events until the test says so."""
+    await _write_events(run, writer, until=3)
+    await upstream.release.wait()
+    for number in range(4, EVENTS + 1):
+        _write_chunk(writer, make_event(run, number))
+    writer.write(b'0\r\n\r\n')
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -52,9 +52,11 @@
     SendProgressed,
 )
 
-# Parts of a repeat budget in which one VM takes its share of the reserve.
-_RESERVE_SHARERS = 8
-_RESERVE_PART = 0.5
+# Part of the budget of repeats that is used: VMs do not know of one another
+# at every moment.
+_BUDGET_PART = 0.8
+# Number of VMs that share the budget at the least.
+_LEAST_VMS = 3
 
 
 @on_event(CallArrived)
@@ -285,7 +287,9 @@
     opened.tried.append(opened.instance)
     if upstream is None:
         return
-    upstream.sends.pop(opened.call.call_id, None)
+    # The upstream may have started again under its name meanwhile.
+    if upstream.sends.pop(opened.call.call_id, None) is None:
+        return
     if event.status is SendStatus.unsent:
         upstream.suspicion.note_unreached(now)
     elif event.status is not SendStatus.cancelled:
@@ -417,13 +421,16 @@
 
 
 def _find_budget(state: NodeState, service: str) -> RepeatBudget:
-    budget = state.routing.budgets.get(service)
+    routing = state.routing
+    bounds = state.settings.bounds
+    budget = routing.budgets.get(service)
     if budget is None:
-        bounds = state.settings.bounds
         budget = RepeatBudget(
-            share=bounds.retry_share * _RESERVE_PART,
-            reserve=bounds.retry_reserve * _RESERVE_PART / _RESERVE_SHARERS,
+            share=bounds.retry_share * _BUDGET_PART,
+            reserve=0,
             window_s=bounds.retry_window_s,
         )
-        state.routing.budgets[service] = budget
+        routing.budgets[service] = budget
+    vms = max(_LEAST_VMS, len(routing.peers) + 1)
+    budget.reserve = bounds.retry_reserve * _BUDGET_PART / vms
     return budget
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from contextvars import ContextVar
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -19,10 +20,22 @@
 _UNACKNOWLEDGED_MS = 1500
 
 
-# Done when the connection of the task's present call ends; with an exception
-# unless its upstream closed it in order.
-connection_end: ContextVar[asyncio.Future[None] | None] = ContextVar(
-    'connection_end',
+@dataclass(frozen=True, slots=True)
+class UsedConnection:
+    """The connection of a call.
+
+    ``end`` is done when it ends; with an exception unless its upstream closed
+    it in order.
+    """
+
+    protocol: ResponseHandler
+    end: asyncio.Future[None] | None
+
+
+# Connection of the present call of the task. The client library gives it back
+# before the caller sees an answer that arrives in one piece.
+used_connection: ContextVar[UsedConnection | None] = ContextVar(
+    'used_connection',
     default=None,
 )
 
@@ -61,10 +74,10 @@
             until = self._idle_until.pop(protocol, None)
             if until is None:
                 self.opened += 1
-                _follow_end(protocol)
+                _note_use(protocol)
                 return connection
             if read_boottime() < until and not protocol.should_close:
-                _follow_end(protocol)
+                _note_use(protocol)
                 return connection
             connection.close()
 
@@ -88,11 +101,11 @@
         }
 
 
-def _follow_end(protocol: ResponseHandler) -> None:
+def _note_use(protocol: ResponseHandler) -> None:
     end = protocol.closed
     if end is not None:
         end.add_done_callback(_retrieve_exception)
-    connection_end.set(end)
+    used_connection.set(UsedConnection(protocol, end))
 
 
 def _retrieve_exception(end: asyncio.Future[None]) -> None:
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -123,7 +123,7 @@
         return _Parts(
             runtime=runtime,
             sender=sender,
-            store=StoreClient(settings.store_address),
+            store=StoreClient(settings.store_address, settings.ip),
             border=border,
             servers=(
                 make_routed_server(border, idle_s=_IDLE_S),
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -18,7 +18,7 @@
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.connections import (
     KeptConnector,
-    connection_end,
+    used_connection,
 )
 from bilberryspoke._internal.network.routing.events import EventCutter
 from bilberryspoke._internal.network.routing.exchange import (
@@ -126,10 +126,9 @@
         resp: aiohttp.ClientResponse,
     ) -> _Ending:
         answer = read_answer_headers(resp.status, resp.raw_headers)
-        connection = resp.connection
-        protocol = connection.protocol if connection else None
-        if protocol is not None and not answer.closes:
-            self.connector.keep_until(protocol, answer.idle_s)
+        used = used_connection.get()
+        if used is not None:
+            self.connector.keep_until(used.protocol, answer.idle_s)
         if answer.req_id not in {None, exchange.call.req_id}:
             resp.close()
             return _Ending(SendStatus.broken, 'answer to another call')
@@ -141,7 +140,7 @@
             resp.close()
             detail = f'status {resp.status} without the seal of an upstream'
             return _Ending(SendStatus.broken, detail, resp.status)
-        body = _Body(resp, answer, connection_end.get())
+        body = _Body(resp, answer, used.end if used else None)
         if resp.status == 200 and exchange.call.route.streams:
             return await self._pass_events(exchange, effect, body)
         return await self._pass_whole(exchange, effect, body)
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -65,12 +65,15 @@
 class StoreClient:
     """Reads values of the store and waits for changes; counts its calls."""
 
-    def __init__(self, address: str) -> None:
-        """Create the client session; must run inside the event loop."""
+    def __init__(self, address: str, own_host: str) -> None:
+        """Create the client session; must run inside the event loop.
+
+        Calls come from ``own_host``.
+        """
         self.calls = 0
         self._base = f'http://{address}'
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=0, local_addr=(own_host, 0)),
         )
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/functional/test_routed_changes.py
@@ -0,0 +1,254 @@
+"""Configuration, leaving upstreams, stops and the store, on real processes."""
+
+import asyncio
+import socket
+
+import pytest
+
+from fakes.upstream import make_stream
+from tests.lib.platformdata import build_config, build_route, build_routes
+from tests.lib.routedfleet import (
+    HUP,
+    TERM,
+    eventually,
+    run_routed_fleet,
+)
+
+
+def adopted(node):
+    return [line['version'] for line in node.list_events('routes_adopted')]
+
+
+async def exchange_raw(node, raw):
+    """Send bytes on a connection and return all that comes back."""
+    reader, writer = await asyncio.open_connection(node.ip, node.entry_port)
+    writer.write(raw)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+async def change_routes(fleet):
+    node = fleet.nodes[0]
+    added = [*build_routes(), build_route('added', 'safe')]
+    fleet.store.put('op/config', build_config(7, routes=added))
+    await eventually(lambda: 7 in adopted(node))
+    assert (await fleet.call('/added/', 'c1')).status == 200
+    fleet.store.put('op/config', build_config(5))
+    fleet.store.put('op/config', b'not a configuration')
+    fleet.store.put('op/config', {'version': 9, 'routes': [{'name': 'r'}]})
+    await eventually(
+        lambda: len(node.list_events('store_entry_refused')) == 2,
+    )
+    assert (await fleet.call('/added/', 'c2')).status == 200
+    assert adopted(node) == [1, 7]
+
+
+async def take_keys_away(fleet):
+    node = fleet.nodes[0]
+    tenants = [{'name': 'press', 'api-keys': ['key-2']}]
+    fleet.store.put('op/config', build_config(3, tenants=tenants))
+    await eventually(lambda: 3 in adopted(node))
+    assert (await fleet.call('/safe/', 'k1')).status == 401
+    assert (await fleet.call('/safe/', 'k2', key='key-2')).status == 200
+    assert fleet.count_runs('k1') == 0
+
+
+async def lose_history(fleet):
+    node = fleet.nodes[0]
+    fleet.store.put('op/config', build_config(4))
+    fleet.store.delete('servers/i-app0')
+    fleet.store.drop_history()
+    await eventually(lambda: 4 in adopted(node))
+    await eventually(lambda: node.list_events('upstream_dropped'))
+    for number in range(6):
+        assert (await fleet.call('/safe/', f'h{number}')).status == 200
+    assert not fleet.upstreams['i-app0'].runs
+
+
+async def drain_upstream(fleet):
+    node = fleet.nodes[0]
+    fleet.list_upstream('i-app0', 'app', state='draining')
+    await eventually(lambda: node.list_events('upstream_leaving'))
+    for number in range(6):
+        assert (await fleet.call('/safe/', f'd{number}')).status == 200
+    assert not fleet.upstreams['i-app0'].runs
+
+
+async def break_entry(fleet):
+    node = fleet.nodes[0]
+    fleet.store.put('servers/i-app0', b'\xff\x00')
+    fleet.store.put('servers/i-other', {'service': 'app'})
+    await eventually(lambda: node.list_events('upstream_dropped'))
+    for number in range(6):
+        assert (await fleet.call('/safe/', f'z{number}')).status == 200
+    assert not fleet.upstreams['i-app0'].runs
+
+
+async def reuse_address(fleet):
+    """ROUTE: an address that serves another now runs nothing of the old."""
+    for upstream in fleet.upstreams.values():
+        upstream.instance = f'{upstream.instance}-anew'
+    got = await fleet.call('/safe/', 'a1')
+    assert got.status == 503
+    assert fleet.count_runs('a1') == 0
+
+
+@pytest.mark.parametrize(
+    'steps',
+    [
+        change_routes,
+        take_keys_away,
+        lose_history,
+        drain_upstream,
+        break_entry,
+        reuse_address,
+    ],
+)
+def test_change(steps):
+    async def run():
+        async with run_routed_fleet(engines=0) as fleet:
+            await steps(fleet)
+
+    asyncio.run(run())
+
+
+def test_stop_cuts_nothing_off():
+    """DRAIN, LOST: not ready at once, open and new calls are served."""
+
+    async def run():
+        async with run_routed_fleet(plain=1, engines=1) as fleet:
+            node = fleet.nodes[0]
+            engine = fleet.upstreams['i-llm0']
+            engine.answers[:] = ['stream_hold']
+            streaming = asyncio.create_task(
+                fleet.call('/stream/', 's1', method='POST'),
+            )
+            await eventually(lambda: engine.runs)
+            assert (await fleet.call('/safe/', 's2')).status == 200
+            node.signal(TERM)
+            await eventually(lambda: node.list_events('stopping'))
+            assert not await node.is_ready(fleet.session)
+            late = await fleet.call('/safe/', 's3')
+            assert late.status == 200
+            assert late.headers['connection'] == 'close'
+            engine.release.set()
+            whole = await streaming
+            assert (whole.body, whole.whole) == (make_stream('s1'), True)
+            assert await node.process.wait() == 0
+
+    asyncio.run(run())
+
+
+def test_reload_cuts_nothing_off():
+    async def run():
+        async with run_routed_fleet(engines=0, plain=1) as fleet:
+            node = fleet.nodes[0]
+            upstream = fleet.upstreams['i-app0']
+            upstream.answers[:] = ['hold']
+            call = asyncio.create_task(fleet.call('/safe/', 'h1'))
+            await eventually(lambda: upstream.runs)
+            node.signal(HUP)
+            await eventually(lambda: node.list_events('reloaded'))
+            node.boot_path.write_text('node: 3', encoding='utf-8')
+            node.signal(HUP)
+            await eventually(lambda: node.list_events('reload_refused'))
+            upstream.release.set()
+            assert (await call).status == 200
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('status', [503, 429, 0])
+def test_vm_that_the_store_refuses_learns_from_peers(status):
+    """CONFIG, DRAIN: a peer's newer picture of the store is believed."""
+
+    async def run():
+        async with run_routed_fleet(engines=0, nodes=2) as fleet:
+            refused = fleet.nodes[1]
+            await eventually(lambda: refused.list_events('vm_met'))
+            fleet.store.refused[refused.ip] = status
+            await eventually(lambda: refused.list_events('store_lost'))
+            tenants = [{'name': 'press', 'api-keys': ['key-2']}]
+            fleet.store.put('op/config', build_config(8, tenants=tenants))
+            fleet.list_upstream('i-app0', 'app', state='draining')
+            await eventually(lambda: 8 in adopted(refused))
+            await eventually(lambda: refused.list_events('upstream_leaving'))
+            [line] = refused.list_events('routes_adopted')[1:]
+            assert line['source'].startswith('peer ')
+            gone = await fleet.call('/safe/', 'p1', node=1)
+            kept = await fleet.call('/safe/', 'p2', node=1, key='key-2')
+            assert (gone.status, kept.status) == (401, 200)
+            assert not fleet.upstreams['i-app0'].runs
+            fleet.store.refused.clear()
+            await eventually(lambda: refused.list_events('store_back'))
+
+    asyncio.run(run())
+
+
+SMUGGLED = {
+    'both lengths': (
+        b'POST /once/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: w1\r\nAuthorization: Bearer key-1\r\n'
+        b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'0\r\n\r\nGET /safe/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: w2\r\nAuthorization: Bearer key-1\r\n\r\n'
+    ),
+    'bad chunk': (
+        b'POST /once/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: w3\r\nAuthorization: Bearer key-1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+        b'zz\r\nGET /safe/ HTTP/1.1\r\n\r\n'
+    ),
+    'space before the colon': (
+        b'POST /once/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: w4\r\nAuthorization: Bearer key-1\r\n'
+        b'Content-Length : 4\r\n\r\nbody'
+    ),
+    'two lengths': (
+        b'POST /once/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: w5\r\nAuthorization: Bearer key-1\r\n'
+        b'Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody'
+    ),
+    'folded header': (
+        b'POST /once/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: w6\r\nAuthorization: Bearer key-1\r\n'
+        b'X-Fold: a\r\n Transfer-Encoding: chunked\r\n'
+        b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+    ),
+}
+
+
+@pytest.mark.parametrize('raw', SMUGGLED.values(), ids=SMUGGLED.keys())
+def test_smuggled_requests_do_not_run(raw):
+    """UNASKED: what may be read in two ways is refused at the border."""
+
+    async def run():
+        async with run_routed_fleet(engines=0, plain=1) as fleet:
+            answer = await exchange_raw(fleet.nodes[0], raw)
+            assert answer.startswith(b'HTTP/1.1 400')
+            assert not fleet.upstreams['i-app0'].runs
+
+    asyncio.run(run())
+
+
+def test_callers_connect_while_the_program_is_imported():
+    """The socket listens before the larger imports, so nobody is refused."""
+
+    async def run():
+        async with run_routed_fleet(engines=0) as fleet:
+            node = fleet.nodes[0]
+            await node.stop()
+            await node.start()
+            connected = False
+            while not connected:
+                try:
+                    socket.create_connection((node.ip, node.entry_port)).close()
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.001)
+                else:
+                    connected = True
+            got = await fleet.call('/safe/', 'i1')
+            assert got.status == 200
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/lib/platformdata.py
@@ -0,0 +1,127 @@
+"""Builders of the platform's records and settings."""
+
+from typing import Any
+
+_ROUTE = {
+    'host': 'calls.example',
+    'timeout-ms': 4000,
+    'target-latency-ms': 500,
+    'priority': 2,
+    'max-attempts': 2,
+    'skip-auth': False,
+}
+KEYS = {'press': ['key-1', 'key-2'], 'desk': ['key-3']}
+
+
+def build_route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Return a route under ``/NAME/``."""
+    path = f'/{name}/'
+    return {
+        **_ROUTE,
+        'name': name,
+        'path-prefix': path,
+        'kind': kind,
+        'service': 'app',
+        **changes,
+    }
+
+
+def build_routes() -> list[dict[str, Any]]:
+    """Return a route of each kind."""
+    engine = {'service': 'llm', 'gap-target-ms': 300}
+    return [
+        build_route('safe', 'safe'),
+        build_route('once', 'non_idempotent', **{'max-attempts': 1}),
+        build_route('open', 'safe', **{'skip-auth': True}),
+        build_route('short', 'safe', **{'timeout-ms': 300}),
+        build_route('stream', 'streaming', **engine),
+        build_route(
+            'resume',
+            'streaming',
+            **{**engine, 'gap-target-ms': 200, 'stream-resume': True},
+        ),
+    ]
+
+
+def build_config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a whole configuration."""
+    tenants = [{'name': name, 'api-keys': keys} for name, keys in KEYS.items()]
+    return {
+        'version': version,
+        'routes': build_routes(),
+        'services': [
+            {'name': 'app', 'health-path': '/health', 'max-connections': 96},
+            {
+                'name': 'llm',
+                'health-path': '/health',
+                'max-connections': 300,
+                'engine': {'slots': 64, 'kv-capacity': 232_000},
+            },
+        ],
+        'limits': {
+            'max-header-bytes': 16_384,
+            'max-body-bytes': 100_000,
+            'header-timeout-ms': 3000,
+            'idle-timeout-ms': 15_000,
+        },
+        'tenants': tenants,
+        **changes,
+    }
+
+
+def build_server(**changes: Any) -> dict[str, Any]:
+    """Return an upstream's entry in the store."""
+    return {
+        'service': 'app',
+        'address': '127.0.0.1:1',
+        'zone': 'levis',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'cold-remaining-ms': 0,
+        'sequence': 1,
+        'born': 1_700_000_000_000,
+        **changes,
+    }
+
+
+def build_boot(
+    *,
+    node: str = 'front-1',
+    ip: str = '127.0.1.1',
+    ports: list[int] | None = None,
+    seeds: list[str] | None = None,
+    store: str = '127.0.0.1:1',
+    **changes: Any,
+) -> dict[str, Any]:
+    """Return the settings of a process.
+
+    ``ports`` are those of callers, probes, control, and the two ends of the
+    range that is free between VMs.
+    """
+    front, ready, control, first, last = ports or [1, 2, 3, 4, 5]
+    return {
+        'node': node,
+        'role': 'router',
+        'ip': ip,
+        'zone': 'levis',
+        'zones': {'levis': 'quebec-est', 'gaspe': 'quebec-est'},
+        'listen': {
+            'front': f'{ip}:{front}',
+            'ready': f'{ip}:{ready}',
+            'control': f'{ip}:{control}',
+        },
+        'internal-ports': [first, last],
+        'seeds': [f'{seed}:{control}' for seed in seeds or []],
+        'limits': {'memory-mb': 150, 'max-fds': 4100, 'unknown-limit': 1},
+        'bounds': {
+            'drain-ms': 2000,
+            'grace-s': 8,
+            'retry-budget-ratio': 0.2,
+            'retry-budget-slack': 56,
+        },
+        'platform': {'address': store, 'reads-per-s': 2000},
+        'heartbeat-ms': 1200,
+        'a-field-of-later': True,
+        **changes,
+    }
--- /dev/null
+++ b/tests/lib/routedcore.py
@@ -0,0 +1,195 @@
+"""Builders of routed calls and a core that routes them."""
+
+from typing import Any
+
+from bilberryspoke._internal.core import Core, CoreSettings
+from bilberryspoke._internal.models.node import PromisedBounds
+from bilberryspoke._internal.models.routing import (
+    EngineLimits,
+    KeyOwner,
+    ListedUpstream,
+    PromptPart,
+    Repeats,
+    Route,
+    RoutedCall,
+    RouteTable,
+    SendStatus,
+    Service,
+    Target,
+)
+from bilberryspoke._internal.models.routing_effects import Refuse, Send
+from bilberryspoke._internal.models.routing_events import (
+    CallArrived,
+    RoutesOffered,
+    SendEnded,
+    SendProgressed,
+    UpstreamsListed,
+)
+
+
+def build_route(name: str = 'drafts', **changes: Any) -> Route:
+    """Return a route to engines whose streams may be resumed."""
+    fields = {
+        'name': name,
+        'host': 'calls.example',
+        'path_prefix': f'/{name}/',
+        'targets': (Target('llm'),),
+        'repeats': Repeats.resumed,
+        'streams': True,
+        'timeout_s': 6.0,
+        'target_s': 2.0,
+        'priority': 2,
+        'max_attempts': 2,
+        'event_gap_s': 0.8,
+        **changes,
+    }
+    return Route(**fields)
+
+
+TIGHT = build_route(
+    'gaps',
+    target_s=0.3,
+    timeout_s=15.0,
+    priority=0,
+    event_gap_s=0.2,
+)
+DRAFTS = build_route()
+ONCE = build_route(
+    'once',
+    targets=(Target('app'),),
+    repeats=Repeats.never,
+    streams=False,
+    event_gap_s=None,
+    max_attempts=1,
+)
+READ = build_route(
+    'read',
+    targets=(Target('app'),),
+    repeats=Repeats.any_time,
+    streams=False,
+    event_gap_s=None,
+    target_s=0.2,
+)
+
+
+def build_table(version: int = 1, **changes: Any) -> RouteTable:
+    """Return a configuration with engines and a plain service."""
+    fields = {
+        'version': version,
+        'routes': (TIGHT, DRAFTS, ONCE, READ),
+        'services': {
+            'llm': Service('llm', 300, EngineLimits(64, 232_000)),
+            'app': Service('app', 96),
+        },
+        'limits': None,
+        'key_owners': {'key-1': KeyOwner('press')},
+        'uses_keys': True,
+        'encoded': b'encoded-%d' % version,
+        **changes,
+    }
+    return RouteTable(**fields)
+
+
+def build_upstream(instance: str, **changes: Any) -> ListedUpstream:
+    """Return an engine that discovery lists."""
+    fields = {
+        'instance': instance,
+        'service': 'llm',
+        'address': f'{instance}:80',
+        'data_centre': 'levis',
+        'slots': 64,
+        **changes,
+    }
+    return ListedUpstream(**fields)
+
+
+def build_call(
+    call_id: str,
+    route: Route = DRAFTS,
+    *,
+    now: float = 0.0,
+    own_tokens: int = 2900,
+    shared: str = 'notes-1',
+    **changes: Any,
+) -> RoutedCall:
+    """Return a call; ``shared`` names the part other calls share."""
+    parts = ()
+    if route.streams:
+        parts = (
+            PromptPart('system', 2500),
+            PromptPart(shared, 3800),
+            PromptPart(f'own-{call_id}', own_tokens),
+        )
+    fields = {
+        'call_id': call_id,
+        'req_id': f'req-{call_id}',
+        'route': route,
+        'service': route.targets[0].service,
+        'workspace': 'press',
+        'priority': route.priority,
+        'arrived_at': now,
+        'give_up_at': now + route.timeout_s,
+        'answer_by': now + route.timeout_s,
+        'prompt_tokens': sum(part.tokens for part in parts),
+        'parts': parts,
+        **changes,
+    }
+    return RoutedCall(**fields)
+
+
+class RoutedCore:
+    """A core with engines, driven by events at chosen times."""
+
+    def __init__(self, engines: int = 8, plain: int = 2) -> None:
+        """Create a core that knows its routes and upstreams."""
+        self.core = Core(
+            CoreSettings(
+                vm='vm-1',
+                data_centre='levis',
+                incarnation=1,
+                peer_address='127.0.0.1:1',
+                bounds=PromisedBounds(retry_reserve=56),
+                shares_slots=False,
+            ),
+        )
+        self.routing = self.core.state.routing
+        self.upstreams = [
+            build_upstream(f'engine-{number}') for number in range(engines)
+        ]
+        self.upstreams += [
+            build_upstream(f'app-{number}', service='app', slots=6)
+            for number in range(plain)
+        ]
+        self.handle(RoutesOffered(build_table()), now=0.0)
+        self.handle(UpstreamsListed(tuple(self.upstreams), 1), now=0.0)
+
+    def handle(self, event: object, *, now: float) -> list[object]:
+        """Reduce an event and return its effects."""
+        return self.core.handle(event, now=now)
+
+    def arrive(self, call: RoutedCall, *, now: float) -> Send | Refuse | None:
+        """Let a call arrive; return what is decided, or None if it waits."""
+        return find_decision(self.handle(CallArrived(call), now=now))
+
+    def end(
+        self,
+        send: Send,
+        status: SendStatus,
+        *,
+        now: float,
+        **changes: Any,
+    ) -> list[object]:
+        """Let a send end."""
+        event = SendEnded(send.call_id, send.attempt, status, **changes)
+        return self.handle(event, now=now)
+
+    def progress(self, send: Send, *, now: float, event: int = 1) -> list:
+        """Let an event of a stream be delivered."""
+        progressed = SendProgressed(send.call_id, send.attempt, event)
+        return self.handle(progressed, now=now)
+
+
+def find_decision(effects: list[object]) -> Send | Refuse | None:
+    """Return the only send or refusal among effects, if there is one."""
+    found = [each for each in effects if isinstance(each, Send | Refuse)]
+    return found[0] if found else None
--- /dev/null
+++ b/tests/lib/routedfleet.py
@@ -0,0 +1,255 @@
+"""Real routing processes between stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from yarl import URL
+
+from fakes.store import StoreStandIn
+from fakes.upstream import UpstreamStandIn
+from tests.lib.platformdata import (
+    build_boot,
+    build_config,
+    build_server,
+)
+
+WAIT_S = 20
+_POLL_S = 0.02
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got; ``whole`` tells that the body was complete."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool = True
+
+
+@dataclass(slots=True)
+class Node:
+    """One routing process."""
+
+    ip: str
+    entry_port: int
+    ready_port: int
+    boot_path: Path
+    process: asyncio.subprocess.Process | None = None
+    lines: list[str] = field(default_factory=list)
+    reading: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """Base address for callers."""
+        return f'http://{self.ip}:{self.entry_port}'
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-c',
+            'from bilberryspoke._internal.cli.node import main; main()',
+            env={**os.environ, 'BILBERRYSPOKE_BOOT': str(self.boot_path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.reading = asyncio.create_task(self._read_lines())
+
+    async def _read_lines(self) -> None:
+        async for line in self.process.stdout:
+            self.lines.append(line.decode())
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def list_events(self, name: str) -> list[dict]:
+        """Return the logged lines of an event."""
+        decoded = [json.loads(line) for line in self.lines]
+        return [line for line in decoded if line.get('event') == name]
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Ask as the platform's balancer does."""
+        url = f'http://{self.ip}:{self.ready_port}/-/ready'
+        try:
+            async with session.get(url) as resp:
+                return resp.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def stop(self) -> None:
+        """End the process for good."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+@dataclass(slots=True)
+class RoutedFleet:
+    """A store, upstreams by service and routing processes."""
+
+    store: StoreStandIn
+    session: aiohttp.ClientSession
+    upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
+    nodes: list[Node] = field(default_factory=list)
+
+    async def add_upstream(
+        self,
+        instance: str,
+        service: str,
+        default: str,
+    ) -> UpstreamStandIn:
+        """Start an upstream and list it."""
+        upstream = UpstreamStandIn(instance, default)
+        await upstream.start()
+        self.upstreams[instance] = upstream
+        self.list_upstream(instance, service)
+        return upstream
+
+    def list_upstream(self, instance: str, service: str, **changes) -> None:
+        """Write an upstream's entry."""
+        address = self.upstreams[instance].address
+        server = build_server(service=service, address=address, **changes)
+        self.store.put(f'servers/{instance}', server)
+
+    async def call(
+        self,
+        path: str,
+        req_id: str,
+        *,
+        node: int = 0,
+        method: str = 'GET',
+        key: str | None = 'key-1',
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Call as a caller does; an answer that breaks off is not whole."""
+        sent = {
+            'Host': 'calls.example',
+            'X-Attempt-Id': req_id,
+            'X-Deadline-Ms': '5000',
+        }
+        if key is not None:
+            sent['Authorization'] = f'Bearer {key}'
+        for name, text in headers.items():
+            sent[name.replace('_', '-')] = text
+        url = URL(self.nodes[node].url + path, encoded=True)
+        async with self.session.request(
+            method,
+            url,
+            data=body,
+            headers=sent,
+        ) as resp:
+            collected = bytearray()
+            got = {name.lower(): text for name, text in resp.headers.items()}
+            try:
+                async for chunk in resp.content.iter_any():
+                    collected += chunk
+            except aiohttp.ClientError:
+                return Answer(resp.status, got, bytes(collected), whole=False)
+            return Answer(resp.status, got, bytes(collected))
+
+    def count_runs(self, req_id: str) -> int:
+        """Return how often a call ran at any upstream."""
+        upstreams = self.upstreams.values()
+        return sum(upstream.count_runs(req_id) for upstream in upstreams)
+
+    async def wait_ready(self) -> None:
+        """Wait until all processes are ready."""
+        for node in self.nodes:
+            await self._wait_node(node)
+
+    async def _wait_node(self, node: Node) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not await node.is_ready(self.session):
+                await asyncio.sleep(_POLL_S)
+
+
+async def eventually(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(_POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def run_routed_fleet(
+    *,
+    nodes: int = 1,
+    plain: int = 2,
+    engines: int = 2,
+) -> AsyncIterator[RoutedFleet]:
+    """Run a store, upstreams and routing processes that are ready."""
+    store = StoreStandIn()
+    await store.start()
+    store.put('op/config', build_config())
+    connector = aiohttp.TCPConnector(limit=0)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(store.stop)
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=connector,
+                auto_decompress=False,
+            ),
+        )
+        fleet = RoutedFleet(store, session)
+        for number in range(plain):
+            await fleet.add_upstream(f'i-app{number}', 'app', 'whole')
+        for number in range(engines):
+            await fleet.add_upstream(f'i-llm{number}', 'llm', 'stream')
+        for upstream in fleet.upstreams.values():
+            stack.push_async_callback(upstream.stop)
+        fleet.nodes = _make_nodes(store, nodes, Path(folder))
+        for node in fleet.nodes:
+            stack.push_async_callback(node.stop)
+            await node.start()
+        await fleet.wait_ready()
+        yield fleet
+
+
+def _make_nodes(store: StoreStandIn, count: int, folder: Path) -> list[Node]:
+    ips = [f'127.0.1.{number + 1}' for number in range(count)]
+    ports = [find_free_port(ips) for _ in range(5)]
+    nodes = []
+    for number, ip in enumerate(ips):
+        boot = build_boot(
+            node=f'front-{number}',
+            ip=ip,
+            ports=ports,
+            seeds=ips,
+            store=store.address,
+        )
+        path = folder / f'settings-{number}.yaml'
+        path.write_text(json.dumps(boot), encoding='utf-8')
+        nodes.append(Node(ip, ports[0], ports[1], path))
+    return nodes
+
+
+def find_free_port(ips: list[str]) -> int:
+    """Return a port that is free at each of some addresses."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(socket.socket())
+            first.bind((ips[0], 0))
+            port = first.getsockname()[1]
+            try:
+                for ip in ips[1:]:
+                    stack.enter_context(socket.socket()).bind((ip, port))
+            except OSError:
+                continue
+            return port
+
+
+TERM = signal.SIGTERM
+HUP = signal.SIGHUP
