Distrust kept connections once one was reset; longer loyalty to kept prompts

After one reset the other kept connections to that address are given up; a new one is refused, which is certain not to have run.

--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -98,6 +98,7 @@
     release: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _deaf: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, host: str = '127.0.0.1') -> None:
         """Listen on a free port."""
@@ -105,6 +106,10 @@
         bound = self._server.sockets[0].getsockname()
         self.address = f'{bound[0]}:{bound[1]}'
 
+    def deafen(self) -> None:
+        """Reset each open connection as soon as it is used again."""
+        self._deaf.update(self._writers)
+
     async def stop(self) -> None:
         """Reset all connections and stop listening."""
         if self._server is not None:
@@ -127,6 +132,9 @@
         answering: asyncio.Task[None] | None = None
         try:
             while raw := await reader.read(65536):
+                if writer in self._deaf:
+                    reset(writer)
+                    return
                 collected.parser.feed_data(raw)
                 while collected.runs:
                     run = collected.runs.pop(0)
@@ -135,6 +143,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._deaf.discard(writer)
             if answering is not None and not answering.done():
                 answering.cancel()
             writer.close()
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -241,6 +241,7 @@
                 'route': call.route.name,
                 'upstream': listed.instance,
                 'attempt': opened.attempt,
+                'uncached': placement.owed,
                 'owed': placement.work.owed,
                 'calls': placement.work.calls,
                 'waited_s': round(opened.waited_s, 3),
--- a/src/bilberryspoke/_internal/core/routing/placing.py
+++ b/src/bilberryspoke/_internal/core/routing/placing.py
@@ -33,7 +33,7 @@
 _MOST_OWED_ASIDE = 1000
 # Part of a latency target for which a call waits for the engine that keeps
 # its prompt, if that shares at least so many tokens with others.
-_LOYAL_PART = 0.25
+_LOYAL_PART = 0.5
 _LOYAL_TOKENS = 2000
 _HALF_WORD_BITS = 32
 
--- a/src/bilberryspoke/_internal/core/routing/suspicion.py
+++ b/src/bilberryspoke/_internal/core/routing/suspicion.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 _UNREACHABLE_PAUSE_S = 0.3
-_LONGEST_PAUSE_S = 4.0
+_LONGEST_PAUSE_S = 2.0
 _SILENT_PAUSE_S = 0.3
 _OUTCOMES_KEPT = 16
 _OUTCOMES_NEEDED = 4
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -1,6 +1,7 @@
 """Connections to upstreams, kept as long as each upstream keeps them."""
 
 import asyncio
+import math
 import socket
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -90,6 +91,15 @@
         if len(self._idle_until) > 4 * self._pool_size():
             self._forget_closed()
 
+    def distrust(self, address: str) -> None:
+        """Use no kept connection to an address that reset one.
+
+        Those opened before the path broke look sound until they are used.
+        """
+        for protocol in self._idle_until:
+            if _find_peer(protocol) == address:
+                self._idle_until[protocol] = -math.inf
+
     def _pool_size(self) -> int:
         return 16 + sum(len(kept) for kept in self._conns.values())
 
@@ -101,6 +111,12 @@
         }
 
 
+def _find_peer(protocol: ResponseHandler) -> str:
+    transport = protocol.transport
+    peer = transport.get_extra_info('peername') if transport else None
+    return f'{peer[0]}:{peer[1]}' if peer else ''
+
+
 def _note_use(protocol: ResponseHandler) -> None:
     end = protocol.closed
     if end is not None:
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -90,6 +90,7 @@
             entry=self._settings.entry_address,
             data_centre=self._settings.data_centre,
             store=self._settings.store_address,
+            processor_s=round(time.process_time(), 3),
         )
         await self._stop.wait()
         await self._drain(parts, serving)
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -86,6 +86,7 @@
         ) as exc:
             ending = _Ending(SendStatus.unsent, str(exc))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
+            self.connector.distrust(effect.address)
             detail = f'{type(exc).__name__}: {exc}'
             ending = _Ending(SendStatus.broken, detail)
         return SendEnded(
--- a/tests/functional/test_routed_answers.py
+++ b/tests/functional/test_routed_answers.py
@@ -127,6 +127,33 @@
     asyncio.run(run())
 
 
+def test_one_dead_connection_ends_trust_in_the_others():
+    """A cut path costs one call that may not be repeated, not one each."""
+
+    async def run():
+        async with run_routed_fleet(engines=0, plain=1) as fleet:
+            upstream = fleet.upstreams['i-app0']
+            upstream.default = 'hold'
+            calls = [
+                asyncio.create_task(
+                    fleet.call('/once/', f'k{each}', method='POST'),
+                )
+                for each in range(5)
+            ]
+            await eventually(lambda: len(upstream.runs) == 5)
+            upstream.release.set()
+            await asyncio.gather(*calls)
+            assert upstream.connections == 5
+            upstream.deafen()
+            statuses = [
+                (await fleet.call('/once/', f'l{each}', method='POST')).status
+                for each in range(5)
+            ]
+            assert statuses == [502, 200, 200, 200, 200]
+
+    asyncio.run(run())
+
+
 def test_failure_of_the_upstream_is_passed_on_unchanged():
     async def run():
         async with run_routed_fleet(engines=0) as fleet:
