--- a/src/bilberryspoke/_internal/core/routing/placing.py
+++ b/src/bilberryspoke/_internal/core/routing/placing.py
@@ -77,7 +77,7 @@
     if known is None or known.engine is None:
         usable = list_usable(routing, opened, now)
         return _take_less_loaded(routing, usable, opened, now)
-    own, others = _split(routing, opened)
+    own, others = _split(routing, opened, now)
     own = _drop_doubtful(own, opened, now)
     others = _drop_doubtful(others, opened, now)
     if not own:
@@ -127,14 +127,18 @@
 def _split(
     routing: RoutingState,
     opened: OpenCall,
+    now: float,
 ) -> tuple[list[UpstreamState], list[UpstreamState]]:
     """Return the engines of a call's own group, and the others.
 
     The order by hash is the same at all VMs and changes little when engines
-    come and go; doubt about one moves none of them.
+    come and go. An engine that is lost is replaced in its group; one that
+    only fails some calls is not.
     """
     service = opened.call.service
-    staying = routing.list_staying(service)
+    listed = routing.list_staying(service)
+    staying = [each for each in listed if not each.suspicion.is_lost(now)]
+    staying = staying or listed
     if len(staying) < 2:
         return staying, []
     ranked = sorted(
@@ -201,6 +205,8 @@
 
 
 def _has_room(placement: Placement) -> bool:
+    if placement.work.calls >= placement.upstream.listed.slots:
+        return False
     waiting = placement.work.owed
     return not waiting or waiting + placement.owed <= _MOST_OWED
 
--- a/src/bilberryspoke/_internal/core/routing/suspicion.py
+++ b/src/bilberryspoke/_internal/core/routing/suspicion.py
@@ -6,6 +6,8 @@
 _UNREACHABLE_PAUSE_S = 0.3
 _LONGEST_PAUSE_S = 2.0
 _SILENT_PAUSE_S = 0.3
+# Time after a pause in which a lost upstream has to prove itself.
+_LOST_S = 0.5
 _OUTCOMES_KEPT = 16
 _OUTCOMES_NEEDED = 4
 _DOUBTFUL_SHARE = 0.34
@@ -23,6 +25,7 @@
 
     unreached: int = 0
     avoid_until: float = -1e9
+    lost_until: float = -1e9
     outcomes: deque[tuple[float, bool]] = field(
         default_factory=lambda: deque(maxlen=_OUTCOMES_KEPT),
     )
@@ -31,19 +34,27 @@
         """Tell whether new work should go elsewhere."""
         return now < self.avoid_until
 
+    def is_lost(self, now: float) -> bool:
+        """Tell whether nothing at all was heard when it was last tried."""
+        return now < self.lost_until
+
     def note_unreached(self, now: float) -> None:
         """Account for a send that did not reach the upstream."""
         pause_s = _UNREACHABLE_PAUSE_S * 2**self.unreached
         self.unreached += 1
         self.avoid_until = now + min(_LONGEST_PAUSE_S, pause_s)
+        self.lost_until = self.avoid_until + _LOST_S
 
     def note_silent(self, now: float) -> None:
         """Account for an upstream that says nothing at all."""
         self.avoid_until = max(self.avoid_until, now + _SILENT_PAUSE_S)
+        self.lost_until = self.avoid_until + _LOST_S
 
     def note_outcome(self, now: float, *, good: bool) -> None:
         """Account for an answer, or for one that broke off."""
         self.unreached = 0
+        if good:
+            self.lost_until = now
         self.outcomes.append((now, good))
         if good:
             return
--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -72,6 +72,10 @@
 )
 
 
+# Tokens of the two shared parts of prompts, by route.
+SHARED_TOKENS = {'drafts': (2500, 3800), 'gaps': (100, 70)}
+
+
 def build_table(version: int = 1, **changes: Any) -> RouteTable:
     """Return a configuration with engines and a plain service."""
     fields = {
@@ -115,9 +119,10 @@
     """Return a call; ``shared`` names the part other calls share."""
     parts = ()
     if route.streams:
+        system_tokens, shared_tokens = SHARED_TOKENS[route.name]
         parts = (
-            PromptPart('system', 2500),
-            PromptPart(shared, 3800),
+            PromptPart('system', system_tokens),
+            PromptPart(shared, shared_tokens),
             PromptPart(f'own-{call_id}', own_tokens),
         )
     fields = {
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -5,6 +5,7 @@
 
 from bilberryspoke._internal.core.routing.budget import RepeatBudget
 from bilberryspoke._internal.core.routing.placing import (
+    _LOYAL_PART,
     _MOST_OWED,
     _MOST_OWED_ASIDE,
 )
@@ -36,6 +37,7 @@
     UpstreamsListed,
 )
 from tests.lib.routedcore import (
+    DRAFTS,
     ONCE,
     READ,
     TIGHT,
@@ -97,7 +99,10 @@
     ]
     assert {send.instance for send in waiting if send} <= {first.instance}
     assert None in waiting
-    moved = list_sends(core.handle(Tick(), now=0.6))
+    core.handle(Tick(), now=0.4)
+    core.progress(first, now=0.6)
+    loyal_s = DRAFTS.target_s * _LOYAL_PART
+    moved = list_sends(core.handle(Tick(), now=loyal_s))
     assert moved
     assert all(send.instance != first.instance for send in moved)
 
@@ -161,6 +166,39 @@
     assert send.instance == preferred
 
 
+def test_lost_engine_of_tight_streams_is_replaced():
+    """An engine of two crashes while gap lists come in a burst."""
+    core = RoutedCore()
+    tight = list_tight_engines(core)
+    lost = sorted(tight)[0]
+    state = core.routing.upstreams[lost]
+    state.suspicion.note_unreached(1.0)
+    sent = set()
+    for number in range(40):
+        call = build_call(
+            f'b{number}',
+            TIGHT,
+            own_tokens=10,
+            shared=str(number),
+            now=1.0,
+        )
+        send = core.arrive(call, now=1.0)
+        sent.add(send.instance)
+        core.end(send, SendStatus.finished, now=1.0)
+    assert lost not in sent
+    assert len(sent) == 2
+
+
+def test_grey_engine_moves_no_other_between_the_groups():
+    core = RoutedCore()
+    tight = list_tight_engines(core)
+    grey = sorted(tight)[0]
+    for _ in range(8):
+        core.routing.upstreams[grey].suspicion.note_outcome(1.0, good=False)
+    call = build_call('b', TIGHT, own_tokens=10, now=1.1)
+    assert core.arrive(call, now=1.1).instance in tight - {grey}
+
+
 # Waiting and turning away.
 
 
