--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -35,7 +35,7 @@
 _CONFIG_WAIT_S = 2.0
 _UPSTREAM_WAIT_S = 2.0
 # Upstreams renew their entries all the time: changes of this long go together.
-_BATCH_S = 0.3
+_BATCH_S = 0.6
 _RETRY_S = 0.25
 _JITTER_STEPS = 100
 
--- /dev/null
+++ b/tests/unit/test_platform_adapter.py
@@ -0,0 +1,179 @@
+"""The platform's settings, records and headers, decoded at the border."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bilberryspoke._internal.models.routing import Repeats
+from bilberryspoke._internal.network.routing.events import EventCutter
+from bilberryspoke._internal.platform.boot import (
+    parse_boot_settings,
+    read_boot_settings,
+)
+from bilberryspoke._internal.platform.headers import (
+    SendHeaders,
+    make_send_headers,
+    read_answer_headers,
+    read_call_headers,
+)
+from bilberryspoke._internal.platform.records import (
+    decode_route_table,
+    decode_upstream,
+)
+from tests.lib.platformdata import build_boot, build_config, build_server
+
+
+def encode(document):
+    return json.dumps(document).encode()
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored(tmp_path):
+    path = tmp_path / 'settings.yaml'
+    path.write_text(json.dumps(build_boot(seeds=['10.1.0.1', '10.2.0.1'])))
+    node = read_boot_settings(path).ok
+    assert node.vm == 'front-1'
+    assert node.data_centres == ('gaspe', 'levis')
+    assert node.seed_hosts == ('10.1.0.1', '10.2.0.1')
+    assert (node.bounds.drain_s, node.bounds.stop_s) == (2.0, 8)
+    assert node.bounds.retry_reserve == 56
+
+
+def test_all_findings_about_settings_come_at_once(tmp_path):
+    boot = build_boot(node='', **{'internal-ports': [1]})
+    boot['listen']['front'] = 'nowhere'
+    boot['platform'] = {}
+    found = parse_boot_settings(boot, source='s.yaml').error
+    places = {finding.path for finding in found}
+    assert places == {
+        'node',
+        'internal-ports.1',
+        'listen.front',
+        'platform.address',
+    }
+    path = tmp_path / 'broken.yaml'
+    path.write_text('node: "a\nlisten: [')
+    [finding] = read_boot_settings(path).error
+    assert finding.line > 0
+    assert read_boot_settings(tmp_path / 'none.yaml').is_error()
+
+
+def test_configuration_is_decoded_into_the_projects_types():
+    table = decode_route_table(encode(build_config(7))).ok
+    repeats = {route.name: route.repeats for route in table.routes}
+    assert repeats == {
+        'safe': Repeats.any_time,
+        'once': Repeats.never,
+        'open': Repeats.any_time,
+        'short': Repeats.any_time,
+        'stream': Repeats.never,
+        'resume': Repeats.resumed,
+    }
+    assert table.key_owners['key-3'].workspace == 'desk'
+    assert table.services['llm'].engine.kv_tokens == 232_000
+    assert table.find_route('calls.example', '/safe/x').name == 'safe'
+    assert table.find_route('calls.example', '/saf') is None
+
+
+@pytest.mark.parametrize(
+    ('change', 'place'),
+    [
+        ({'version': 'x'}, '$.version'),
+        ({'routes': [{'name': 'r'}]}, '$.routes[0]'),
+        (
+            {'routes': [{**build_config()['routes'][0], 'kind': 'new'}]},
+            '$.routes[0]',
+        ),
+        (
+            {'routes': [{**build_config()['routes'][0], 'service': ''}]},
+            '$.routes[0]',
+        ),
+    ],
+)
+def test_wrong_configuration_tells_its_place(change, place):
+    error = decode_route_table(encode(build_config(**change))).error
+    assert place in error
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'resting'},
+        {'address': 'nowhere'},
+        {'service': 7},
+        {'slots': 'many'},
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(change):
+    raw = encode(build_server(**change))
+    assert decode_upstream('servers/i-1', raw).is_error()
+    assert decode_upstream('servers/i-1', b'\xff').is_error()
+    assert decode_upstream('servers/i-1', encode(build_server())).is_ok()
+
+
+def test_headers_that_are_the_routers_are_never_the_callers():
+    raw = [
+        (b'host', b'calls.example'),
+        (b'x-attempt-id', b'a1'),
+        (b'x-deadline-ms', b'700'),
+        (b'x-token-counts', b'1460,80'),
+        (b'x-prompt-prefix', b'5c1e:800,broken,e440:250'),
+        (b'authorization', b'Bearer secret'),
+        (b'x-kv-backup', b'forged'),
+        (b'connection', b'close, x-private'),
+        (b'x-private', b'1'),
+        (b'x-length-hint', b'20'),
+    ]
+    headers = read_call_headers(raw, keep_key=False)
+    assert (headers.req_id, headers.wait_s, headers.key) == (
+        'a1',
+        0.7,
+        'secret',
+    )
+    assert (headers.prompt_tokens, headers.output_tokens) == (1460, 80)
+    assert [part.tokens for part in headers.parts] == [800, 250]
+    added = SendHeaders('i-1', 0.5, 3, 'press', 12)
+    sent = dict(make_send_headers(headers.passed, added))
+    assert sent == {
+        b'host': b'calls.example',
+        b'x-attempt-id': b'a1',
+        b'x-token-counts': b'1460,80',
+        b'x-prompt-prefix': b'5c1e:800,broken,e440:250',
+        b'x-length-hint': b'20',
+        b'x-expect-instance': b'i-1',
+        b'x-deadline-ms': b'500',
+        b'x-tenant': b'press',
+        b'x-request-priority': b'3',
+        b'last-event-id': b'12',
+    }
+
+
+def test_answers_tell_whether_they_ran_and_how_long_they_are_kept():
+    kept = read_answer_headers(200, [(b'Keep-Alive', b'timeout=7, max=3')])
+    assert (kept.idle_s, kept.not_run, kept.sealed) == (7, False, False)
+    assert read_answer_headers(421, []).not_run
+    assert read_answer_headers(503, [(b'X-Not-Executed', b'1')]).not_run
+    assert not read_answer_headers(503, []).not_run
+
+
+@given(cuts=st.lists(st.integers(1, 60), max_size=40))
+def test_events_are_passed_whole_wherever_their_bytes_are_cut(cuts):
+    raw = b''.join(b'id: %d\ndata: x%d\n\n' % (n, n) for n in range(1, 20))
+    cutter = EventCutter()
+    passed = b''
+    at = 0
+    for size in [*cuts, len(raw)]:
+        whole = cutter.feed(raw[at : at + size])
+        at += size
+        assert not whole or whole.endswith(b'\n\n')
+        passed += whole
+    assert (passed, cutter.last, cutter.tail) == (raw, 19, b'')
+
+
+@pytest.mark.parametrize('ids', [(1, 3), (1, 1), (2, 1)])
+def test_missing_or_doubled_events_are_noticed(ids):
+    cutter = EventCutter()
+    for event_id in ids:
+        cutter.feed(b'id: %d\n\n' % event_id)
+    assert cutter.broken
