--- a/src/bilberryspoke/_internal/core/upkeep.py
+++ b/src/bilberryspoke/_internal/core/upkeep.py
@@ -10,8 +10,8 @@
 from bilberryspoke._internal.core.orders import review_engine
 from bilberryspoke._internal.core.owner import expire_and_reclaim
 from bilberryspoke._internal.core.reducer import deliver, on_event
-from bilberryspoke._internal.core.routing.lifecycle import review_calls
 from bilberryspoke._internal.core.routing.peers import review_peers
+from bilberryspoke._internal.core.routing.reviewing import review_calls
 from bilberryspoke._internal.core.state import NodeState
 from bilberryspoke._internal.models.effects import Count, Log
 from bilberryspoke._internal.models.events import (
@@ -114,9 +114,9 @@
     """Announce the stop; owner roles pass on, requests here are served."""
     if not state.stopping:
         state.stopping = True
-        state.emit(Log('stopping', str(len(state.tickets))))
         if not state.settings.shares_slots:
             return
+        state.emit(Log('stopping', str(len(state.tickets))))
         send_heartbeats(state, now)
         follow_owners(state, now)
 
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -181,8 +181,9 @@
 class SendStatus(StrEnum):
     """How one send to an upstream ended.
 
-    ``unsent`` and ``refused`` are certain not to have run: no byte left this
-    VM, or the upstream said so. ``failed`` is a whole answer that tells of a
+    ``unsent``, ``misdirected`` and ``refused`` are certain not to have run: no
+    byte left this VM, another upstream has the address by now, or the upstream
+    said so. ``failed`` is a whole answer that tells of a
     failure. ``broken`` may have run.
     """
 
@@ -190,8 +191,11 @@
     failed = 'failed'
     refused = 'refused'
     unsent = 'unsent'
+    misdirected = 'misdirected'
     broken = 'broken'
     cancelled = 'cancelled'
 
 
-NOT_RUN = frozenset((SendStatus.refused, SendStatus.unsent))
+# The upstream that was meant got nothing.
+NOT_RECEIVED = frozenset((SendStatus.unsent, SendStatus.misdirected))
+NOT_RUN = NOT_RECEIVED | {SendStatus.refused}
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -136,7 +136,10 @@
         if answer.not_run:
             detail = f'status {resp.status}, not run'
             await resp.read()
-            return _Ending(SendStatus.refused, detail, resp.status)
+            refused = SendStatus.refused
+            if answer.misdirected:
+                refused = SendStatus.misdirected
+            return _Ending(refused, detail, resp.status)
         if answer.encoded or not answer.sealed:
             resp.close()
             detail = f'status {resp.status} without the seal of an upstream'
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -103,13 +103,15 @@
 class AnswerHeaders:
     """What an upstream's headers say of its answer.
 
-    ``not_run`` is the upstream's word that it did not run the call.
+    ``not_run`` is the upstream's word that it did not run the call, and
+    ``misdirected`` that it is not the one that was expected.
     ``idle_s`` is how long it keeps the connection while it is idle.
     ``passed`` are those that go on to the caller.
     """
 
     req_id: str | None
     not_run: bool
+    misdirected: bool
     sealed: bool
     encoded: bool
     sized: bool
@@ -168,10 +170,11 @@
     found = dict(pairs)
     dropped = _HOP_BY_HOP | _named_by(found)
     req_id = found.get(_REQUEST_ID)
-    not_run = _NOT_EXECUTED in found or status == _MISDIRECTED
+    misdirected = status == _MISDIRECTED
     return AnswerHeaders(
         req_id=None if req_id is None else req_id.decode('latin-1'),
-        not_run=not_run,
+        not_run=misdirected or _NOT_EXECUTED in found,
+        misdirected=misdirected,
         sealed=_SEAL in found,
         encoded=_ENCODING in found,
         sized=b'content-length' in found or b'transfer-encoding' in found,
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -273,6 +273,16 @@
     assert refusal.retry_after_s > 0
 
 
+def test_address_of_another_upstream_counts_as_no_attempt():
+    """An engine crashed and another one has its address by now."""
+    core = RoutedCore()
+    send = core.arrive(build_call('o', ONCE), now=0.0)
+    again = find_decision(core.end(send, SendStatus.misdirected, now=0.1))
+    assert isinstance(again, Send)
+    refusal = find_decision(core.end(again, SendStatus.refused, now=0.2))
+    assert (refusal.reason, refusal.not_run) == ('upstream_refused', True)
+
+
 def test_send_that_never_left_goes_elsewhere():
     core = RoutedCore()
     send = core.arrive(build_call('o', ONCE), now=0.0)
