--- a/src/bilberryspoke/_internal/core/routing/reviewing.py
+++ b/src/bilberryspoke/_internal/core/routing/reviewing.py
@@ -13,6 +13,7 @@
     is_silent,
     is_stuck,
     note_review,
+    silent_for,
 )
 from bilberryspoke._internal.core.routing.state import OpenCall, UpstreamState
 from bilberryspoke._internal.core.state import NodeState
@@ -49,11 +50,12 @@
     upstream: UpstreamState,
     now: float,
 ) -> None:
+    routing = state.routing
     if not upstream.suspicion.is_avoided(now):
         facts = {
             'upstream': upstream.listed.instance,
             'calls': len(upstream.sends),
-            'heard_s': round(now - upstream.heard_at, 3),
+            'silent_s': round(silent_for(routing, upstream, now), 3),
         }
         state.emit(Note('upstream_silent', facts))
     upstream.suspicion.note_silent(now)
--- a/src/bilberryspoke/_internal/core/routing/silence.py
+++ b/src/bilberryspoke/_internal/core/routing/silence.py
@@ -34,14 +34,19 @@
     """Tell whether an upstream with calls under way says nothing at all."""
     if not upstream.sends:
         return False
-    sends = upstream.sends.values()
-    since = max(
-        upstream.heard_at,
-        routing.awake_at,
-        min(opened.sent_at for opened in sends),
-    )
-    expected_s = max(opened.expected_s for opened in sends)
-    return now - since > _SILENT_S + _EXPECTED_FACTOR * expected_s
+    expected_s = max(each.expected_s for each in upstream.sends.values())
+    limit_s = _SILENT_S + _EXPECTED_FACTOR * expected_s
+    return silent_for(routing, upstream, now) > limit_s
+
+
+def silent_for(
+    routing: RoutingState,
+    upstream: UpstreamState,
+    now: float,
+) -> float:
+    """Return for how long an upstream with calls under way says nothing."""
+    sent_at = min(each.sent_at for each in upstream.sends.values())
+    return now - max(upstream.heard_at, routing.awake_at, sent_at)
 
 
 def is_stuck(routing: RoutingState, opened: OpenCall, now: float) -> bool:
