Hold callers to the limits in force: headers, idle connections, slow bodies

The idle time was fixed at 15 s whatever the configuration says, and neither slow nor endless headers were bounded. Tests: test_limits_of_callers.

--- a/src/bilberryspoke/_internal/network/listeners.py
+++ b/src/bilberryspoke/_internal/network/listeners.py
@@ -69,14 +69,20 @@
     return QuietServer(config)
 
 
-def make_routed_server(app: Any, *, idle_s: float) -> QuietServer:
+def make_routed_server(
+    app: Any,
+    *,
+    idle_s: float,
+    protocol: Any = 'httptools',
+) -> QuietServer:
     """Return a server for routed calls.
 
-    ``idle_s`` is how long a connection without a call is kept.
+    ``idle_s`` is how long a connection without a call is kept, where the
+    protocol class has no limit of its own.
     """
     config = uvicorn.Config(
         app,
-        http='httptools',
+        http=protocol,
         log_level='critical',
         access_log=False,
         lifespan='off',
--- a/src/bilberryspoke/_internal/network/routing/border.py
+++ b/src/bilberryspoke/_internal/network/routing/border.py
@@ -12,7 +12,11 @@
     match_call,
 )
 from bilberryspoke._internal.exceptions import CallerGoneError
-from bilberryspoke._internal.models.routing import RoutedCall, RouteTable
+from bilberryspoke._internal.models.routing import (
+    BorderLimits,
+    RoutedCall,
+    RouteTable,
+)
 from bilberryspoke._internal.models.routing_effects import (
     PassOn,
     Refuse,
@@ -37,6 +41,8 @@
 logger = structlog.get_logger()
 
 _UNREADY_RETRY_S = 0.5
+# Limits before a configuration is known.
+_FIRST_LIMITS = BorderLimits()
 # Callers that come just after the start wait for the configuration.
 _START_WAIT_S = 0.5
 _START_POLL_S = 0.02
@@ -68,15 +74,16 @@
             self._note_unmatched(table, headers, found.error.reason)
             await self._refuse(send, found.error.status, found.error.reason)
             return
-        if _is_too_large(table, scope):
-            await self._refuse(send, 431, 'headers_too_large')
-            return
         arrived_at = read_boottime()
         try:
-            body = await _read_body(receive, table.limits.body_bytes)
+            async with asyncio.timeout(found.ok.route.timeout_s):
+                body = await _read_body(receive, table.limits.body_bytes)
         except CallerGoneError:
             self._runtime.counters.add('callers_gone_early')
             return
+        except TimeoutError:
+            await self._refuse(send, 408, 'body_too_slow')
+            return
         if body is None:
             await self._refuse(send, 413, 'body_too_large')
             return
@@ -94,6 +101,13 @@
         )
         await self._serve(exchange, receive)
 
+    def read_limits(self) -> BorderLimits:
+        """Return the limits in force."""
+        routing = self._runtime.core.state.routing
+        if routing.table is None:
+            return _FIRST_LIMITS
+        return routing.table.limits
+
     async def _await_table(self) -> RouteTable | None:
         """Return the configuration; just after the start, wait for it."""
         routing = self._runtime.core.state.routing
@@ -251,11 +265,6 @@
             return b''.join(chunks)
 
 
-def _is_too_large(table: RouteTable, scope: Any) -> bool:
-    size = sum(len(name) + len(text) for name, text in scope['headers'])
-    return size > table.limits.header_bytes
-
-
 def _make_refusal(
     status: int,
     reason: str,
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -1,6 +1,7 @@
 """The process that routes calls on the users' platform."""
 
 import asyncio
+import functools
 import signal
 import socket
 import time
@@ -33,6 +34,7 @@
 from bilberryspoke._internal.network.routing.discovery import (
     DiscoveryFollower,
 )
+from bilberryspoke._internal.network.routing.protocol import BorderProtocol
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.platform.store import StoreClient
@@ -127,7 +129,13 @@
             store=StoreClient(settings.store_address, settings.ip),
             border=border,
             servers=(
-                make_routed_server(border, idle_s=_IDLE_S),
+                make_routed_server(
+                    border,
+                    idle_s=_IDLE_S,
+                    protocol=functools.partial(
+                        BorderProtocol, border.read_limits
+                    ),
+                ),
                 make_routed_server(_make_probe_app(runtime), idle_s=_IDLE_S),
                 make_routed_server(_make_metrics_app(runtime), idle_s=_IDLE_S),
             ),
--- a/tests/functional/test_routed_changes.py
+++ b/tests/functional/test_routed_changes.py
@@ -232,6 +232,56 @@
     asyncio.run(run())
 
 
+async def send_nothing_more(fleet):
+    """A caller that stops within its headers is not kept for ever."""
+    limits = {'header-timeout-ms': 200}
+    fleet.store.put('op/config', build_config(2, limits=limits))
+    await eventually(lambda: 2 in adopted(fleet.nodes[0]))
+    answer = await exchange_raw(fleet.nodes[0], b'GET /safe/ HTTP/1.1\r\nHo')
+    assert answer.startswith(b'HTTP/1.1 408')
+
+
+async def send_long_headers(fleet):
+    raw = b'GET /safe/ HTTP/1.1\r\nHost: calls.example\r\nX-Long: '
+    answer = await exchange_raw(fleet.nodes[0], raw + b'x' * 20_000)
+    assert answer.startswith(b'HTTP/1.1 431')
+
+
+async def send_body_slowly(fleet):
+    raw = (
+        b'POST /short/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: l1\r\nAuthorization: Bearer key-1\r\n'
+        b'Connection: close\r\nContent-Length: 10\r\n\r\nhalf'
+    )
+    answer = await exchange_raw(fleet.nodes[0], raw)
+    assert answer.startswith(b'HTTP/1.1 408')
+
+
+async def idle(fleet):
+    """An idle connection is closed after the limit in force."""
+    limits = {'idle-timeout-ms': 200}
+    fleet.store.put('op/config', build_config(2, limits=limits))
+    await eventually(lambda: 2 in adopted(fleet.nodes[0]))
+    raw = (
+        b'GET /safe/ HTTP/1.1\r\nHost: calls.example\r\n'
+        b'X-Attempt-Id: v1\r\nAuthorization: Bearer key-1\r\n\r\n'
+    )
+    answer = await exchange_raw(fleet.nodes[0], raw)
+    assert answer.endswith(b'answer to v1')
+
+
+@pytest.mark.parametrize(
+    'steps',
+    [send_nothing_more, send_long_headers, send_body_slowly, idle],
+)
+def test_limits_of_callers(steps):
+    async def run():
+        async with run_routed_fleet(engines=0, plain=1) as fleet:
+            await asyncio.wait_for(steps(fleet), 10)
+
+    asyncio.run(run())
+
+
 def test_callers_connect_while_the_program_is_imported():
     """The socket listens before the larger imports, so nobody is refused."""
 
