Try lost engines when no other is left

A call whose other engines had all been tried waited until its time was over. Test: test_lost_engine_is_tried_when_no_other_is_left.

--- a/src/bilberryspoke/_internal/core/routing/placing.py
+++ b/src/bilberryspoke/_internal/core/routing/placing.py
@@ -58,9 +58,8 @@
     now: float,
 ) -> list[UpstreamState]:
     """Return upstreams that stay; doubtful ones if there are no others."""
-    return _drop_doubtful(
-        routing.list_staying(opened.call.service), opened, now
-    )
+    staying = routing.list_staying(opened.call.service)
+    return _drop_doubtful(staying, opened, now)
 
 
 def place_call(
@@ -81,7 +80,9 @@
     own = _drop_doubtful(own, opened, now)
     others = _drop_doubtful(others, opened, now)
     if not own:
-        own, others = others, own
+        # All engines of the group were tried, or are lost as well.
+        own = others or list_usable(routing, opened, now)
+        others = []
     first = _take_in_time(routing, own, opened, now)
     if first is not None or _is_loyal(opened.call, now):
         return first
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -189,6 +189,16 @@
     assert len(sent) == 2
 
 
+def test_lost_engine_is_tried_when_no_other_is_left():
+    core = RoutedCore(engines=2)
+    first = core.arrive(build_call('d', own_tokens=100), now=0.0)
+    others = {'engine-0', 'engine-1'} - {first.instance}
+    lost = core.routing.upstreams[others.pop()]
+    lost.suspicion.note_unreached(0.1)
+    again = find_decision(core.end(first, SendStatus.broken, now=0.2))
+    assert again.instance == lost.listed.instance
+
+
 def test_grey_engine_moves_no_other_between_the_groups():
     core = RoutedCore()
     tight = list_tight_engines(core)
