Strengthen two tests that did not see their mechanism go

A call that runs once has two attempts now in the test of repeats, and the test of a stop calls after a while.

--- a/tests/functional/test_routed_changes.py
+++ b/tests/functional/test_routed_changes.py
@@ -129,6 +129,8 @@
             node.signal(TERM)
             await eventually(lambda: node.list_events('stopping'))
             assert not await node.is_ready(fleet.session)
+            # The balancer still sends callers until it has asked twice.
+            await asyncio.sleep(0.7)
             late = await fleet.call('/safe/', 's3')
             assert late.status == 200
             assert late.headers['connection'] == 'close'
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -1,5 +1,7 @@
 """Decisions on routed calls, each under the load it is made for."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -268,7 +270,8 @@
 
 def test_what_may_have_run_once_is_never_sent_again():
     core = RoutedCore()
-    send = core.arrive(build_call('o', ONCE), now=0.0)
+    twice = dataclasses.replace(ONCE, max_attempts=2)
+    send = core.arrive(build_call('o', twice), now=0.0)
     effects = core.end(send, SendStatus.broken, now=0.1)
     refusal = find_decision(effects)
     assert isinstance(refusal, Refuse)
