--- a/src/bilberryspoke/_internal/network/logs.py
+++ b/src/bilberryspoke/_internal/network/logs.py
@@ -12,6 +12,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
         logger_factory=structlog.WriteLoggerFactory(open_standard_output()),
--- a/src/bilberryspoke/_internal/network/routing/border.py
+++ b/src/bilberryspoke/_internal/network/routing/border.py
@@ -59,7 +59,22 @@
         self._numbers = itertools.count(1)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Serve one call."""
+        """Serve one call; the server ends one that fails unforeseen."""
+        try:
+            await self._take_call(scope, receive, send)
+        except Exception:
+            self._runtime.counters.add('calls_crashed')
+            logger.exception('call_crashed', path=scope['path'])
+            raise
+
+    def read_limits(self) -> BorderLimits:
+        """Return the limits in force."""
+        routing = self._runtime.core.state.routing
+        if routing.table is None:
+            return _FIRST_LIMITS
+        return routing.table.limits
+
+    async def _take_call(self, scope: Any, receive: Any, send: Any) -> None:
         table = await self._await_table()
         if table is None:
             await self._refuse(send, 503, 'not_ready', _UNREADY_RETRY_S)
@@ -101,13 +116,6 @@
         )
         await self._serve(exchange, receive)
 
-    def read_limits(self) -> BorderLimits:
-        """Return the limits in force."""
-        routing = self._runtime.core.state.routing
-        if routing.table is None:
-            return _FIRST_LIMITS
-        return routing.table.limits
-
     async def _await_table(self) -> RouteTable | None:
         """Return the configuration; just after the start, wait for it."""
         routing = self._runtime.core.state.routing
--- a/tests/functional/test_routed_answers.py
+++ b/tests/functional/test_routed_answers.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from bilberryspoke._internal.network.routing.border import Border
+from bilberryspoke._internal.network.runtime import Runtime
 from fakes.upstream import make_stream
+from tests.lib.routedcore import RoutedCore
 from tests.lib.routedfleet import eventually, run_routed_fleet
 
 
@@ -296,3 +299,11 @@
             assert 0 < repeats <= 0.2 * 60 + 6
 
     asyncio.run(run())
+
+
+def test_fault_of_the_router_is_logged_and_counted():
+    runtime = Runtime(RoutedCore().core)
+    border = Border(runtime, sender=None)
+    with pytest.raises(KeyError):
+        asyncio.run(border({'path': '/safe/'}, None, None))
+    assert runtime.counters.read('calls_crashed') == 1
