Read bodies and start answers in one place; drop what nothing reads

Cause: reading the change once more. The border read bodies with a copy of the own interface's loop, and wrote the head of an answer, with its closing header, beside the exchange; pauses of a service's routes were gathered from all routes for each placing, now once a configuration; a call carried a model, an output length and a second time limit that nothing read; -1 stood for no priority; the path that the balancer asks stood outside platform/.

--- a/src/bilberryspoke/_internal/core/routing/dispatching.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatching.py
@@ -114,7 +114,7 @@
             attempt=opened.attempt,
             instance=listed.instance,
             address=listed.address,
-            priority=min(9, max(0, call.priority)) if is_engine else -1,
+            priority=min(9, max(0, call.priority)) if is_engine else None,
             stop_at=call.answer_by,
             last_event=opened.last_event,
         ),
--- a/src/bilberryspoke/_internal/core/routing/ending.py
+++ b/src/bilberryspoke/_internal/core/routing/ending.py
@@ -40,9 +40,6 @@
     if opened.stage is Stage.sent:
         opened.may_have_run = True
         state.emit(StopSend(opened.call.call_id, opened.attempt))
-        upstream = state.routing.upstreams.get(opened.instance)
-        if upstream is not None:
-            upstream.sends.pop(opened.call.call_id, None)
     refuse_call(state, opened, 'timeout', now, timed_out=True)
 
 
--- a/src/bilberryspoke/_internal/core/routing/placing.py
+++ b/src/bilberryspoke/_internal/core/routing/placing.py
@@ -98,12 +98,7 @@
     """Tell whether a route's streams bear the shortest pauses only."""
     if route.event_gap_s is None:
         return False
-    gaps = {
-        each.event_gap_s
-        for each in routing.table.routes
-        if each.event_gap_s is not None
-        and any(target.service == service for target in each.targets)
-    }
+    gaps = routing.table.gaps_of_service.get(service, set())
     return len(gaps) > 1 and route.event_gap_s <= min(gaps)
 
 
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -101,11 +101,17 @@
     uses_keys: bool
     encoded: bytes = b''
     routes_of_host: dict[str, list[Route]] = field(default_factory=dict)
+    gaps_of_service: dict[str, set[float]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Index the routes by host, the longest prefix first."""
+        """Index the routes by host, the longest prefix first, and by pause."""
         for route in self.routes:
             self.routes_of_host.setdefault(route.host, []).append(route)
+            if route.event_gap_s is None:
+                continue
+            for target in route.targets:
+                gaps = self.gaps_of_service.setdefault(target.service, set())
+                gaps.add(route.event_gap_s)
         for routes in self.routes_of_host.values():
             routes.sort(key=_prefix_length, reverse=True)
 
@@ -152,9 +158,9 @@
     """One call that passed the border.
 
     ``call_id`` is this VM's own name for it and ``req_id`` the caller's.
-    ``give_up_at`` is when the caller leaves and ``answer_by`` when the final
-    answer is due, in seconds of the boot-time clock. ``last_event`` is the
-    event after which the caller wants the stream to go on.
+    ``answer_by`` is when the final answer is due, in seconds of the boot-time
+    clock. ``last_event`` is the event after which the caller wants the stream
+    to go on.
     """
 
     call_id: str
@@ -164,11 +170,8 @@
     workspace: str
     priority: int
     arrived_at: float
-    give_up_at: float
     answer_by: float
-    model: str = ''
     prompt_tokens: int = 0
-    output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
 
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -7,7 +7,8 @@
 class Send:
     """Send a call to an upstream, or send it again from ``last_event``.
 
-    ``instance`` is the incarnation that alone may run it. ``stop_at`` is when
+    ``instance`` is the incarnation that alone may run it. ``priority`` is None
+    for upstreams that know none. ``stop_at`` is when
     the upstream must stop work, in seconds of the boot-time clock.
     """
 
@@ -15,7 +16,7 @@
     attempt: int
     instance: str
     address: str
-    priority: int
+    priority: int | None
     stop_at: float
     last_event: int | None = None
 
--- a/src/bilberryspoke/_internal/network/bodies.py
+++ b/src/bilberryspoke/_internal/network/bodies.py
@@ -2,16 +2,18 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from expression import Error, Ok, Result
 
-from bilberryspoke._internal.config.settings import LimitSettings
 from bilberryspoke._internal.core.admission import Refusal
 from bilberryspoke._internal.exceptions import CallerGoneError
 from bilberryspoke._internal.utils.hashing import hash_prefix
 
+if TYPE_CHECKING:
+    from bilberryspoke._internal.config.settings import LimitSettings
+
 _CHARACTERS_PER_TOKEN = 4
 
 
@@ -33,12 +35,12 @@
 
 async def read_body(
     receive: Any,
-    limits: LimitSettings,
+    limits: 'LimitSettings',
 ) -> Result[bytes, Refusal]:
     """Read a request's body; too large or too slow ones are refused."""
     try:
         async with asyncio.timeout(limits.body_timeout_s):
-            return await _collect(receive, limits.body_bytes)
+            return await collect_body(receive, limits.body_bytes)
     except TimeoutError:
         message = f'the body did not arrive within {limits.body_timeout_s:g} s'
         return Error(Refusal(408, 'body_timeout', message))
@@ -64,7 +66,11 @@
     )
 
 
-async def _collect(receive: Any, limit: int) -> Result[bytes, Refusal]:
+async def collect_body(receive: Any, limit: int) -> Result[bytes, Refusal]:
+    """Read a body of at most ``limit`` bytes.
+
+    Raises ``CallerGoneError`` if the caller leaves before its end.
+    """
     chunks = []
     size = 0
     while True:
--- a/src/bilberryspoke/_internal/network/routing/border.py
+++ b/src/bilberryspoke/_internal/network/routing/border.py
@@ -26,10 +26,13 @@
     CallAbandoned,
     CallArrived,
 )
+from bilberryspoke._internal.network.bodies import collect_body
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.exchange import (
     Exchange,
     HeldAnswer,
+    mark_closing,
+    send_start,
 )
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
@@ -92,14 +95,14 @@
         arrived_at = read_boottime()
         try:
             async with asyncio.timeout(found.ok.route.timeout_s):
-                body = await _read_body(receive, table.limits.body_bytes)
+                read = await collect_body(receive, table.limits.body_bytes)
         except CallerGoneError:
             self._runtime.counters.add('callers_gone_early')
             return
         except TimeoutError:
             await self._refuse(send, 408, 'body_too_slow')
             return
-        if body is None:
+        if read.is_error():
             await self._refuse(send, 413, 'body_too_large')
             return
         call = self._make_call(headers, found.ok, arrived_at)
@@ -108,7 +111,7 @@
             call=call,
             method=scope['method'],
             target=f'{path}?{query}' if query else path,
-            body=body,
+            body=read.ok,
             passed=headers.passed,
             send=send,
             closing=self.stopping,
@@ -135,7 +138,6 @@
         wait_s = headers.wait_s
         if wait_s is None:
             wait_s = route.timeout_s
-        give_up_at = arrived_at + wait_s
         return RoutedCall(
             call_id=f'{self._runtime.core.state.vm}/{number}',
             req_id=headers.req_id,
@@ -144,11 +146,8 @@
             workspace=matched.owner.workspace,
             priority=matched.priority,
             arrived_at=arrived_at,
-            give_up_at=give_up_at,
-            answer_by=min(give_up_at, arrived_at + route.timeout_s),
-            model=headers.model,
+            answer_by=arrived_at + min(wait_s, route.timeout_s),
             prompt_tokens=headers.prompt_tokens,
-            output_tokens=headers.output_tokens,
             parts=headers.parts,
             last_event=headers.last_event,
         )
@@ -216,16 +215,8 @@
     ) -> None:
         self._runtime.counters.add('refused', reason)
         answer = _make_refusal(status, reason, retry_after_s)
-        headers = answer.headers
-        if self.stopping:
-            headers = [*headers, (b'connection', b'close')]
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            },
-        )
+        headers = mark_closing(answer.headers, closing=self.stopping)
+        await send_start(send, status, headers)
         await send({'type': 'http.response.body', 'body': answer.body})
 
     async def _watch_caller(self, call_id: str, receive: Any) -> None:
@@ -256,23 +247,6 @@
         )
 
 
-async def _read_body(receive: Any, limit: int) -> bytes | None:
-    """Read a body; None if it is over the limit."""
-    chunks = []
-    size = 0
-    while True:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            raise CallerGoneError
-        chunk = message.get('body', b'')
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
-        if not message.get('more_body', False):
-            return b''.join(chunks)
-
-
 def _make_refusal(
     status: int,
     reason: str,
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -37,6 +37,7 @@
 from bilberryspoke._internal.network.routing.protocol import BorderProtocol
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
+from bilberryspoke._internal.platform.boot import READY_PATH
 from bilberryspoke._internal.platform.store import StoreClient
 
 logger = structlog.get_logger()
@@ -47,7 +48,6 @@
 _SETTLE_S = 3.0
 # Part of the time to stop after which what is still open is given up.
 _STOP_PART = 0.95
-_READY_PATH = '/-/ready'
 
 ReadSettings = Callable[[Path], Result[NodeSettings, list[Finding]]]
 
@@ -218,7 +218,7 @@
             return PlainTextResponse('no configuration', status_code=503)
         return PlainTextResponse('ready')
 
-    return Starlette(routes=[AppRoute(_READY_PATH, show_ready)])
+    return Starlette(routes=[AppRoute(READY_PATH, show_ready)])
 
 
 def _make_metrics_app(runtime: Runtime) -> Starlette:
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -51,16 +51,9 @@
 
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Send the status line and the headers."""
-        if self.closing:
-            headers = [*headers, _CLOSE]
         self.started = True
-        await self.send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            },
-        )
+        marked = mark_closing(headers, closing=self.closing)
+        await send_start(self.send, status, marked)
 
     async def write(self, raw: bytes) -> None:
         """Send a part of the body."""
@@ -77,3 +70,19 @@
         """Send a whole answer."""
         await self.start(answer.status, answer.headers)
         await self.finish(answer.body)
+
+
+def mark_closing(headers: RawHeaders, *, closing: bool) -> RawHeaders:
+    """Return headers that ask for another connection next, if ``closing``."""
+    return [*headers, _CLOSE] if closing else headers
+
+
+async def send_start(send: Any, status: int, headers: RawHeaders) -> None:
+    """Send the status line and the headers of an answer."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers,
+        },
+    )
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -248,7 +248,7 @@
     added = SendHeaders(
         instance=effect.instance,
         wait_s=effect.stop_at - read_boottime(),
-        priority=None if effect.priority < 0 else effect.priority,
+        priority=effect.priority,
         workspace=call.workspace,
         last_event=effect.last_event,
     )
--- a/src/bilberryspoke/_internal/platform/boot.py
+++ b/src/bilberryspoke/_internal/platform/boot.py
@@ -12,6 +12,8 @@
 from bilberryspoke._internal.models.node import NodeSettings, PromisedBounds
 
 BOOT_VARIABLE = 'BILBERRYSPOKE_BOOT'
+# Asked by the platform's balancer at the ready address.
+READY_PATH = '/-/ready'
 
 _MS_PER_S = 1000.0
 
--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -133,7 +133,6 @@
         'workspace': 'press',
         'priority': route.priority,
         'arrived_at': now,
-        'give_up_at': now + route.timeout_s,
         'answer_by': now + route.timeout_s,
         'prompt_tokens': sum(part.tokens for part in parts),
         'parts': parts,
