Add a model of a batching engine and a bench of routed decisions

fakes/batching.py is the model; bench/routed drives several cores, or simple routers beside them, against it on a virtual clock with the mixes of both fleets.

--- /dev/null
+++ b/bench/routed/simulation.py
@@ -0,0 +1,351 @@
+"""Drives several routers and model engines on one virtual clock."""
+
+import heapq
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from bench.routed.baselines import BaselineRouter
+from bench.routed.ledger import Entry, Ledger
+from bench.routed.load import (
+    ENGINES,
+    SERVICE,
+    VMS,
+    Arrival,
+    build_table,
+)
+from bilberryspoke._internal.core import Core, CoreSettings
+from bilberryspoke._internal.models.effects import SendPeer
+from bilberryspoke._internal.models.events import PeerReceived, Tick
+from bilberryspoke._internal.models.node import PromisedBounds
+from bilberryspoke._internal.models.routing import (
+    ListedUpstream,
+    RoutedCall,
+    SendStatus,
+)
+from bilberryspoke._internal.models.routing_effects import (
+    Refuse,
+    Send,
+    StopSend,
+)
+from bilberryspoke._internal.models.routing_events import (
+    CallAbandoned,
+    CallArrived,
+    RoutesOffered,
+    SeedsNamed,
+    SendEnded,
+    SendProgressed,
+    UpstreamChanged,
+    UpstreamsListed,
+)
+from fakes.batching import EVENT_TOKENS, BatchEngine, Sequence
+
+OWN_POLICY = 'bilberryspoke'
+_TICK_S = 0.05
+_HOP_S = 0.0015
+_CONNECT_S = 0.1
+_SETTLE_S = 1.0
+_REPEAT_RESERVE = 56
+_SEED_PREFIX = 'seed/'
+# Callers leave after a pause of this, of four targets or of eight pauses.
+_LEAST_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4
+_PATIENCE_GAPS = 8
+_RETURNS = 1
+
+
+class Router(Protocol):
+    """What decides at one VM."""
+
+    def handle(self, event: object, *, now: float) -> list[object]:
+        """Reduce an event and return its effects."""
+
+
+@dataclass(slots=True, eq=False)
+class EngineNode:
+    """One engine; ``owners`` names the VM and attempt of each request."""
+
+    instance: str
+    model: BatchEngine
+    owners: dict[str, tuple[str, int]] = field(default_factory=dict)
+    bases: dict[str, int] = field(default_factory=dict)
+    stepping: bool = False
+    down: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SimulationSettings:
+    """Settings of one run; durations in seconds."""
+
+    fleet: str
+    policy: str
+    seed: int
+    duration_s: float
+    drain_s: float = 16.0
+
+
+class Simulation:
+    """Virtual clock, callers, VMs and engines."""
+
+    def __init__(self, settings: SimulationSettings) -> None:
+        """Create all VMs and engines; they know one another."""
+        self.settings = settings
+        self.now = -_SETTLE_S
+        self.ledger = Ledger()
+        self.routers: dict[str, Router] = {}
+        self.engines: dict[str, EngineNode] = {}
+        self._chance = random.Random(settings.seed)
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+        for number in range(ENGINES[settings.fleet]):
+            self._add_engine(f'engine-{number}')
+        for number in range(VMS[settings.fleet]):
+            self._add_vm(f'vm-{number}')
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Plan an action."""
+        self._order += 1
+        heapq.heappush(self._heap, (when, self._order, action))
+
+    def run(self, arrivals: list[Arrival]) -> Ledger:
+        """Play all calls to their end."""
+        for arrival in arrivals:
+            self.at(arrival.at, lambda each=arrival: self._arrive(each))
+        end = self.settings.duration_s + self.settings.drain_s
+        while self._heap and self.now < end:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self._account()
+        return self.ledger
+
+    def empty_engine(self, instance: str) -> None:
+        """Tell all VMs that an engine leaves; it finishes what it has."""
+        changed = UpstreamChanged(instance, _list_engine(instance, True))
+        for name in self.routers:
+            self._submit(name, changed)
+
+    def crash_engine(self, instance: str) -> None:
+        """End an engine with all it has; discovery goes on listing it."""
+        engine = self.engines[instance]
+        engine.down = True
+        for req_id in list(engine.owners):
+            self._end(engine, req_id, SendStatus.broken)
+
+    def slow_engine(self, instance: str, factor: float) -> None:
+        """Stretch the steps of an engine."""
+        self.engines[instance].model.slow = factor
+
+    def _add_engine(self, instance: str) -> None:
+        self.engines[instance] = EngineNode(instance, BatchEngine())
+
+    def _add_vm(self, name: str) -> None:
+        settings = self.settings
+        if settings.policy != OWN_POLICY:
+            seed = self._chance.randrange(1 << 30)
+            self.routers[name] = BaselineRouter(settings.policy, seed)
+        else:
+            self.routers[name] = Core(
+                CoreSettings(
+                    vm=name,
+                    data_centre='levis',
+                    incarnation=1,
+                    peer_address=name,
+                    bounds=PromisedBounds(retry_reserve=_REPEAT_RESERVE),
+                    shares_slots=False,
+                ),
+            )
+        table = build_table(settings.fleet)
+        listed = tuple(_list_engine(each) for each in self.engines)
+        self._submit(name, RoutesOffered(table))
+        self._submit(name, UpstreamsListed(listed, 1))
+        seeds = tuple(f'vm-{each}' for each in range(VMS[settings.fleet]))
+        self._submit(name, SeedsNamed(seeds))
+        offset_s = self._chance.random() * _TICK_S
+        self.at(self.now + offset_s, lambda: self._tick(name))
+
+    def _tick(self, name: str) -> None:
+        self._submit(name, Tick())
+        self.at(self.now + _TICK_S, lambda: self._tick(name))
+
+    def _submit(self, name: str, event: object) -> None:
+        for effect in self.routers[name].handle(event, now=self.now):
+            self._execute(name, effect)
+
+    def _execute(self, name: str, effect: object) -> None:
+        if isinstance(effect, Send):
+            self.at(self.now + _HOP_S, lambda: self._start(name, effect))
+        elif isinstance(effect, StopSend):
+            self.at(self.now + _HOP_S, lambda: self._stop(name, effect))
+        elif isinstance(effect, Refuse):
+            self._refuse(effect)
+        elif isinstance(effect, SendPeer):
+            self._tell(name, effect)
+
+    def _tell(self, name: str, effect: SendPeer) -> None:
+        peer = effect.peer.removeprefix(_SEED_PREFIX)
+        received = PeerReceived(name, 1, effect.message)
+        self.at(self.now + _HOP_S, lambda: self._submit(peer, received))
+
+    def _arrive(self, arrival: Arrival) -> None:
+        entry = self.ledger.open(arrival)
+        self._call(entry)
+
+    def _call(self, entry: Entry) -> None:
+        arrival = entry.arrival
+        route = arrival.kind.route
+        names = list(self.routers)
+        turn = int(arrival.vm * len(names)) + entry.returns
+        name = names[turn % len(names)]
+        call = RoutedCall(
+            call_id=arrival.req_id,
+            req_id=arrival.req_id,
+            route=route,
+            service=SERVICE,
+            workspace=arrival.workspace,
+            priority=route.priority,
+            arrived_at=self.now,
+            answer_by=arrival.at + route.timeout_s,
+            prompt_tokens=sum(part.tokens for part in arrival.parts),
+            parts=arrival.parts,
+        )
+        self._submit(name, CallArrived(call))
+        self._watch(entry, name)
+
+    def _watch(self, entry: Entry, name: str) -> None:
+        """Let the caller leave after a pause that is too long."""
+        route = entry.arrival.kind.route
+        patience_s = max(
+            _LEAST_PATIENCE_S,
+            _PATIENCE_TARGETS * route.target_s,
+            _PATIENCE_GAPS * (route.event_gap_s or 0.0),
+        )
+        since = entry.moved_at or entry.arrival.at
+        if entry.outcome:
+            return
+        if self.now < since + patience_s:
+            self.at(since + patience_s, lambda: self._watch(entry, name))
+            return
+        self._close(entry, 'left')
+        self._submit(name, CallAbandoned(entry.arrival.req_id))
+
+    def _start(self, name: str, effect: Send) -> None:
+        engine = self.engines[effect.instance]
+        arrival = self.ledger.entries[effect.call_id].arrival
+        engine.owners[effect.call_id] = (name, effect.attempt)
+        if engine.down:
+            wait_at = self.now + _CONNECT_S
+            unsent = SendStatus.unsent
+            self.at(wait_at, lambda: self._end(engine, effect.call_id, unsent))
+            return
+        base = effect.last_event or 0
+        engine.bases[effect.call_id] = base
+        parts = tuple((part.name, part.tokens) for part in arrival.parts)
+        left = (arrival.events - base) * EVENT_TOKENS
+        priority = effect.priority or 0
+        engine.model.submit(Sequence(effect.call_id, priority, parts, left))
+        self._step(engine)
+
+    def _stop(self, name: str, effect: StopSend) -> None:
+        for engine in self.engines.values():
+            owner = engine.owners.get(effect.call_id)
+            if owner == (name, effect.attempt):
+                engine.model.cancel(effect.call_id)
+                engine.owners.pop(effect.call_id)
+
+    def _step(self, engine: EngineNode) -> None:
+        if engine.stepping or engine.down or engine.model.is_idle:
+            return
+        step_s, gained = engine.model.step()
+        engine.stepping = True
+        self.at(self.now + step_s, lambda: self._deliver(engine, gained))
+
+    def _deliver(self, engine: EngineNode, gained: list[Sequence]) -> None:
+        engine.stepping = False
+        for sequence in gained:
+            if sequence.req_id in engine.owners and not engine.down:
+                self._progress(engine, sequence)
+        self._step(engine)
+
+    def _progress(self, engine: EngineNode, sequence: Sequence) -> None:
+        if sequence.left and sequence.produced % EVENT_TOKENS:
+            return
+        req_id = sequence.req_id
+        name, attempt = engine.owners[req_id]
+        entry = self.ledger.entries[req_id]
+        if entry.outcome:
+            self.ledger.wasted_events += 1
+            return
+        if entry.moved_at is not None:
+            gap_s = self.now - entry.moved_at
+            entry.longest_gap_s = max(entry.longest_gap_s, gap_s)
+        entry.first_at = entry.first_at or self.now
+        entry.moved_at = self.now
+        entry.events = engine.bases[req_id] + sequence.events
+        moved = SendProgressed(req_id, attempt, entry.events)
+        self._submit(name, moved)
+        if not sequence.left:
+            self._close(entry, 'served')
+            self._end(engine, req_id, SendStatus.finished)
+
+    def _end(
+        self,
+        engine: EngineNode,
+        req_id: str,
+        status: SendStatus,
+    ) -> None:
+        owner = engine.owners.pop(req_id, None)
+        if owner is None:
+            return
+        entry = self.ledger.entries[req_id]
+        ended = SendEnded(
+            req_id,
+            owner[1],
+            status,
+            delivered=entry.first_at is not None,
+            last_event=entry.events or None,
+        )
+        self._submit(owner[0], ended)
+
+    def _refuse(self, effect: Refuse) -> None:
+        entry = self.ledger.entries[effect.call_id]
+        if entry.outcome:
+            return
+        back_at = self.now + (effect.retry_after_s or math.inf)
+        answer_by = entry.arrival.at + entry.arrival.kind.route.timeout_s
+        if entry.returns < _RETURNS and back_at < answer_by:
+            entry.returns += 1
+            self.at(back_at, lambda: self._call(entry))
+            return
+        self._close(entry, 'refused' if effect.not_run else 'failed')
+
+    def _close(self, entry: Entry, outcome: str) -> None:
+        entry.outcome = outcome
+        entry.ended_at = self.now
+
+    def _account(self) -> None:
+        """Count tokens of shared parts that more than one engine read."""
+        tokens = {
+            part.name: part.tokens
+            for entry in self.ledger.entries.values()
+            for part in entry.arrival.parts
+        }
+        reads = sum(
+            (engine.model.reads for engine in self.engines.values()),
+            start=type(next(iter(self.engines.values())).model.reads)(),
+        )
+        self.ledger.read_again = sum(
+            tokens[name] * (count - 1) for name, count in reads.items()
+        )
+
+
+def _list_engine(instance: str, leaving: bool = False) -> ListedUpstream:
+    return ListedUpstream(
+        instance=instance,
+        service=SERVICE,
+        address=instance,
+        data_centre='levis',
+        slots=64,
+        leaving=leaving,
+    )
