Let less urgent calls give way to urgent ones that wait for room

Now a call waits while something more urgent waits for the same service, here or at a VM heard of (beats tell the most urgent priority that waits), and none is turned away sooner than less urgent calls to the same service, but before its caller leaves.

--- a/bench/routed/ledger.py
+++ b/bench/routed/ledger.py
@@ -12,6 +12,7 @@
 _LEFT_OUT = 10
 _LEFT_OUT_PART = 1 / 12
 
+
 @dataclass(slots=True)
 class Entry:
     """One call from its caller's side; times in seconds of the run.
--- a/bench/routed/simulation.py
+++ b/bench/routed/simulation.py
@@ -317,6 +317,7 @@
         answer_by = entry.arrival.at + entry.arrival.kind.route.timeout_s
         if entry.returns < _RETURNS and back_at < answer_by:
             entry.returns += 1
+            entry.asked_at = back_at
             self.at(back_at, lambda: self._call(entry))
             return
         self._close(entry, 'refused' if effect.not_run else 'failed')
--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -127,16 +127,19 @@
             self.running.remove(victim)
             self.waiting.append(victim)
             self.preempted += 1
-        self._evict(self.memory - self._used() - sequence.tokens)
+        self._evict(sequence)
         return True
 
     def _fits(self, sequence: Sequence) -> bool:
         if len(self.running) >= self.slots:
             return False
-        return self._used() + sequence.tokens <= self.memory
+        return self._used(sequence) <= self.memory
 
-    def _used(self) -> int:
-        return sum(each.tokens for each in self.running)
+    def _used(self, *added: Sequence) -> int:
+        """Return the memory of what runs; a shared part is there once."""
+        running = [*self.running, *added]
+        parts = {name: count for each in running for name, count in each.parts}
+        return sum(parts.values()) + sum(each.produced for each in running)
 
     def _find_unread(self, sequence: Sequence) -> None:
         """Count what is not kept; parts after one that is not count too."""
@@ -165,8 +168,21 @@
         for name, tokens in sequence.parts:
             self._kept[name] = tokens
             self._kept.move_to_end(name)
-        self._evict(self.memory - self._used())
-
-    def _evict(self, room: int) -> None:
-        while self._kept and sum(self._kept.values()) > max(0, room):
-            self._kept.popitem(last=False)
+        self._evict()
+
+    def _evict(self, *added: Sequence) -> None:
+        """Drop the parts that nothing running needs, the oldest first."""
+        room = self.memory - self._used(*added)
+        running = [*self.running, *added]
+        needed = {name for each in running for name, _ in each.parts}
+        idle = {
+            name: tokens
+            for name, tokens in self._kept.items()
+            if name not in needed
+        }
+        total = sum(idle.values())
+        for name, tokens in idle.items():
+            if total <= room:
+                return
+            self._kept.pop(name)
+            total -= tokens
--- a/src/bilberryspoke/_internal/core/routing/dispatching.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatching.py
@@ -10,7 +10,7 @@
 )
 from bilberryspoke._internal.core.routing.state import OpenCall, Stage
 from bilberryspoke._internal.core.routing.waiting import (
-    await_room,
+    gives_way,
     is_overdue,
     list_in_order,
 )
@@ -42,9 +42,12 @@
     if not list_usable(state.routing, opened, now):
         _find_none(state, opened, before, now)
         return
+    if gives_way(state.routing, opened, now):
+        state.routing.waiting.add(opened)
+        return
     placement = place_call(state.routing, opened, now)
     if placement is None:
-        await_room(state.routing, opened)
+        state.routing.waiting.add(opened)
         return
     _dispatch(state, opened, placement, now)
 
@@ -136,8 +139,17 @@
 def serve_waiting(state: NodeState, now: float) -> None:
     """Place the waiting calls for which there is room by now."""
     for opened in list_in_order(state.routing, now):
-        if is_overdue(opened, now):
+        if _is_overdue(state, opened, now):
             refuse_call(state, opened, 'no_room', now)
             continue
-        state.routing.waiting.remove(opened)
+        state.routing.waiting.discard(opened)
         place_or_wait(state, opened, now)
+
+
+def _is_overdue(state: NodeState, opened: OpenCall, now: float) -> bool:
+    call = opened.call
+    table = state.routing.table
+    longest_s = 0.0
+    if table is not None:
+        longest_s = table.find_longest_target(call.service, call.priority)
+    return is_overdue(opened, now, longest_target_s=longest_s)
--- a/src/bilberryspoke/_internal/core/routing/ending.py
+++ b/src/bilberryspoke/_internal/core/routing/ending.py
@@ -91,8 +91,7 @@
     """Forget a call and note what became of it."""
     call = opened.call
     state.routing.calls.pop(call.call_id, None)
-    if opened in state.routing.waiting:
-        state.routing.waiting.remove(opened)
+    state.routing.waiting.discard(opened)
     upstream = state.routing.upstreams.get(opened.instance)
     if upstream is not None:
         upstream.sends.pop(call.call_id, None)
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -75,6 +75,7 @@
             each.instance: PeerWork(each.owed, each.calls)
             for each in message.work
         },
+        waiting=message.waiting,
     )
 
 
@@ -227,6 +228,7 @@
         reached=routing.reached,
         stopping=state.stopping,
         work=work,
+        waiting=routing.waiting.find_most_urgent(),
     )
 
 
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -1,6 +1,7 @@
 """What one VM knows of routes, upstreams and the calls it has open."""
 
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -51,6 +52,49 @@
     tried: list[str] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class WaitingRoom:
+    """Calls that wait for room at an upstream, in the order they came."""
+
+    _calls: dict[str, OpenCall] = field(default_factory=dict)
+    _counts: dict[str, Counter[int]] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return len(self._calls)
+
+    def __iter__(self) -> Iterator[OpenCall]:
+        """Return the calls that wait."""
+        return iter(self._calls.values())
+
+    def add(self, opened: OpenCall) -> None:
+        """Let a call wait; one that waits already keeps its place."""
+        call = opened.call
+        if call.call_id in self._calls:
+            return
+        self._calls[call.call_id] = opened
+        counts = self._counts.setdefault(call.service, Counter())
+        counts[call.priority] += 1
+
+    def discard(self, opened: OpenCall) -> None:
+        """Forget a call, if it waits."""
+        call = opened.call
+        if self._calls.pop(call.call_id, None) is None:
+            return
+        counts = self._counts[call.service]
+        counts[call.priority] -= 1
+        if not counts[call.priority]:
+            counts.pop(call.priority)
+        if not counts:
+            self._counts.pop(call.service)
+
+    def find_most_urgent(self) -> dict[str, int]:
+        """Return the most urgent priority that waits, by service."""
+        return {
+            service: min(counts) for service, counts in self._counts.items()
+        }
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """One incarnation of an upstream, and what this VM has there.
@@ -85,7 +129,8 @@
 class PeerView:
     """Another VM; ``heard_at`` is in seconds of this VM's boot-time clock.
 
-    ``work`` is by instance of the upstream.
+    ``work`` is by instance of the upstream, ``waiting`` the most urgent
+    priority that waits there by service.
     """
 
     name: str
@@ -97,6 +142,7 @@
     reached: bool = False
     stopping: bool = False
     work: dict[str, PeerWork] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -113,7 +159,7 @@
     upstreams: dict[str, UpstreamState] = field(default_factory=dict)
     listed: bool = False
     calls: dict[str, OpenCall] = field(default_factory=dict)
-    waiting: list[OpenCall] = field(default_factory=list)
+    waiting: WaitingRoom = field(default_factory=WaitingRoom)
     budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     reached: bool = False
     reached_at: float = -1e9
--- a/src/bilberryspoke/_internal/core/routing/waiting.py
+++ b/src/bilberryspoke/_internal/core/routing/waiting.py
@@ -1,7 +1,10 @@
 """Calls that wait at a VM for room at an engine: order and patience."""
 
+import math
+
 from bilberryspoke._internal.core.routing.state import OpenCall, RoutingState
-from bilberryspoke._internal.models.routing import RoutedCall
+from bilberryspoke._internal.core.routing.work import list_heard
+from bilberryspoke._internal.models.routing import Route, RoutedCall
 from bilberryspoke._internal.utils.hashing import hash_word
 
 # Time that a call takes from its send to its first event at the least.
@@ -13,11 +16,11 @@
 # Callers that are turned away together return spread over a second.
 _RETURN_S = 0.5
 _RETURN_STEPS = 100
-
-
-def await_room(routing: RoutingState, opened: OpenCall) -> None:
-    """Let a call wait until there is room."""
-    routing.waiting.append(opened)
+# Callers of streams leave after a pause of so long, of so many latency
+# targets or of so many of the longest pauses, whichever is longest.
+_LEAST_PAUSE_S = 2.0
+_PAUSE_TARGETS = 4
+_PAUSE_GAPS = 8
 
 
 def list_in_order(routing: RoutingState, now: float) -> list[OpenCall]:
@@ -36,20 +39,54 @@
     return sorted(routing.waiting, key=rank)
 
 
-def is_overdue(opened: OpenCall, now: float) -> bool:
+def gives_way(routing: RoutingState, opened: OpenCall, now: float) -> bool:
+    """Tell whether something more urgent waits for room, here or elsewhere."""
+    call = opened.call
+    tables = [peer.waiting for peer in list_heard(routing, now)]
+    tables.append(routing.waiting.find_most_urgent())
+    return any(
+        waiting.get(call.service, call.priority) < call.priority
+        for waiting in tables
+    )
+
+
+def is_overdue(
+    opened: OpenCall,
+    now: float,
+    *,
+    longest_target_s: float,
+) -> bool:
     """Tell whether a call that waits should be turned away.
 
     Its target is missed by then, and what has come since may still meet its
-    own. A call that may have run is kept: it can not be promised not to.
+    own. It is not turned away sooner than less urgent calls to the same
+    service, of which ``longest_target_s`` is the longest target, but before
+    its caller leaves. A call that may have run is kept: it can not be
+    promised not to.
     """
     call = opened.call
     if opened.may_have_run:
         return False
-    patience_s = call.route.target_s * _PATIENCE_TARGETS
-    limit = min(call.arrived_at + patience_s, call.answer_by - _RESERVE_S)
+    target_s = max(call.route.target_s, longest_target_s)
+    limit = min(
+        call.arrived_at + target_s * _PATIENCE_TARGETS,
+        call.arrived_at + _find_pause_s(call.route) - _RESERVE_S,
+        call.answer_by - _RESERVE_S,
+    )
     return now >= limit
 
 
+def _find_pause_s(route: Route) -> float:
+    """Return the pause after which the caller of a stream leaves."""
+    if not route.streams:
+        return math.inf
+    return max(
+        _LEAST_PAUSE_S,
+        route.target_s * _PAUSE_TARGETS,
+        (route.event_gap_s or 0.0) * _PAUSE_GAPS,
+    )
+
+
 def choose_return(call: RoutedCall) -> float:
     """Return the seconds after which a caller should come back."""
     drawn = hash_word(call.call_id) % _RETURN_STEPS
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -157,7 +157,8 @@
     """Sign of life of a VM that routes calls, and what it has under way.
 
     ``revision`` is the store's, as of which the sender knows the upstreams;
-    ``reached`` tells that it reaches the store.
+    ``reached`` tells that it reaches the store. ``waiting`` holds the most
+    urgent priority that waits for room, by service.
     """
 
     data_centre: str
@@ -167,6 +168,7 @@
     reached: bool
     stopping: bool
     work: list[UpstreamWork] = []
+    waiting: dict[str, int] = {}
 
 
 class WorkSent(msgspec.Struct, tag='sent', array_like=True):
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -102,19 +102,27 @@
     encoded: bytes = b''
     routes_of_host: dict[str, list[Route]] = field(default_factory=dict)
     gaps_of_service: dict[str, set[float]] = field(default_factory=dict)
+    targets_of_service: dict[str, dict[int, float]] = field(
+        default_factory=dict,
+    )
 
     def __post_init__(self) -> None:
-        """Index the routes by host, the longest prefix first, and by pause."""
+        """Index the routes by host, the longest prefix first, and service."""
         for route in self.routes:
             self.routes_of_host.setdefault(route.host, []).append(route)
-            if route.event_gap_s is None:
-                continue
             for target in route.targets:
-                gaps = self.gaps_of_service.setdefault(target.service, set())
-                gaps.add(route.event_gap_s)
+                self._index_service(target.service, route)
         for routes in self.routes_of_host.values():
             routes.sort(key=_prefix_length, reverse=True)
 
+    def find_longest_target(self, service: str, priority: int) -> float:
+        """Return the longest latency target of less urgent routes, or 0."""
+        targets = self.targets_of_service.get(service, {})
+        return max(
+            (target_s for rank, target_s in targets.items() if rank > priority),
+            default=0.0,
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
         for route in self.routes_of_host.get(host, ()):
@@ -122,6 +130,14 @@
                 return route
         return None
 
+    def _index_service(self, service: str, route: Route) -> None:
+        if route.event_gap_s is not None:
+            gaps = self.gaps_of_service.setdefault(service, set())
+            gaps.add(route.event_gap_s)
+        targets = self.targets_of_service.setdefault(service, {})
+        longest_s = targets.get(route.priority, 0.0)
+        targets[route.priority] = max(longest_s, route.target_s)
+
 
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
--- /dev/null
+++ b/tests/unit/test_batching.py
@@ -0,0 +1,104 @@
+"""The model of a batching engine does what the published behaviour says."""
+
+from fakes.batching import CHUNK_TOKENS, BatchEngine, Sequence
+
+
+def build_sequence(req_id, *, own=100, shared=(), left=3, priority=5):
+    parts = (*shared, (f'own-{req_id}', own))
+    return Sequence(req_id, priority, parts, left)
+
+
+def step_until_idle(engine):
+    """Return the seconds of all steps, and who gained a token in each."""
+    steps = []
+    while not engine.is_idle:
+        step_s, gained = engine.step()
+        steps.append((step_s, [each.req_id for each in gained]))
+    return steps
+
+
+def test_long_prompt_delays_the_tokens_of_others():
+    engine = BatchEngine()
+    engine.submit(build_sequence('short', own=10, left=30))
+    quick = [engine.step()[0] for _ in range(5)]
+    engine.submit(build_sequence('long', own=4 * CHUNK_TOKENS))
+    slow = [engine.step()[0] for _ in range(4)]
+    assert min(slow) > 5 * max(quick[1:])
+
+
+def test_prompt_of_several_chunks_answers_after_the_last():
+    engine = BatchEngine()
+    engine.submit(build_sequence('long', own=3 * CHUNK_TOKENS, left=1))
+    gained = [len(engine.step()[1]) for _ in range(3)]
+    assert gained == [0, 0, 1]
+
+
+def test_shared_part_is_read_once():
+    engine = BatchEngine()
+    shared = (('notes', 6000),)
+    for number in range(3):
+        engine.submit(build_sequence(f'd{number}', shared=shared))
+        step_until_idle(engine)
+    assert engine.reads['notes'] == 1
+
+
+def test_part_is_read_again_after_one_that_is_not_kept():
+    engine = BatchEngine()
+    engine.submit(build_sequence('a', shared=(('x', 10), ('y', 10))))
+    step_until_idle(engine)
+    engine.submit(build_sequence('b', shared=(('z', 10), ('y', 10))))
+    step_until_idle(engine)
+    assert engine.reads['y'] == 2
+
+
+def test_more_urgent_request_is_admitted_first():
+    engine = BatchEngine(slots=1)
+    for req_id, priority in (('first', 5), ('later', 5), ('urgent', 0)):
+        engine.submit(build_sequence(req_id, priority=priority, left=1))
+    order = [name for _, names in step_until_idle(engine) for name in names]
+    assert order == ['urgent', 'first', 'later']
+
+
+def test_newest_of_the_least_urgent_is_preempted_when_memory_runs_out():
+    engine = BatchEngine(memory=1000)
+    for req_id, priority in (('old', 5), ('new', 5), ('middle', 3)):
+        engine.submit(
+            build_sequence(req_id, own=300, priority=priority, left=5),
+        )
+    engine.step()
+    engine.submit(build_sequence('urgent', own=300, priority=0))
+    engine.step()
+    assert [each.req_id for each in engine.waiting] == ['new']
+    assert engine.preempted == 1
+    everyone = {name for _, names in step_until_idle(engine) for name in names}
+    assert everyone == {'old', 'new', 'middle', 'urgent'}
+
+
+def test_request_larger_than_the_memory_is_rejected():
+    engine = BatchEngine(memory=1000)
+    assert not engine.submit(build_sequence('huge', own=1001))
+    assert engine.is_idle
+
+
+def test_cancelled_request_gains_nothing_more():
+    engine = BatchEngine()
+    engine.submit(build_sequence('gone', left=10))
+    engine.step()
+    engine.cancel('gone')
+    assert engine.is_idle
+
+
+def test_least_used_parts_yield_to_what_runs():
+    engine = BatchEngine(memory=1000)
+    for name in ('a', 'b'):
+        shared = ((f'shared-{name}', 300),)
+        engine.submit(build_sequence(name, own=10, shared=shared))
+        step_until_idle(engine)
+    engine.submit(build_sequence('big', own=600))
+    step_until_idle(engine)
+    for name in ('b', 'a'):
+        shared = ((f'shared-{name}', 300),)
+        engine.submit(build_sequence(f'{name}2', own=10, shared=shared))
+        step_until_idle(engine)
+    assert engine.reads['shared-b'] == 1
+    assert engine.reads['shared-a'] == 2
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -227,6 +227,14 @@
 
 # Waiting and turning away.
 
+SHORT = dataclasses.replace(
+    DRAFTS,
+    target_s=0.5,
+    timeout_s=4.0,
+    priority=1,
+    event_gap_s=0.3,
+)
+
 
 def fill(core, now):
     """Let so many drafts arrive that no engine has room."""
@@ -265,6 +273,48 @@
     assert len({each.retry_after_s for each in refusals}) > 1
 
 
+def test_urgent_call_is_not_turned_away_sooner_than_drafts():
+    """One engine is left; drafts wait four times as long as what is urgent."""
+    core = RoutedCore()
+    fill(core, 0.0)
+    assert core.arrive(build_call('u', SHORT, now=0.1), now=0.1) is None
+    for step in range(1, 36):
+        effects = core.handle(Tick(), now=0.1 + step * 0.05)
+        assert not any(isinstance(each, Refuse) for each in effects)
+
+
+def test_call_is_turned_away_before_its_caller_leaves():
+    """That caller leaves after 2.4 seconds without an event."""
+    core = RoutedCore()
+    fill(core, 0.0)
+    core.arrive(build_call('u', SHORT, now=0.1), now=0.1)
+    effects = core.handle(Tick(), now=0.1 + 1.95)
+    refused = [each for each in effects if isinstance(each, Refuse)]
+    assert [each.call_id for each in refused] == ['u']
+    assert refused[0].not_run
+
+
+def test_draft_gives_way_to_what_waits_at_another_vm():
+    core = RoutedCore()
+    beat = RoutingBeat(
+        data_centre='gaspe',
+        address='127.0.0.2:1',
+        version=1,
+        revision=1,
+        reached=True,
+        stopping=False,
+        waiting={'llm': 1},
+    )
+    core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
+    assert core.arrive(build_call('d'), now=0.0) is None
+    urgent = build_call('u', priority=1, shared='s1')
+    assert core.arrive(urgent, now=0.0) is not None
+    # Plain services and VMs that are silent do not hold it up.
+    assert core.arrive(build_call('o', ONCE), now=0.0) is not None
+    [send] = list_sends(core.handle(Tick(), now=1.1))
+    assert send.call_id == 'd'
+
+
 # Trying again.
 
 
--- /dev/null
+++ b/tests/unit/test_routed_replays.py
@@ -0,0 +1,41 @@
+"""Load patterns replayed against several VMs and model engines."""
+
+import pytest
+
+from bench.routed.load import FLEETS, draw_arrivals
+from bench.routed.scenarios import find_scenario
+from bench.routed.simulation import (
+    OWN_POLICY,
+    Simulation,
+    SimulationSettings,
+)
+
+DURATION_S = 24.0
+
+
+def play(fleet, scenario_name, *, policy=OWN_POLICY, seed=1):
+    """Return the account of one run."""
+    settings = SimulationSettings(fleet, policy, seed, DURATION_S)
+    simulation = Simulation(settings)
+    scenario = find_scenario(scenario_name)
+    scenario.plan(simulation)
+    arrivals = draw_arrivals(
+        fleet,
+        scenario.rushes(fleet),
+        duration_s=DURATION_S,
+        seed=seed,
+    )
+    return simulation.run(arrivals)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_urgent_calls_are_not_put_behind_while_engines_are_emptied(seed):
+    """All engines but two are emptied; drafts of two seconds may wait long."""
+    ledger = play('maree', 'engines_emptied', seed=seed)
+    assert ledger.count_put_behind(FLEETS['maree']) == 0
+
+
+def test_baseline_puts_urgent_calls_behind_while_engines_are_emptied():
+    """The check above can fail: a router without a queue breaks it."""
+    ledger = play('maree', 'engines_emptied', policy='hash_apart')
+    assert ledger.count_put_behind(FLEETS['maree']) > 0
