Give way only to calls that lack room, and only on the same engines

Now a call counts as urgent only where it lacks room, by group of engines; streams with tight pauses give way on their own engines only.

--- a/src/bilberryspoke/_internal/core/routing/dispatching.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatching.py
@@ -5,6 +5,7 @@
 from bilberryspoke._internal.core.routing.peers import tell_work
 from bilberryspoke._internal.core.routing.placing import (
     Placement,
+    is_loyal,
     list_usable,
     place_call,
 )
@@ -13,6 +14,7 @@
     gives_way,
     is_overdue,
     list_in_order,
+    name_group,
 )
 from bilberryspoke._internal.core.routing.work import note_sent
 from bilberryspoke._internal.core.state import NodeState
@@ -42,12 +44,14 @@
     if not list_usable(state.routing, opened, now):
         _find_none(state, opened, before, now)
         return
-    if gives_way(state.routing, opened, now):
-        state.routing.waiting.add(opened)
-        return
-    placement = place_call(state.routing, opened, now)
+    placement = None
+    if not gives_way(state.routing, opened, now):
+        placement = place_call(state.routing, opened, now)
     if placement is None:
-        state.routing.waiting.add(opened)
+        group = None
+        if not is_loyal(opened.call, now):
+            group = name_group(state.routing, opened.call)
+        state.routing.waiting.add(opened, group)
         return
     _dispatch(state, opened, placement, now)
 
--- a/src/bilberryspoke/_internal/core/routing/placing.py
+++ b/src/bilberryspoke/_internal/core/routing/placing.py
@@ -84,7 +84,7 @@
         own = others or list_usable(routing, opened, now)
         others = []
     first = _take_in_time(routing, own, opened, now)
-    if first is not None or _is_loyal(opened.call, now):
+    if first is not None or is_loyal(opened.call, now):
         return first
     return _take_aside(routing, others, opened, now) or _take_soonest(
         routing,
@@ -102,6 +102,14 @@
     return len(gaps) > 1 and route.event_gap_s <= min(gaps)
 
 
+def is_loyal(call: RoutedCall, now: float) -> bool:
+    """Tell whether a call waits for the engine that keeps its prompt."""
+    shared = sum(part.tokens for part in call.parts[:-1])
+    if shared < _LOYAL_TOKENS:
+        return False
+    return now < call.arrived_at + call.route.target_s * _LOYAL_PART
+
+
 def _drop_doubtful(
     staying: list[UpstreamState],
     opened: OpenCall,
@@ -147,14 +155,6 @@
     return ranked[kept:], ranked[:kept]
 
 
-def _is_loyal(call: RoutedCall, now: float) -> bool:
-    """Tell whether a call waits for the engine that keeps its prompt."""
-    shared = sum(part.tokens for part in call.parts[:-1])
-    if shared < _LOYAL_TOKENS:
-        return False
-    return now < call.arrived_at + call.route.target_s * _LOYAL_PART
-
-
 def _take_in_time(
     routing: RoutingState,
     group: list[UpstreamState],
@@ -166,7 +166,7 @@
     A loyal call takes no other than the first.
     """
     patience_s = opened.call.route.target_s * _PATIENT_PART
-    loyal = _is_loyal(opened.call, now)
+    loyal = is_loyal(opened.call, now)
     for placement in _assess_all(routing, group, opened, now):
         if _has_room(placement) and placement.first_s <= patience_s:
             return placement
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -54,10 +54,15 @@
 
 @dataclass(slots=True)
 class WaitingRoom:
-    """Calls that wait for room at an upstream, in the order they came."""
+    """Calls that wait for room at an upstream, in the order they came.
+
+    A call that waits by choice, for the engine that keeps its prompt, holds
+    nobody up and does not count among the urgent ones.
+    """
 
     _calls: dict[str, OpenCall] = field(default_factory=dict)
     _counts: dict[str, Counter[int]] = field(default_factory=dict)
+    _groups: dict[str, str] = field(default_factory=dict)
 
     def __len__(self) -> int:
         """Return how many calls wait."""
@@ -67,32 +72,34 @@
         """Return the calls that wait."""
         return iter(self._calls.values())
 
-    def add(self, opened: OpenCall) -> None:
-        """Let a call wait; one that waits already keeps its place."""
+    def add(self, opened: OpenCall, group: str | None) -> None:
+        """Let a call wait; ``group`` names the engines it lacks, if any."""
+        self.discard(opened)
         call = opened.call
-        if call.call_id in self._calls:
-            return
         self._calls[call.call_id] = opened
-        counts = self._counts.setdefault(call.service, Counter())
+        if group is None:
+            return
+        self._groups[call.call_id] = group
+        counts = self._counts.setdefault(group, Counter())
         counts[call.priority] += 1
 
     def discard(self, opened: OpenCall) -> None:
         """Forget a call, if it waits."""
         call = opened.call
-        if self._calls.pop(call.call_id, None) is None:
+        self._calls.pop(call.call_id, None)
+        group = self._groups.pop(call.call_id, None)
+        if group is None:
             return
-        counts = self._counts[call.service]
+        counts = self._counts[group]
         counts[call.priority] -= 1
         if not counts[call.priority]:
             counts.pop(call.priority)
         if not counts:
-            self._counts.pop(call.service)
+            self._counts.pop(group)
 
     def find_most_urgent(self) -> dict[str, int]:
-        """Return the most urgent priority that waits, by service."""
-        return {
-            service: min(counts) for service, counts in self._counts.items()
-        }
+        """Return the most urgent priority that lacks room, by group."""
+        return {group: min(counts) for group, counts in self._counts.items()}
 
 
 @dataclass(slots=True)
@@ -130,7 +137,7 @@
     """Another VM; ``heard_at`` is in seconds of this VM's boot-time clock.
 
     ``work`` is by instance of the upstream, ``waiting`` the most urgent
-    priority that waits there by service.
+    priority that lacks room there by group of upstreams.
     """
 
     name: str
--- a/src/bilberryspoke/_internal/core/routing/waiting.py
+++ b/src/bilberryspoke/_internal/core/routing/waiting.py
@@ -2,6 +2,7 @@
 
 import math
 
+from bilberryspoke._internal.core.routing.placing import is_tight
 from bilberryspoke._internal.core.routing.state import OpenCall, RoutingState
 from bilberryspoke._internal.core.routing.work import list_heard
 from bilberryspoke._internal.models.routing import Route, RoutedCall
@@ -21,6 +22,7 @@
 _LEAST_PAUSE_S = 2.0
 _PAUSE_TARGETS = 4
 _PAUSE_GAPS = 8
+_TIGHT_SUFFIX = '/tight'
 
 
 def list_in_order(routing: RoutingState, now: float) -> list[OpenCall]:
@@ -39,14 +41,27 @@
     return sorted(routing.waiting, key=rank)
 
 
+def name_group(routing: RoutingState, call: RoutedCall) -> str:
+    """Return the name of the group of engines that a call belongs to."""
+    if is_tight(routing, call.route, call.service):
+        return call.service + _TIGHT_SUFFIX
+    return call.service
+
+
 def gives_way(routing: RoutingState, opened: OpenCall, now: float) -> bool:
-    """Tell whether something more urgent waits for room, here or elsewhere."""
+    """Tell whether something more urgent lacks room, here or elsewhere.
+
+    Streams with tight pauses have engines of their own, but take others as
+    well when those are full.
+    """
     call = opened.call
+    groups = {name_group(routing, call), call.service + _TIGHT_SUFFIX}
     tables = [peer.waiting for peer in list_heard(routing, now)]
     tables.append(routing.waiting.find_most_urgent())
     return any(
-        waiting.get(call.service, call.priority) < call.priority
+        waiting.get(group, call.priority) < call.priority
         for waiting in tables
+        for group in groups
     )
 
 
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -336,6 +336,31 @@
     assert send.call_id == 'd'
 
 
+def test_draft_that_waits_for_its_engine_by_choice_holds_nobody_up():
+    """A workspace with priority has its drafts where their notes are kept."""
+    core = RoutedCore()
+    first = core.arrive(build_call('d0', own_tokens=9000, priority=1), now=0.0)
+    waiting = build_call('d1', own_tokens=9000, priority=1)
+    assert core.arrive(waiting, now=0.0) is None
+    other = core.arrive(build_call('d2', shared='s1'), now=0.1)
+    assert other.instance != first.instance
+
+
+def test_stream_with_tight_pauses_gives_way_only_on_its_own_engines():
+    """A workspace of low priority asks for gap lists beside waiting drafts."""
+    core = RoutedCore()
+    beat = RoutingBeat('gaspe', '127.0.0.2:1', 1, 1, True, False)
+    beat.waiting = {'llm': 1}
+    core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
+    low = build_call('t1', TIGHT, own_tokens=10, priority=3)
+    assert core.arrive(low, now=0.0) is not None
+    beat.waiting = {'llm/tight': 0}
+    core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
+    low = build_call('t2', TIGHT, own_tokens=10, priority=3)
+    assert core.arrive(low, now=0.0) is None
+    assert core.arrive(build_call('d'), now=0.0) is None
+
+
 # Trying again.
 
 
