--- a/src/bilberryspoke/_internal/core/routing/dispatching.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatching.py
@@ -103,6 +103,7 @@
             {
                 'req_id': call.req_id,
                 'route': call.route.name,
+                'priority': call.priority,
                 'upstream': listed.instance,
                 'attempt': opened.attempt,
                 'uncached': placement.owed,
--- a/src/bilberryspoke/_internal/core/routing/ending.py
+++ b/src/bilberryspoke/_internal/core/routing/ending.py
@@ -67,6 +67,7 @@
     facts: dict[str, object] = {
         'req_id': call.req_id,
         'route': call.route.name,
+        'priority': call.priority,
         'reason': reason,
         'not_run': not_run,
         'attempts': opened.attempt,
