--- a/src/bilberryspoke/_internal/core/routing/dispatching.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatching.py
@@ -156,5 +156,6 @@
     table = state.routing.table
     longest_s = 0.0
     if table is not None:
-        longest_s = table.find_longest_target(call.service, call.priority)
+        priority = min(call.priority, call.route.priority)
+        longest_s = table.find_longest_target(call.service, priority)
     return is_overdue(opened, now, longest_target_s=longest_s)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -81,7 +81,7 @@
             return
         self._groups[call.call_id] = group
         counts = self._counts.setdefault(group, Counter())
-        counts[call.priority] += 1
+        counts[call.rank] += 1
 
     def discard(self, opened: OpenCall) -> None:
         """Forget a call, if it waits."""
@@ -91,14 +91,14 @@
         if group is None:
             return
         counts = self._counts[group]
-        counts[call.priority] -= 1
-        if not counts[call.priority]:
-            counts.pop(call.priority)
+        counts[call.rank] -= 1
+        if not counts[call.rank]:
+            counts.pop(call.rank)
         if not counts:
             self._counts.pop(group)
 
     def find_most_urgent(self) -> dict[str, int]:
-        """Return the most urgent priority that lacks room, by group."""
+        """Return the most urgent rank that lacks room, by group."""
         return {group: min(counts) for group, counts in self._counts.items()}
 
 
@@ -137,7 +137,7 @@
     """Another VM; ``heard_at`` is in seconds of this VM's boot-time clock.
 
     ``work`` is by instance of the upstream, ``waiting`` the most urgent
-    priority that lacks room there by group of upstreams.
+    rank that lacks room there by group of upstreams.
     """
 
     name: str
--- a/src/bilberryspoke/_internal/core/routing/waiting.py
+++ b/src/bilberryspoke/_internal/core/routing/waiting.py
@@ -36,7 +36,7 @@
         call = opened.call
         due_at = call.arrived_at + call.route.target_s
         late = now + _SERVING_S > due_at
-        return (call.priority, late, due_at)
+        return (call.rank, late, due_at)
 
     return sorted(routing.waiting, key=rank)
 
@@ -59,7 +59,7 @@
     tables = [peer.waiting for peer in list_heard(routing, now)]
     tables.append(routing.waiting.find_most_urgent())
     return any(
-        waiting.get(group, call.priority) < call.priority
+        waiting.get(group, call.rank) < call.rank
         for waiting in tables
         for group in groups
     )
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -158,7 +158,7 @@
 
     ``revision`` is the store's, as of which the sender knows the upstreams;
     ``reached`` tells that it reaches the store. ``waiting`` holds the most
-    urgent priority that lacks room, by group of upstreams.
+    urgent rank that lacks room, by group of upstreams.
     """
 
     data_centre: str
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+# Priorities of routes that are told apart among calls of equal workspaces.
+_RANKS = 100
+
 
 class Repeats(StrEnum):
     """How often a call of a route may run.
@@ -119,7 +122,7 @@
         """Return the longest latency target of less urgent routes, or 0."""
         targets = self.targets_of_service.get(service, {})
         return max(
-            (target_s for rank, target_s in targets.items() if rank > priority),
+            (targets[other] for other in targets if other > priority),
             default=0.0,
         )
 
@@ -191,6 +194,15 @@
     parts: tuple[PromptPart, ...] = ()
     last_event: int | None = None
 
+    @property
+    def rank(self) -> int:
+        """Order of urgency, the most urgent first.
+
+        A workspace's priority outranks those of routes; among calls of equal
+        workspaces those of the routes decide.
+        """
+        return self.priority * _RANKS + min(_RANKS - 1, self.route.priority)
+
     @property
     def may_run_again(self) -> bool:
         """Whether another run may follow one that has not answered at all."""
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -11,6 +11,7 @@
     _MOST_OWED,
     _MOST_OWED_ASIDE,
 )
+from bilberryspoke._internal.core.routing.waiting import list_in_order
 from bilberryspoke._internal.core.routing.work import measure_own
 from bilberryspoke._internal.models.effects import SendPeer
 from bilberryspoke._internal.models.events import PeerReceived, Tick
@@ -324,11 +325,11 @@
         revision=1,
         reached=True,
         stopping=False,
-        waiting={'llm': 1},
+        waiting={'llm': SHORT.priority * 101},
     )
     core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
     assert core.arrive(build_call('d'), now=0.0) is None
-    urgent = build_call('u', priority=1, shared='s1')
+    urgent = build_call('u', SHORT, shared='s1')
     assert core.arrive(urgent, now=0.0) is not None
     # Plain services and VMs that are silent do not hold it up.
     assert core.arrive(build_call('o', ONCE), now=0.0) is not None
@@ -336,6 +337,31 @@
     assert send.call_id == 'd'
 
 
+def test_routes_decide_among_workspaces_of_equal_priority():
+    """All workspaces have a priority of their own, which outranks routes'."""
+    core = RoutedCore()
+    fill(core, 0.0)
+    for call_id, route, priority in (
+        ('late', DRAFTS, 1),
+        ('low', SHORT, 2),
+        ('high', DRAFTS, 0),
+        ('short', SHORT, 1),
+    ):
+        plain = build_call(
+            call_id,
+            route,
+            now=0.1,
+            priority=priority,
+            parts=(),
+            prompt_tokens=3000,
+        )
+        assert core.arrive(plain, now=0.1) is None
+    waiting = list_in_order(core.routing, 0.1)
+    order = [opened.call.call_id for opened in waiting]
+    ours = [each for each in order if not each.startswith('f')]
+    assert ours == ['high', 'short', 'late', 'low']
+
+
 def test_draft_that_waits_for_its_engine_by_choice_holds_nobody_up():
     """A workspace with priority has its drafts where their notes are kept."""
     core = RoutedCore()
@@ -350,7 +376,7 @@
     """A workspace of low priority asks for gap lists beside waiting drafts."""
     core = RoutedCore()
     beat = RoutingBeat('gaspe', '127.0.0.2:1', 1, 1, True, False)
-    beat.waiting = {'llm': 1}
+    beat.waiting = {'llm': 100}
     core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
     low = build_call('t1', TIGHT, own_tokens=10, priority=3)
     assert core.arrive(low, now=0.0) is not None
