--- a/fakes/batching.py
+++ b/fakes/batching.py
@@ -43,8 +43,8 @@
     @property
     def events(self) -> int:
         """Events that are complete by now."""
-        whole = self.produced // EVENT_TOKENS
-        return whole if self.left else whole + (self.produced > 0)
+        made = self.produced if self.left else self.produced + EVENT_TOKENS - 1
+        return made // EVENT_TOKENS
 
     @property
     def urgency(self) -> tuple[int, int]:
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -15,6 +15,8 @@
 import aiohttp
 from yarl import URL
 
+from fakes import scripts as scripts
+from fakes.modelengine import ModelEngine
 from fakes.store import StoreStandIn
 from fakes.upstream import UpstreamStandIn
 from tests.lib.platformdata import (
@@ -105,16 +107,13 @@
 
     async def add_upstream(
         self,
-        instance: str,
+        upstream: UpstreamStandIn,
         service: str,
-        default: str,
-    ) -> UpstreamStandIn:
+    ) -> None:
         """Start an upstream and list it."""
-        upstream = UpstreamStandIn(instance, default)
         await upstream.start()
-        self.upstreams[instance] = upstream
-        self.list_upstream(instance, service)
-        return upstream
+        self.upstreams[upstream.instance] = upstream
+        self.list_upstream(upstream.instance, service)
 
     def list_upstream(self, instance: str, service: str, **changes) -> None:
         """Write an upstream's entry."""
@@ -188,9 +187,13 @@
     nodes: int = 1,
     plain: int = 2,
     engines: int = 2,
+    models: int = 0,
     reserve: int = 56,
 ) -> AsyncIterator[RoutedFleet]:
-    """Run a store, upstreams and routing processes that are ready."""
+    """Run a store, upstreams and routing processes that are ready.
+
+    ``engines`` answer by script, ``models`` as model engines do.
+    """
     store = StoreStandIn()
     await store.start()
     store.put('op/config', build_config())
@@ -202,13 +205,18 @@
             aiohttp.ClientSession(
                 connector=connector,
                 auto_decompress=False,
+                timeout=aiohttp.ClientTimeout(total=WAIT_S),
             ),
         )
         fleet = RoutedFleet(store, session)
         for number in range(plain):
-            await fleet.add_upstream(f'i-app{number}', 'app', 'whole')
+            plain_one = UpstreamStandIn(f'i-app{number}', 'whole')
+            await fleet.add_upstream(plain_one, 'app')
         for number in range(engines):
-            await fleet.add_upstream(f'i-llm{number}', 'llm', 'stream')
+            scripted = UpstreamStandIn(f'i-llm{number}', 'stream')
+            await fleet.add_upstream(scripted, 'llm')
+        for number in range(models):
+            await fleet.add_upstream(ModelEngine(f'i-model{number}'), 'llm')
         for upstream in fleet.upstreams.values():
             stack.push_async_callback(upstream.stop)
         fleet.nodes = _make_nodes(store, nodes, Path(folder), reserve)
--- a/tests/unit/test_batching.py
+++ b/tests/unit/test_batching.py
@@ -88,6 +88,17 @@
     assert engine.is_idle
 
 
+def test_last_event_holds_what_is_left():
+    engine = BatchEngine()
+    events = {}
+    for left in (3, 4):
+        sequence = build_sequence(f's{left}', left=left)
+        engine.submit(sequence)
+        step_until_idle(engine)
+        events[left] = sequence.events
+    assert events == {3: 1, 4: 2}
+
+
 def test_least_used_parts_yield_to_what_runs():
     engine = BatchEngine(memory=1000)
     for name in ('a', 'b'):
