One token bucket, one watch over a daemon's tasks; drop settings nothing reads

Left by earlier work: the decision log had a bucket of its own beside that of rate limits (the burst is now an argument), both daemons watched their tasks by the same lines, and data centres, descriptors, the upstreams' beat and the drain and apply bounds were decoded and carried and never read; neither were the data centre and the stop of a VM in its beats (now some bytes shorter) nor a send's status code.

--- a/src/bilberryspoke/_internal/core/limits.py
+++ b/src/bilberryspoke/_internal/core/limits.py
@@ -2,27 +2,14 @@
 
 from dataclasses import dataclass, field
 
-_BURST_S = 2.0
-
+from bilberryspoke._internal.utils.bucket import TokenBucket
 
-@dataclass(slots=True)
-class Bucket:
-    """Token bucket; ``rate`` is in requests a second."""
+_BURST_S = 2.0
 
-    rate: float
-    balance: float
-    filled_at: float
 
-    def take(self, now: float) -> float:
-        """Take one token; return 0, or the seconds until one is there."""
-        gained = (now - self.filled_at) * self.rate
-        ceiling = max(1.0, self.rate * _BURST_S)
-        self.balance = min(ceiling, self.balance + gained)
-        self.filled_at = now
-        if self.balance >= 1:
-            self.balance -= 1
-            return 0.0
-        return (1 - self.balance) / self.rate
+def find_burst(rate: float) -> float:
+    """Return the most tokens that a bucket of a rate holds."""
+    return max(1.0, rate * _BURST_S)
 
 
 @dataclass(slots=True)
@@ -34,13 +21,15 @@
     of owner, and each side of a partition, adds at most one burst.
     """
 
-    buckets: dict[str, Bucket] = field(default_factory=dict)
+    buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
     def take(self, subject: str, rate: float, now: float) -> float:
         """Charge one request; return the seconds to wait, 0 if admitted."""
+        burst = find_burst(rate)
         bucket = self.buckets.get(subject)
         if bucket is None:
-            bucket = Bucket(rate, max(1.0, rate * _BURST_S), now)
+            bucket = TokenBucket(rate, burst, now)
             self.buckets[subject] = bucket
         bucket.rate = rate
+        bucket.burst = burst
         return bucket.take(now)
--- a/src/bilberryspoke/_internal/core/orderbook.py
+++ b/src/bilberryspoke/_internal/core/orderbook.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from bilberryspoke._internal.core.limits import Bucket
+from bilberryspoke._internal.utils.bucket import TokenBucket
 
 
 @dataclass(slots=True)
@@ -24,4 +24,4 @@
 
     owned_since: dict[str, float] = field(default_factory=dict)
     engines: dict[str, EngineOrders] = field(default_factory=dict)
-    weights: Bucket | None = None
+    weights: TokenBucket | None = None
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -66,11 +66,9 @@
         name=sender,
         address=message.address,
         heard_at=now,
-        data_centre=message.data_centre,
         version=message.version,
         revision=message.revision,
         reached=message.reached,
-        stopping=message.stopping,
         work={
             each.instance: PeerWork(each.owed, each.calls)
             for each in message.work
@@ -224,12 +222,10 @@
         if own.calls:
             work.append(UpstreamWork(instance, own.owed, own.calls))
     return RoutingBeat(
-        data_centre=state.settings.data_centre,
         address=state.settings.peer_address,
         version=routing.table.version if routing.table else 0,
         revision=routing.revision,
         reached=routing.reached,
-        stopping=state.stopping,
         work=work,
         waiting=routing.waiting.find_most_urgent(),
     )
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -143,11 +143,9 @@
     name: str
     address: str
     heard_at: float
-    data_centre: str = ''
     version: int = 0
     revision: int = 0
     reached: bool = False
-    stopping: bool = False
     work: dict[str, PeerWork] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
 
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -161,12 +161,10 @@
     urgent rank that lacks room, by group of upstreams.
     """
 
-    data_centre: str
     address: str
     version: int
     revision: int
     reached: bool
-    stopping: bool
     work: list[UpstreamWork] = []
     waiting: dict[str, int] = {}
 
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -84,14 +84,12 @@
     """A send to an upstream ended.
 
     ``delivered`` tells that the caller already has a part of the answer.
-    ``status_code`` is the upstream's, or 0 if it gave none.
     """
 
     call_id: str
     attempt: int
     status: SendStatus
     detail: str = ''
-    status_code: int = 0
     delivered: bool = False
     last_event: int | None = None
 
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -25,6 +25,7 @@
     make_server,
 )
 from bilberryspoke._internal.network.loads import LoadPoller, OrderGiver
+from bilberryspoke._internal.network.loops import Loops
 from bilberryspoke._internal.network.peers import PeerTransport
 from bilberryspoke._internal.network.platform import PlatformClient
 from bilberryspoke._internal.network.runtime import Runtime
@@ -85,7 +86,7 @@
         self._settings = settings
         self._stop = asyncio.Event()
         self._cut = asyncio.Event()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._loops = Loops(self._stop)
 
     async def run(self) -> int:
         """Run until told to stop; return the exit code."""
@@ -102,9 +103,7 @@
         for server in parts.servers:
             server.should_exit = True
         await asyncio.wait(serving, timeout=_SHUT_S)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._loops.cancel()
         await parts.close()
         logger.info('stopped', requests_cut=cut)
         return 1 if cut else 0
@@ -122,10 +121,7 @@
             parts.follower.follow(),
             parts.follower.follow_list(),
         )
-        for loop in loops:
-            task = asyncio.create_task(loop)
-            task.add_done_callback(self._notice_end)
-            self._tasks.append(task)
+        self._loops.start(loops)
         return serving
 
     def _install_signals(self) -> None:
@@ -138,12 +134,6 @@
             self._cut.set()
         self._stop.set()
 
-    def _notice_end(self, task: asyncio.Task[Any]) -> None:
-        if task.cancelled() or self._stop.is_set():
-            return
-        logger.error('task_ended', cause=repr(task.exception()))
-        self._stop.set()
-
     async def _drain(self, runtime: Runtime) -> int:
         """Serve what is open; return how many requests were cut off."""
         settings = self._settings.stop
--- a/src/bilberryspoke/_internal/network/decisionlog.py
+++ b/src/bilberryspoke/_internal/network/decisionlog.py
@@ -10,6 +10,7 @@
 import structlog
 
 from bilberryspoke._internal.metrics.counters import Counters
+from bilberryspoke._internal.utils.bucket import TokenBucket
 
 # Lines a second and at most at once; urgent ones have a bound of their own.
 _ROUTINE_LINES_PER_S = 60
@@ -17,22 +18,6 @@
 _PENDING_LINES = 2000
 
 
-@dataclass(slots=True)
-class _Allowance:
-    per_s: float
-    balance: float
-    filled_at: float = 0.0
-
-    def take(self, now: float) -> bool:
-        gained = (now - self.filled_at) * self.per_s
-        self.filled_at = now
-        self.balance = min(self.per_s, self.balance + gained)
-        if self.balance < 1:
-            return False
-        self.balance -= 1
-        return True
-
-
 @dataclass(slots=True)
 class DecisionLog:
     """Writes a line for each decision within its allowance.
@@ -42,14 +27,14 @@
     """
 
     counters: Counters
-    routine: _Allowance = field(
-        default_factory=lambda: _Allowance(
+    routine: TokenBucket = field(
+        default_factory=lambda: TokenBucket(
             _ROUTINE_LINES_PER_S,
             _ROUTINE_LINES_PER_S,
         ),
     )
-    urgent: _Allowance = field(
-        default_factory=lambda: _Allowance(
+    urgent: TokenBucket = field(
+        default_factory=lambda: TokenBucket(
             _URGENT_LINES_PER_S,
             _URGENT_LINES_PER_S,
         ),
@@ -66,7 +51,7 @@
     ) -> None:
         """Write a line, or count it as left out."""
         allowance = self.urgent if urgent else self.routine
-        if not allowance.take(now):
+        if allowance.take(now):
             self.left_out += 1
             self.counters.add('log_lines_left_out')
             return
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -29,6 +29,7 @@
     QuietServer,
     make_routed_server,
 )
+from bilberryspoke._internal.network.loops import Loops
 from bilberryspoke._internal.network.peers import PeerTransport
 from bilberryspoke._internal.network.routing.border import Border
 from bilberryspoke._internal.network.routing.discovery import (
@@ -80,7 +81,7 @@
         self._path = settings_path
         self._read = read
         self._stop = asyncio.Event()
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._loops = Loops(self._stop)
 
     async def run(self) -> int:
         """Run until told to stop; return the exit code."""
@@ -152,10 +153,7 @@
             follower.follow_routes(),
             follower.follow_upstreams(),
         )
-        for loop in loops:
-            task = asyncio.create_task(loop)
-            task.add_done_callback(self._notice_end)
-            self._tasks.append(task)
+        self._loops.start(loops)
         return serving
 
     def _install_signals(self) -> None:
@@ -174,12 +172,6 @@
         changed = found.ok != self._settings
         logger.info('reloaded', changed=changed)
 
-    def _notice_end(self, task: asyncio.Task[Any]) -> None:
-        if task.cancelled() or self._stop.is_set():
-            return
-        logger.error('task_ended', cause=repr(task.exception()))
-        self._stop.set()
-
     async def _drain(
         self,
         parts: _Parts,
@@ -196,9 +188,7 @@
             server.should_exit = True
         left_s = max(0, limit_at - time.monotonic())
         await asyncio.wait(serving, timeout=left_s)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._loops.cancel()
         parts.runtime.peers.close()
         await parts.sender.close()
         await parts.store.close()
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -50,7 +50,6 @@
 
     status: SendStatus
     detail: str = ''
-    code: int = 0
 
 
 class CallSender:
@@ -94,7 +93,6 @@
             attempt=effect.attempt,
             status=ending.status,
             detail=ending.detail,
-            status_code=ending.code,
             delivered=delivered or exchange.started,
             last_event=exchange.last_event,
         )
@@ -139,11 +137,11 @@
             refused = SendStatus.refused
             if answer.misdirected:
                 refused = SendStatus.misdirected
-            return _Ending(refused, detail, resp.status)
+            return _Ending(refused, detail)
         if answer.encoded or not answer.sealed:
             resp.close()
             detail = f'status {resp.status} without the seal of an upstream'
-            return _Ending(SendStatus.broken, detail, resp.status)
+            return _Ending(SendStatus.broken, detail)
         body = _Body(resp, answer, used.end if used else None)
         if resp.status == 200 and exchange.call.route.streams:
             return await self._pass_events(exchange, effect, body)
@@ -171,13 +169,13 @@
         whole = HeldAnswer(status, body.answer.passed, bytes(held))
         if status >= 500 and not exchange.started:
             exchange.held = whole
-            return _Ending(SendStatus.failed, f'status {status}', status)
+            return _Ending(SendStatus.failed, f'status {status}')
         if exchange.started:
             await exchange.finish(whole.body)
         else:
             self._report(SendProgressed(effect.call_id, effect.attempt))
             await exchange.give_whole(whole)
-        return _Ending(SendStatus.finished, f'status {status}', status)
+        return _Ending(SendStatus.finished, f'status {status}')
 
     async def _pass_events(
         self,
@@ -205,7 +203,7 @@
         if not exchange.started:
             await exchange.start(200, _drop_length(body.answer))
         await exchange.finish()
-        return _Ending(SendStatus.finished, 'status 200', 200)
+        return _Ending(SendStatus.finished, 'status 200')
 
 
 @dataclass(slots=True)
--- a/src/bilberryspoke/_internal/platform/boot.py
+++ b/src/bilberryspoke/_internal/platform/boot.py
@@ -15,7 +15,6 @@
 # Asked by the platform's balancer at the ready address.
 READY_PATH = '/-/ready'
 
-_MS_PER_S = 1000.0
 
 Address = Annotated[str, Field(pattern='^[^:\\s]+:[0-9]+$')]
 
@@ -38,15 +37,8 @@
     control: Address | None = None
 
 
-class _Limits(_BootModel):
-    memory_mb: float = Field(default=150, gt=0)
-    max_fds: int = Field(default=4100, gt=0)
-
-
 class _Bounds(_BootModel):
-    drain_ms: float = Field(default=2000, gt=0)
     grace_s: float = Field(default=8, gt=0)
-    config_apply_ms: float = Field(default=2000, gt=0)
     retry_budget_ratio: float = Field(default=0.2, ge=0)
     budget_window_s: float = Field(default=10, gt=0)
     retry_budget_slack: float = Field(default=0, ge=0)
@@ -60,17 +52,12 @@
     node: str = Field(min_length=1)
     ip: str = Field(min_length=1)
     zone: str = Field(min_length=1)
-    # Data centre to region; the region is not used.
-    zones: dict[str, str] = {}
     listen: _Listen
     # First and last port that are free between the VMs.
     internal_ports: tuple[int, int]
     seeds: tuple[Address, ...] = ()
-    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
     platform: _Store
-    # Interval at which upstreams renew their entry in the store.
-    heartbeat_ms: float = Field(default=1200, gt=0)
 
 
 def read_boot_settings(path: Path) -> Result[NodeSettings, list[Finding]]:
@@ -103,7 +90,6 @@
     return NodeSettings(
         vm=boot.node,
         data_centre=boot.zone,
-        data_centres=tuple(sorted(boot.zones)) or (boot.zone,),
         ip=boot.ip,
         entry_address=boot.listen.front,
         ready_address=boot.listen.ready,
@@ -111,12 +97,8 @@
         metrics_port=boot.internal_ports[1],
         seed_hosts=tuple(seed.rsplit(':', 1)[0] for seed in boot.seeds),
         store_address=boot.platform.address,
-        max_descriptors=boot.limits.max_fds,
-        upstream_beat_s=boot.heartbeat_ms / _MS_PER_S,
         bounds=PromisedBounds(
-            drain_s=bounds.drain_ms / _MS_PER_S,
             stop_s=bounds.grace_s,
-            apply_s=bounds.config_apply_ms / _MS_PER_S,
             retry_share=bounds.retry_budget_ratio,
             retry_window_s=bounds.budget_window_s,
             retry_reserve=bounds.retry_budget_slack,
--- a/tests/unit/test_routed_decisions.py
+++ b/tests/unit/test_routed_decisions.py
@@ -153,12 +153,10 @@
     preferred = core.arrive(build_call('d0'), now=0.0).instance
     core = RoutedCore()
     beat = RoutingBeat(
-        data_centre='gaspe',
         address='127.0.0.2:1',
         version=1,
         revision=1,
         reached=True,
-        stopping=False,
         work=[UpstreamWork(preferred, 50_000, 9)],
     )
     core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
@@ -215,7 +213,7 @@
 def test_call_of_another_vm_counts_before_its_next_beat():
     """Eight VMs meet a burst at once, each with a view a tenth old."""
     first, second = RoutedCore(), RoutedCore()
-    beat = RoutingBeat('gaspe', '127.0.0.2:1', 1, 1, True, False)
+    beat = RoutingBeat('127.0.0.2:1', 1, 1, True)
     for core in (first, second):
         core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
     effects = first.handle(CallArrived(build_call('d0')), now=0.01)
@@ -229,7 +227,7 @@
 def test_prompt_that_another_vm_has_read_makes_room_at_once():
     """Drafts must not leave an engine idle until the next beat."""
     first, second = RoutedCore(), RoutedCore()
-    beat = RoutingBeat('gaspe', '127.0.0.2:1', 1, 1, True, False)
+    beat = RoutingBeat('127.0.0.2:1', 1, 1, True)
     for core in (first, second):
         core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
     effects = first.handle(
@@ -319,12 +317,10 @@
 def test_draft_gives_way_to_what_waits_at_another_vm():
     core = RoutedCore()
     beat = RoutingBeat(
-        data_centre='gaspe',
         address='127.0.0.2:1',
         version=1,
         revision=1,
         reached=True,
-        stopping=False,
         waiting={'llm': SHORT.priority * 101},
     )
     core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
@@ -375,7 +371,7 @@
 def test_stream_with_tight_pauses_gives_way_only_on_its_own_engines():
     """A workspace of low priority asks for gap lists beside waiting drafts."""
     core = RoutedCore()
-    beat = RoutingBeat('gaspe', '127.0.0.2:1', 1, 1, True, False)
+    beat = RoutingBeat('127.0.0.2:1', 1, 1, True)
     beat.waiting = {'llm': 100}
     core.handle(PeerReceived('vm-2', 1, beat), now=0.0)
     low = build_call('t1', TIGHT, own_tokens=10, priority=3)
