--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 bench: $(VENV)/.ready
 	$(BIN)/python -m bench
 	$(BIN)/python -m bench.plots
+	$(BIN)/python -m bench.routed
 	$(BIN)/python -m bench.speed
 	$(BIN)/python -m bench.live
 
