Read the change again: one way to charge a bucket, patience judged in one place

Found: a bucket took an opening balance and overwrote it; rate limits and orders each set rate and burst by hand before they took a token; the patience of a waiting call was put together in the module that places calls; three executors passed the same kind of command to a call's task; the bench summed its counters through the type of the first one.

--- a/bench/routed/simulation.py
+++ b/bench/routed/simulation.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -335,10 +336,9 @@
             for entry in self.ledger.entries.values()
             for part in entry.arrival.parts
         }
-        reads = sum(
-            (engine.model.reads for engine in self.engines.values()),
-            start=type(next(iter(self.engines.values())).model.reads)(),
-        )
+        reads: Counter[str] = Counter()
+        for engine in self.engines.values():
+            reads.update(engine.model.reads)
         self.ledger.read_again = sum(
             tokens[name] * (count - 1) for name, count in reads.items()
         )
--- a/src/bilberryspoke/_internal/core/limits.py
+++ b/src/bilberryspoke/_internal/core/limits.py
@@ -7,8 +7,19 @@
 _BURST_S = 2.0
 
 
-def find_burst(rate: float) -> float:
-    """Return the most tokens that a bucket of a rate holds."""
+def make_bucket(rate: float, now: float) -> TokenBucket:
+    """Return a full bucket of a rate that may change."""
+    return TokenBucket(rate, _find_burst(rate), now)
+
+
+def charge(bucket: TokenBucket, rate: float, now: float) -> float:
+    """Take one token at the present rate; return the seconds to wait."""
+    bucket.rate = rate
+    bucket.burst = _find_burst(rate)
+    return bucket.take(now)
+
+
+def _find_burst(rate: float) -> float:
     return max(1.0, rate * _BURST_S)
 
 
@@ -25,11 +36,8 @@
 
     def take(self, subject: str, rate: float, now: float) -> float:
         """Charge one request; return the seconds to wait, 0 if admitted."""
-        burst = find_burst(rate)
         bucket = self.buckets.get(subject)
         if bucket is None:
-            bucket = TokenBucket(rate, burst, now)
+            bucket = make_bucket(rate, now)
             self.buckets[subject] = bucket
-        bucket.rate = rate
-        bucket.burst = burst
-        return bucket.take(now)
+        return charge(bucket, rate, now)
--- a/src/bilberryspoke/_internal/core/orders.py
+++ b/src/bilberryspoke/_internal/core/orders.py
@@ -8,7 +8,7 @@
 before its first one.
 """
 
-from bilberryspoke._internal.core.limits import find_burst
+from bilberryspoke._internal.core.limits import charge, make_bucket
 from bilberryspoke._internal.core.orderbook import EngineOrders
 from bilberryspoke._internal.core.policies.registry import find_policy
 from bilberryspoke._internal.core.reducer import on_event
@@ -16,7 +16,6 @@
 from bilberryspoke._internal.models.catalog import Pool, Upstream
 from bilberryspoke._internal.models.effects import Count, Log, OrderUpstream
 from bilberryspoke._internal.models.events import LoadReported, OrderEnded
-from bilberryspoke._internal.utils.bucket import TokenBucket
 
 ORDER_DELAY_S = 10.0
 _SETTLE_S = 2.0
@@ -113,8 +112,6 @@
     rate = state.settings.weights_per_s / members
     book = state.orders
     if book.weights is None:
-        book.weights = TokenBucket(rate, find_burst(rate), now)
+        book.weights = make_bucket(rate, now)
         book.weights.balance = 1.0
-    book.weights.rate = rate
-    book.weights.burst = find_burst(rate)
-    return book.weights.take(now) == 0
+    return charge(book.weights, rate, now) == 0
--- a/src/bilberryspoke/_internal/core/routing/dispatching.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatching.py
@@ -144,18 +144,8 @@
 def serve_waiting(state: NodeState, now: float) -> None:
     """Place the waiting calls for which there is room by now."""
     for opened in list_in_order(state.routing, now):
-        if _is_overdue(state, opened, now):
+        if is_overdue(state.routing, opened, now):
             refuse_call(state, opened, 'no_room', now)
             continue
         state.routing.waiting.discard(opened)
         place_or_wait(state, opened, now)
-
-
-def _is_overdue(state: NodeState, opened: OpenCall, now: float) -> bool:
-    call = opened.call
-    table = state.routing.table
-    longest_s = 0.0
-    if table is not None:
-        priority = min(call.priority, call.route.priority)
-        longest_s = table.find_longest_target(call.service, priority)
-    return is_overdue(opened, now, longest_target_s=longest_s)
--- a/src/bilberryspoke/_internal/core/routing/matching.py
+++ b/src/bilberryspoke/_internal/core/routing/matching.py
@@ -24,7 +24,7 @@
 
     @property
     def priority(self) -> int:
-        """Rank of the call; the workspace's own goes first."""
+        """Priority of the call; the workspace's own goes first."""
         if self.owner.priority is None:
             return self.route.priority
         return self.owner.priority
--- a/src/bilberryspoke/_internal/core/routing/waiting.py
+++ b/src/bilberryspoke/_internal/core/routing/waiting.py
@@ -65,24 +65,22 @@
     )
 
 
-def is_overdue(
-    opened: OpenCall,
-    now: float,
-    *,
-    longest_target_s: float,
-) -> bool:
+def is_overdue(routing: RoutingState, opened: OpenCall, now: float) -> bool:
     """Tell whether a call that waits should be turned away.
 
     Its target is missed by then, and what has come since may still meet its
     own. It is not turned away sooner than less urgent calls to the same
-    service, of which ``longest_target_s`` is the longest target, but before
-    its caller leaves. A call that may have run is kept: it can not be
-    promised not to.
+    service, but before its caller leaves. A call that may have run is kept:
+    it can not be promised not to.
     """
     call = opened.call
     if opened.may_have_run:
         return False
-    target_s = max(call.route.target_s, longest_target_s)
+    priority = min(call.priority, call.route.priority)
+    target_s = max(
+        call.route.target_s,
+        routing.table.find_longest_target(call.service, priority),
+    )
     limit = min(
         call.arrived_at + target_s * _PATIENCE_TARGETS,
         call.arrived_at + _find_pause_s(call.route) - _RESERVE_S,
--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -16,21 +16,13 @@
 
 
 @executes(Send)
-def start_send(runtime: Runtime, effect: Send) -> None:
-    """Pass a send to the routed call it belongs to."""
-    _command_routed(runtime, effect)
-
-
 @executes(PassOn)
-def pass_failure_on(runtime: Runtime, effect: PassOn) -> None:
-    """Let a routed call give its upstream's failure."""
-    _command_routed(runtime, effect)
-
-
 @executes(Refuse)
-def refuse_call(runtime: Runtime, effect: Refuse) -> None:
-    """Let a routed call answer without its upstream."""
-    _command_routed(runtime, effect)
+def command_call(runtime: Runtime, effect: Send | PassOn | Refuse) -> None:
+    """Pass a command to the task of the routed call it belongs to."""
+    exchange = runtime.calls.get(effect.call_id)
+    if exchange is not None:
+        exchange.commands.put_nowait(effect)
 
 
 @executes(StopSend)
@@ -75,9 +67,3 @@
         runtime.note('passed_routes_refused', facts, urgent=True)
         return
     runtime.submit(RoutesOffered(decoded.ok, effect.source))
-
-
-def _command_routed(runtime: Runtime, effect: Send | PassOn | Refuse) -> None:
-    exchange = runtime.calls.get(effect.call_id)
-    if exchange is not None:
-        exchange.commands.put_nowait(effect)
--- a/src/bilberryspoke/_internal/utils/bucket.py
+++ b/src/bilberryspoke/_internal/utils/bucket.py
@@ -1,6 +1,6 @@
 """Token bucket, for limits on how often something may happen."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
@@ -13,7 +13,7 @@
     rate: float
     burst: float
     filled_at: float = 0.0
-    balance: float = -1.0
+    balance: float = field(init=False)
 
     def __post_init__(self) -> None:
         """Fill the bucket."""
