--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -46,6 +46,12 @@
     return Route(**fields)
 
 
+SHORT = build_route(
+    target_s=0.5,
+    timeout_s=4.0,
+    priority=1,
+    event_gap_s=0.3,
+)
 TIGHT = build_route(
     'gaps',
     target_s=0.3,
@@ -197,3 +203,29 @@
     """Return the only send or refusal among effects, if there is one."""
     found = [each for each in effects if isinstance(each, Send | Refuse)]
     return found[0] if found else None
+
+
+def list_tight_engines(core: RoutedCore) -> set[str]:
+    """Return the engines that streams with tight pauses are sent to."""
+    sent = set()
+    for number in range(60):
+        send = core.arrive(
+            build_call(f't{number}', TIGHT, own_tokens=10, shared=str(number)),
+            now=0.0,
+        )
+        sent.add(send.instance)
+        core.end(send, SendStatus.finished, now=0.0)
+    return sent
+
+
+def list_sends(effects: list[object]) -> list[Send]:
+    """Return the sends among effects."""
+    return [each for each in effects if isinstance(each, Send)]
+
+
+def fill(core: RoutedCore, now: float) -> None:
+    """Let so many drafts arrive that no engine has room."""
+    for number in range(300):
+        call = build_call(f'f{number}', shared=f's{number}', now=now)
+        if core.arrive(call, now=now) is None and number > 60:
+            break
