--- a/bench/routed/simulation.py
+++ b/bench/routed/simulation.py
@@ -5,25 +5,27 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
+from dataclasses import dataclass
 
 from bench.routed.baselines import BaselineRouter
 from bench.routed.ledger import Entry, Ledger
 from bench.routed.load import (
     ENGINES,
-    SERVICE,
     VMS,
     Arrival,
     build_table,
 )
-from bilberryspoke._internal.core import Core, CoreSettings
+from bench.routed.parts import (
+    EngineNode,
+    Router,
+    find_patience_s,
+    list_engine,
+    make_call,
+    make_core,
+)
 from bilberryspoke._internal.models.effects import SendPeer
 from bilberryspoke._internal.models.events import PeerReceived, Tick
-from bilberryspoke._internal.models.node import PromisedBounds
 from bilberryspoke._internal.models.routing import (
-    ListedUpstream,
-    RoutedCall,
     SendStatus,
 )
 from bilberryspoke._internal.models.routing_effects import (
@@ -48,34 +50,10 @@
 _HOP_S = 0.0015
 _CONNECT_S = 0.1
 _SETTLE_S = 1.0
-_REPEAT_RESERVE = 56
 _SEED_PREFIX = 'seed/'
-# Callers leave after a pause of this, of four targets or of eight pauses.
-_LEAST_PATIENCE_S = 2.0
-_PATIENCE_TARGETS = 4
-_PATIENCE_GAPS = 8
 _RETURNS = 1
 
 
-class Router(Protocol):
-    """What decides at one VM."""
-
-    def handle(self, event: object, *, now: float) -> list[object]:
-        """Reduce an event and return its effects."""
-
-
-@dataclass(slots=True, eq=False)
-class EngineNode:
-    """One engine; ``owners`` names the VM and attempt of each request."""
-
-    instance: str
-    model: BatchEngine
-    owners: dict[str, tuple[str, int]] = field(default_factory=dict)
-    bases: dict[str, int] = field(default_factory=dict)
-    stepping: bool = False
-    down: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class SimulationSettings:
     """Settings of one run; durations in seconds."""
@@ -123,7 +101,7 @@
 
     def empty_engine(self, instance: str) -> None:
         """Tell all VMs that an engine leaves; it finishes what it has."""
-        changed = UpstreamChanged(instance, _list_engine(instance, True))
+        changed = UpstreamChanged(instance, list_engine(instance, leaving=True))
         for name in self.routers:
             self._submit(name, changed)
 
@@ -143,22 +121,13 @@
 
     def _add_vm(self, name: str) -> None:
         settings = self.settings
-        if settings.policy != OWN_POLICY:
+        if settings.policy == OWN_POLICY:
+            self.routers[name] = make_core(name)
+        else:
             seed = self._chance.randrange(1 << 30)
             self.routers[name] = BaselineRouter(settings.policy, seed)
-        else:
-            self.routers[name] = Core(
-                CoreSettings(
-                    vm=name,
-                    data_centre='levis',
-                    incarnation=1,
-                    peer_address=name,
-                    bounds=PromisedBounds(retry_reserve=_REPEAT_RESERVE),
-                    shares_slots=False,
-                ),
-            )
         table = build_table(settings.fleet)
-        listed = tuple(_list_engine(each) for each in self.engines)
+        listed = tuple(list_engine(each) for each in self.engines)
         self._submit(name, RoutesOffered(table))
         self._submit(name, UpstreamsListed(listed, 1))
         seeds = tuple(f'vm-{each}' for each in range(VMS[settings.fleet]))
@@ -195,34 +164,15 @@
         self._watch(entry)
 
     def _call(self, entry: Entry) -> None:
-        arrival = entry.arrival
-        route = arrival.kind.route
         names = list(self.routers)
-        turn = int(arrival.vm * len(names)) + entry.returns
+        turn = int(entry.arrival.vm * len(names)) + entry.returns
         entry.vm = names[turn % len(names)]
         entry.asked_at = self.now
-        call = RoutedCall(
-            call_id=arrival.req_id,
-            req_id=arrival.req_id,
-            route=route,
-            service=SERVICE,
-            workspace=arrival.workspace,
-            priority=arrival.priority,
-            arrived_at=self.now,
-            answer_by=self.now + route.timeout_s,
-            prompt_tokens=arrival.tokens,
-            parts=arrival.parts,
-        )
-        self._submit(entry.vm, CallArrived(call))
+        self._submit(entry.vm, CallArrived(make_call(entry)))
 
     def _watch(self, entry: Entry) -> None:
         """Let the caller leave after a pause that is too long."""
-        route = entry.arrival.kind.route
-        patience_s = max(
-            _LEAST_PATIENCE_S,
-            _PATIENCE_TARGETS * route.target_s,
-            _PATIENCE_GAPS * (route.event_gap_s or 0.0),
-        )
+        patience_s = find_patience_s(entry)
         since = entry.moved_at or entry.asked_at
         if entry.outcome:
             return
@@ -342,14 +292,3 @@
         self.ledger.read_again = sum(
             tokens[name] * (count - 1) for name, count in reads.items()
         )
-
-
-def _list_engine(instance: str, leaving: bool = False) -> ListedUpstream:
-    return ListedUpstream(
-        instance=instance,
-        service=SERVICE,
-        address=instance,
-        data_centre='levis',
-        slots=64,
-        leaving=leaving,
-    )
