Show which peers a VM knows, and which retries its budget denied

New on /metrics: known_peers, live_peers, peer_messages_dropped, retry_reserve; counters retries_outside_budget and retries_denied; peer_discovered says how many peers were known before. The applications for probes and metrics have a module of their own. No decision changes.

--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -147,6 +147,11 @@
         return False
     if not may_retry(call_state, event, sends=call_state.sends):
         return False
+    service = call_state.call.service
     if event.status is SendStatus.unsent:
+        state.emit(Count('retries_outside_budget', service))
         return True
-    return ensure_budget(state, call_state.call.service).try_consume(now)
+    if ensure_budget(state, service).try_consume(now):
+        return True
+    state.emit(Count('retries_denied', service))
+    return False
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -238,7 +238,14 @@
     addresses = {peer.name: peer.address for peer in routing.peers.values()}
     state.emit(SendPeerMessage(sender, Introduction(addresses)))
     state.emit(
-        LogDecision('peer_discovered', {'peer': sender, 'address': address})
+        LogDecision(
+            'peer_discovered',
+            {
+                'peer': sender,
+                'address': address,
+                'known_peers': len(routing.peers),
+            },
+        )
     )
 
 
--- a/src/bilberryspoke/_internal/metrics/counters.py
+++ b/src/bilberryspoke/_internal/metrics/counters.py
@@ -2,7 +2,8 @@
 
 from collections import Counter
 
-_PREFIX = 'bilberryspoke_'
+# Prefix of the names of all metrics.
+PREFIX = 'bilberryspoke_'
 
 
 class Counters:
@@ -26,10 +27,10 @@
         previous = ''
         for (name, label), total in sorted(self._totals.items()):
             if name != previous:
-                lines.append(f'# TYPE {_PREFIX}{name}_total counter')
+                lines.append(f'# TYPE {PREFIX}{name}_total counter')
                 previous = name
-            labels = f'{{label="{_escape_label(label)}"}}' if label else ''
-            lines.append(f'{_PREFIX}{name}_total{labels} {total}')
+            labels = f'{{label="{escape_label(label)}"}}' if label else ''
+            lines.append(f'{PREFIX}{name}_total{labels} {total}')
         return lines
 
     def dump(self) -> dict[str, dict[str, int]]:
@@ -40,6 +41,7 @@
         return dumped
 
 
-def _escape_label(label: str) -> str:
+def escape_label(label: str) -> str:
+    """Escape a label's value for the Prometheus text format."""
     escaped = label.replace('\\', '\\\\').replace('"', '\\"')
     return escaped.replace('\n', '\\n')
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -12,10 +12,6 @@
 
 import structlog
 from expression import Result
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import PlainTextResponse
-from starlette.routing import Route as AppRoute
 
 from bilberryspoke._internal.core import Core, CoreSettings
 from bilberryspoke._internal.models.events import (
@@ -35,10 +31,13 @@
     DiscoveryWatcher,
 )
 from bilberryspoke._internal.network.routing.ingress import Ingress
+from bilberryspoke._internal.network.routing.probes import (
+    make_metrics_app,
+    make_probe_app,
+)
 from bilberryspoke._internal.network.routing.protocol import IngressProtocol
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
-from bilberryspoke._internal.platform.boot import READY_PATH
 from bilberryspoke._internal.platform.store import StoreClient
 
 logger = structlog.get_logger()
@@ -147,10 +146,10 @@
                     ),
                 ),
                 make_routing_server(
-                    _make_probe_app(runtime), keep_alive_s=_KEEP_ALIVE_TIMEOUT_S
+                    make_probe_app(runtime), keep_alive_s=_KEEP_ALIVE_TIMEOUT_S
                 ),
                 make_routing_server(
-                    _make_metrics_app(runtime),
+                    make_metrics_app(runtime),
                     keep_alive_s=_KEEP_ALIVE_TIMEOUT_S,
                 ),
             ),
@@ -217,24 +216,3 @@
         while True:
             runtime.submit(Tick())
             await asyncio.sleep(_TICK_INTERVAL_S)
-
-
-def _make_probe_app(runtime: Runtime) -> Starlette:
-    async def show_ready(request: Request) -> PlainTextResponse:
-        state = runtime.core.state
-        if state.stopping:
-            return PlainTextResponse('stopping', status_code=503)
-        if not state.routing.ready:
-            return PlainTextResponse('no configuration', status_code=503)
-        return PlainTextResponse('ready')
-
-    return Starlette(routes=[AppRoute(READY_PATH, show_ready)])
-
-
-def _make_metrics_app(runtime: Runtime) -> Starlette:
-    async def show_metrics(request: Request) -> PlainTextResponse:
-        lines = runtime.counters.render()
-        lines += runtime.histograms.render(('class', 'workspace'))
-        return PlainTextResponse('\n'.join([*lines, '']))
-
-    return Starlette(routes=[AppRoute('/metrics', show_metrics)])
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -0,0 +1,63 @@
+"""Applications for readiness probes and for metrics."""
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route as AppRoute
+
+from bilberryspoke._internal.core.routing.backlog import list_live_peers
+from bilberryspoke._internal.metrics.gauges import render_gauge
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.runtime import Runtime
+from bilberryspoke._internal.platform.boot import READY_PATH
+
+
+def make_probe_app(runtime: Runtime) -> Starlette:
+    """Create the application for the load balancer's readiness probes."""
+
+    async def show_ready(request: Request) -> PlainTextResponse:
+        state = runtime.core.state
+        if state.stopping:
+            return PlainTextResponse('stopping', status_code=503)
+        if not state.routing.ready:
+            return PlainTextResponse('no configuration', status_code=503)
+        return PlainTextResponse('ready')
+
+    return Starlette(routes=[AppRoute(READY_PATH, show_ready)])
+
+
+def make_metrics_app(runtime: Runtime) -> Starlette:
+    """Create the application that serves metrics as Prometheus text."""
+
+    async def show_metrics(request: Request) -> PlainTextResponse:
+        lines = runtime.counters.render()
+        lines += _render_gauges(runtime)
+        lines += runtime.histograms.render(('class', 'workspace'))
+        return PlainTextResponse('\n'.join([*lines, '']))
+
+    return Starlette(routes=[AppRoute('/metrics', show_metrics)])
+
+
+def _render_gauges(runtime: Runtime) -> list[str]:
+    """Return the gauges of what this VM knows of the others.
+
+    They are the peers that it knows and those heard from lately, the messages
+    to peers that were dropped since the start, and its part of the reserve of
+    each retry budget.
+    """
+    routing = runtime.core.state.routing
+    live_peers = list_live_peers(routing, read_boottime())
+    gauges: dict[str, dict[str, float]] = {
+        'known_peers': {'': len(routing.peers)},
+        'live_peers': {'': len(live_peers)},
+        'peer_messages_dropped': {'': runtime.peers.dropped},
+        'retry_reserve': {
+            service: budget.reserve
+            for service, budget in routing.budgets.items()
+        },
+    }
+    return [
+        line
+        for name, values in gauges.items()
+        for line in render_gauge(name, values)
+    ]
