Show by tests that VMs know their seeds only

The tests run cores that exchange messages as the transport does (a message to a peer that is not connected yet is lost) and real processes with one seed.

--- /dev/null
+++ b/tests/lib/corefleet.py
@@ -0,0 +1,161 @@
+"""Cores of several VMs that exchange messages on a virtual clock."""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+
+from bilberryspoke._internal.core import Core, CoreSettings
+from bilberryspoke._internal.models.effects import SendPeerMessage
+from bilberryspoke._internal.models.events import (
+    PeerLost,
+    PeerMessageReceived,
+    Tick,
+)
+from bilberryspoke._internal.models.routing_effects import ConnectPeer
+from bilberryspoke._internal.models.routing_events import (
+    RoutesOffered,
+    SeedsConfigured,
+    UpstreamsListed,
+)
+from bilberryspoke._internal.models.vmsettings import DeploymentBounds
+from tests.lib.routedcore import build_table, build_upstream
+
+TICK_INTERVAL_S = 0.05
+MESSAGE_DELAY_S = 0.002
+CONNECT_DELAY_S = 0.005
+START_SPREAD_S = 0.3
+RETRY_RESERVE = 160
+RETRY_SHARE = 0.2
+
+
+class CoreFleet:
+    """VMs whose settings name only the first three of them as seeds.
+
+    As with the real transport, a message is lost if the connection to its
+    receiver is not open yet, and the sender notices the end of a VM whose
+    connection was open. ``now`` is in seconds. ``sent_messages`` counts the
+    messages by sender.
+    """
+
+    def __init__(
+        self,
+        vms: int,
+        *,
+        data_centres: int = 4,
+        engines: int = 8,
+        plain_upstreams: int = 4,
+    ) -> None:
+        """Start the VMs within ``START_SPREAD_S``."""
+        self.now = 0.0
+        self.sent_messages: Counter[str] = Counter()
+        self.cores: dict[str, Core] = {}
+        self.data_centre_of = {
+            f'vm-{number}': f'dc-{number % data_centres}'
+            for number in range(vms)
+        }
+        self._upstreams = (
+            *(build_upstream(f'engine-{number}') for number in range(engines)),
+            *(
+                build_upstream(f'app-{number}', service='app', slots=6)
+                for number in range(plain_upstreams)
+            ),
+        )
+        self._heap: list[tuple[float, int, Callable[[], object]]] = []
+        self._order = itertools.count()
+        self._incarnations: Counter[str] = Counter()
+        self._open_at: dict[tuple[str, str], float] = {}
+        self._address_of: dict[tuple[str, str], str] = {}
+        for number, name in enumerate(self.data_centre_of):
+            self._at(
+                START_SPREAD_S * number / vms, lambda each=name: self.start(each)
+            )
+
+    def run_until(self, until: float) -> None:
+        """Run the clock up to ``until``, in seconds."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = until
+
+    def start(self, name: str) -> None:
+        """Start a VM as a new process that knows its seeds only."""
+        self._incarnations[name] += 1
+        self.cores[name] = Core(
+            CoreSettings(
+                vm=name,
+                data_centre=self.data_centre_of[name],
+                incarnation=self._incarnations[name],
+                peer_address=name,
+                bounds=DeploymentBounds(
+                    retry_share=RETRY_SHARE, retry_reserve=RETRY_RESERVE
+                ),
+                shares_slots=False,
+            ),
+        )
+        self.handle(name, RoutesOffered(build_table()))
+        self.handle(name, UpstreamsListed(self._upstreams, 1))
+        self.handle(name, SeedsConfigured(tuple(self.data_centre_of)[:3]))
+        self._tick(name, self._incarnations[name])
+
+    def kill(self, name: str) -> None:
+        """End a VM's process; the others notice the broken connections."""
+        self.cores.pop(name)
+        for (sender, peer), address in list(self._address_of.items()):
+            if sender == name:
+                self._address_of.pop((sender, peer))
+            elif address == name and sender in self.cores:
+                self._open_at.pop((sender, peer), None)
+                self.handle(sender, PeerLost(peer))
+
+    def handle(self, name: str, event: object) -> list[object]:
+        """Submit an event to a VM, carry out and return its effects."""
+        effects = self.cores[name].handle(event, now=self.now)
+        for effect in effects:
+            if isinstance(effect, ConnectPeer):
+                self._connect(name, effect)
+            elif isinstance(effect, SendPeerMessage):
+                self._send(name, effect)
+        return effects
+
+    def count_known_peers(self) -> dict[str, int]:
+        """Return the number of peers that each VM knows."""
+        return {
+            name: len(core.state.routing.peers)
+            for name, core in self.cores.items()
+        }
+
+    def _at(self, when: float, action: Callable[[], object]) -> None:
+        heapq.heappush(self._heap, (when, next(self._order), action))
+
+    def _tick(self, name: str, incarnation: int) -> None:
+        if name not in self.cores or self._incarnations[name] != incarnation:
+            return
+        self.handle(name, Tick())
+        self._at(
+            self.now + TICK_INTERVAL_S, lambda: self._tick(name, incarnation)
+        )
+
+    def _connect(self, name: str, effect: ConnectPeer) -> None:
+        link = (name, effect.peer)
+        if self._address_of.get(link) != effect.address:
+            self._address_of[link] = effect.address
+            self._open_at[link] = self.now + CONNECT_DELAY_S
+
+    def _send(self, name: str, effect: SendPeerMessage) -> None:
+        link = (name, effect.peer)
+        receiver = self._address_of.get(link)
+        if receiver not in self.cores:
+            return
+        if self.now < self._open_at.setdefault(
+            link, self.now + CONNECT_DELAY_S
+        ):
+            return
+        self.sent_messages[name] += 1
+        message = PeerMessageReceived(
+            name, self._incarnations[name], effect.message
+        )
+        self._at(
+            self.now + MESSAGE_DELAY_S,
+            lambda: receiver in self.cores and self.handle(receiver, message),
+        )
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -49,6 +49,7 @@
     ip: str
     entry_port: int
     ready_port: int
+    metrics_port: int
     boot_path: Path
     process: asyncio.subprocess.Process | None = None
     log_lines: list[str] = field(default_factory=list)
@@ -92,6 +93,12 @@
         except aiohttp.ClientError:
             return False
 
+    async def read_metrics(self, session: aiohttp.ClientSession) -> list[str]:
+        """Return the lines of the process's metrics."""
+        url = f'http://{self.ip}:{self.metrics_port}/metrics'
+        async with session.get(url) as resp:
+            return (await resp.text()).splitlines()
+
     async def stop(self) -> None:
         """Kill the process and wait for its end."""
         if self.process is not None and self.process.returncode is None:
@@ -206,6 +213,7 @@
     scripted_engines: int = 2,
     models: int = 0,
     retry_reserve: int = 56,
+    seeds: int | None = None,
 ) -> AsyncIterator[RoutedFleet]:
     """Run a store, upstreams and ready routing processes.
 
@@ -213,7 +221,8 @@
     scripted upstreams of the service ``app``. The service ``llm`` gets
     ``scripted_engines``, which answer by script, and ``models``, which behave
     as batching model engines. ``retry_reserve`` is as in
-    ``build_boot_settings``.
+    ``build_boot_settings``. The settings of each process name the first
+    ``seeds`` processes, or all of them if it is None.
     """
     store = StoreStandIn()
     await store.start()
@@ -240,7 +249,9 @@
             await fleet.add_upstream(ModelEngine(f'i-model{number}'), 'llm')
         for upstream in fleet.upstreams.values():
             stack.push_async_callback(upstream.stop)
-        fleet.nodes = _make_nodes(store, nodes, Path(folder), retry_reserve)
+        fleet.nodes = _make_nodes(
+            store, nodes, Path(folder), retry_reserve, seeds
+        )
         for node in fleet.nodes:
             stack.push_async_callback(node.stop)
             await node.start()
@@ -253,6 +264,7 @@
     count: int,
     folder: Path,
     retry_reserve: int,
+    seeds: int | None,
 ) -> list[RouterProcess]:
     ips = [f'127.0.1.{number + 1}' for number in range(count)]
     ports = [find_free_port(ips) for _ in range(5)]
@@ -262,13 +274,13 @@
             node=f'front-{number}',
             ip=ip,
             ports=ports,
-            seeds=ips,
+            seeds=ips[:seeds],
             store=store.address,
             retry_reserve=retry_reserve,
         )
         path = folder / f'settings-{number}.yaml'
         path.write_text(json.dumps(boot), encoding='utf-8')
-        nodes.append(RouterProcess(ip, ports[0], ports[1], path))
+        nodes.append(RouterProcess(ip, ports[0], ports[1], ports[4], path))
     return nodes
 
 
