--- a/tests/functional/test_routed_peers.py
+++ b/tests/functional/test_routed_peers.py
@@ -23,6 +23,8 @@
 
     async def check():
         async with run_routed_fleet(nodes=NODES, seeds=1) as fleet:
-            await wait_for_metric(fleet, f'bilberryspoke_known_peers {NODES - 1}')
+            await wait_for_metric(
+                fleet, f'bilberryspoke_known_peers {NODES - 1}'
+            )
 
     asyncio.run(check())
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -68,7 +68,8 @@
         self._address_of: dict[tuple[str, str], str] = {}
         for number, name in enumerate(self.data_centre_of):
             self._at(
-                START_SPREAD_S * number / vms, lambda each=name: self.start(each)
+                START_SPREAD_S * number / vms,
+                lambda each=name: self.start(each),
             )
 
     def run_until(self, until: float) -> None:
