Exchange backlogs through relays in large fleets

Since all VMs know each other, heartbeats of 63 VMs were 3,906 each 0.1 s: they grew with the square of the fleet, on links of 10 Mbit/s, and the work of a placement grew with the number of peers for each engine.

With more than 12 peers each data centre now has a relay, the first VM by hash that answers. The others report to it alone; it passes the sum of its data centre to the other relays and the sum of all others to each VM of its data centre. A VM counts only reports that do not overlap, a relay that is silent for 0.4 s or whose connection breaks is replaced, and one that is heard from again is trusted again. Small fleets work as before. The routing messages have a module of their own.

--- a/src/bilberryspoke/_internal/core/maintenance.py
+++ b/src/bilberryspoke/_internal/core/maintenance.py
@@ -15,6 +15,7 @@
 from bilberryspoke._internal.core.reducer import deliver_message, on_event
 from bilberryspoke._internal.core.routing.maintenance import review_calls
 from bilberryspoke._internal.core.routing.peers import review_peers
+from bilberryspoke._internal.core.routing.relays import suspect_peer
 from bilberryspoke._internal.core.routing.snapshots import review_snapshot
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count, Log
@@ -70,8 +71,12 @@
 
 @on_event(PeerLost)
 def mark_peer_lost(state: VmState, event: PeerLost, now: float) -> None:
-    """Count a peer as dead until its next heartbeat, and update owners."""
+    """Count a peer as dead until its next heartbeat, and update owners.
+
+    It is replaced if it was the relay of its data centre.
+    """
     state.membership.mark_lost(event.peer)
+    suspect_peer(state, event.peer, now)
     update_owners(state, now)
 
 
--- a/src/bilberryspoke/_internal/core/routing/backlog.py
+++ b/src/bilberryspoke/_internal/core/routing/backlog.py
@@ -177,8 +177,19 @@
 
 
 def list_live_peers(routing: RoutingState, now: float) -> list[PeerView]:
-    """Return the other VMs heard from within the last ``PEER_TIMEOUT_S``."""
+    """Return the peers whose reports were heard lately.
+
+    Those are the ones within the last ``PEER_TIMEOUT_S``. Together they cover
+    all other VMs that are alive, each once.
+    """
     since = now - PEER_TIMEOUT_S
     return [
-        peer for peer in routing.peers.values() if peer.last_heard_at >= since
+        peer
+        for peer in routing.reporters.values()
+        if peer.last_heard_at >= since
     ]
+
+
+def count_live_vms(routing: RoutingState, now: float) -> int:
+    """Return how many other VMs the reports heard lately cover."""
+    return sum(peer.vms for peer in list_live_peers(routing, now))
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -1,7 +1,7 @@
 """End of a routed call: its final answer, counters and log lines."""
 
 from bilberryspoke._internal.core.routing.backlog import (
-    list_live_peers,
+    count_live_vms,
     measure_backlog,
 )
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
@@ -167,7 +167,7 @@
         ),
         'min_calls': min((each.calls for each in backlogs), default=None),
         'waiting': len(routing.waiting),
-        'live_peers': len(list_live_peers(routing, now)),
+        'live_peers': count_live_vms(routing, now),
     }
 
 
--- a/src/bilberryspoke/_internal/core/routing/members.py
+++ b/src/bilberryspoke/_internal/core/routing/members.py
@@ -10,15 +10,16 @@
 from bilberryspoke._internal.core.routing.state import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
-from bilberryspoke._internal.models.messages import (
-    Introduction,
-    RoutingHeartbeat,
-)
+from bilberryspoke._internal.models.messages import PeerMessage
 from bilberryspoke._internal.models.routing_effects import (
     ConnectPeer,
     LogDecision,
 )
 from bilberryspoke._internal.models.routing_events import SeedsConfigured
+from bilberryspoke._internal.models.routing_messages import (
+    Introduction,
+    RoutingHeartbeat,
+)
 from bilberryspoke._internal.utils.hashing import hash_parts
 
 # A seed is named by this prefix and its address until its VM's name is known.
@@ -56,16 +57,29 @@
     """
     peer = _learn_peer(state, sender, message.address, alive_at=now)
     peer.last_heard_at = now
+    peer.suspected = False
+    peer.data_centre = message.data_centre
     routing = state.routing
     interval_s = _get_refresh_interval_s(state)
     if message.members and message.members != routing.members_digest:
         interval_s = _INTRODUCTION_RETRY_S
     if now - peer.introduced_at >= interval_s:
         peer.introduced_at = now
-        state.emit(SendPeerMessage(sender, _make_introduction(state, now)))
+        send_to_peer(state, peer, _make_introduction(state, now))
     return peer
 
 
+def send_to_peer(state: VmState, peer: PeerView, message: PeerMessage) -> None:
+    """Send a message to a peer, and connect to it before the first one.
+
+    The first one is lost if the connection is not open at once.
+    """
+    if not peer.connected:
+        peer.connected = True
+        state.emit(ConnectPeer(peer.name, peer.address))
+    state.emit(SendPeerMessage(peer.name, message))
+
+
 @on_message(Introduction)
 def handle_introduction(
     state: VmState,
@@ -78,7 +92,9 @@
     for name, address in message.addresses.items():
         age_s = message.ages_s.get(name, 0)
         if name != state.vm and age_s < expiry_s:
-            _learn_peer(state, name, address, alive_at=now - age_s)
+            peer = _learn_peer(state, name, address, alive_at=now - age_s)
+            data_centre = message.data_centres.get(name, '')
+            peer.data_centre = peer.data_centre or data_centre
 
 
 def forget_expired_peers(state: VmState, now: float) -> None:
@@ -90,6 +106,7 @@
     ]
     for peer in expired:
         routing.peers.pop(peer.name)
+        routing.reporters.pop(peer.name, None)
     if expired:
         _update_digest(state)
 
@@ -123,7 +140,6 @@
     routing.peers[name] = peer
     routing.seeds.discard(address)
     _update_digest(state)
-    state.emit(ConnectPeer(name, address))
     return peer
 
 
@@ -133,7 +149,9 @@
     ages_s = {peer.name: round(now - peer.alive_at, 2) for peer in peers}
     addresses[state.vm] = state.settings.peer_address
     ages_s[state.vm] = 0
-    return Introduction(addresses, ages_s)
+    data_centres = {peer.name: peer.data_centre for peer in peers}
+    data_centres[state.vm] = state.settings.data_centre
+    return Introduction(addresses, ages_s, data_centres)
 
 
 def _update_digest(state: VmState) -> None:
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -4,27 +4,30 @@
 """
 
 from bilberryspoke._internal.core.reducer import on_message
-from bilberryspoke._internal.core.routing.backlog import (
-    list_live_peers,
-    measure_own_backlog,
-)
+from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.members import (
     SEED_PREFIX,
     forget_expired_peers,
     record_sender,
+    send_to_peer,
+)
+from bilberryspoke._internal.core.routing.relays import (
+    choose_relays,
+    counts_report,
+    is_relay,
+    list_expected_relays,
 )
-from bilberryspoke._internal.core.routing.state import PeerBacklog
+from bilberryspoke._internal.core.routing.reports import make_report
+from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
-from bilberryspoke._internal.models.messages import (
+from bilberryspoke._internal.models.routing_messages import (
     BacklogChange,
+    ReportScope,
     RoutingHeartbeat,
-    UpstreamBacklog,
 )
 
 _HEARTBEAT_INTERVAL_S = 0.1
-# With more peers, changes of a backlog are sent in heartbeats only.
-_MAX_BACKLOG_CHANGE_PEERS = 16
 
 
 @on_message(RoutingHeartbeat)
@@ -44,6 +47,17 @@
         for each in message.backlog
     }
     peer.waiting = message.waiting
+    peer.scope = message.scope
+    peer.vms = message.vms
+    peer.store_reader = message.store_reader or sender
+    if counts_report(state, peer):
+        state.routing.reporters[sender] = peer
+    else:
+        state.routing.reporters.pop(sender, None)
+    if message.to_relay and not is_relay(state):
+        _answer_as_no_relay(state, peer)
+    elif message.scope is ReportScope.vm:
+        _note_relay_of(state, message)
 
 
 @on_message(BacklogChange)
@@ -75,55 +89,83 @@
     """Send the change of a backlog to the peers without delay.
 
     Otherwise all VMs could pick the same idle upstream, or leave one idle that
-    has become free, until the next heartbeat. In a large fleet this would be
-    too many messages, so that the change is sent with the next heartbeat only.
-    ``prefill_tokens`` and ``calls`` are the differences to the backlog before,
-    negative if it has shrunk. A change without prefill tokens is left to the
-    heartbeat as well.
+    has become free, until the next heartbeat. In a fleet with relays this would
+    be too many messages, so that the change is sent with the next heartbeat
+    only. ``prefill_tokens`` and ``calls`` are the differences to the backlog
+    before, negative if it has shrunk. A change without prefill tokens is left
+    to the heartbeat as well.
     """
-    live_peers = list_live_peers(state.routing, now)
-    if not prefill_tokens or len(live_peers) > _MAX_BACKLOG_CHANGE_PEERS:
+    if not prefill_tokens or state.routing.relays:
         return
-    for peer in live_peers:
-        state.emit(
-            SendPeerMessage(
-                peer.name, BacklogChange(instance, prefill_tokens, calls)
-            )
-        )
+    for peer in list_live_peers(state.routing, now):
+        change = BacklogChange(instance, prefill_tokens, calls)
+        send_to_peer(state, peer, change)
 
 
 def review_peers(state: VmState, now: float) -> None:
-    """Send due heartbeats, and forget expired peers."""
+    """Send due heartbeats, choose relays and forget expired peers."""
     routing = state.routing
     if now - routing.heartbeat_sent_at >= _HEARTBEAT_INTERVAL_S:
         routing.heartbeat_sent_at = now
         forget_expired_peers(state, now)
-        _send_routing_heartbeats(state, now)
+        choose_relays(state, now)
+        _update_reporters(state)
+        _send_heartbeats(state, now)
 
 
-def _send_routing_heartbeats(state: VmState, now: float) -> None:
-    routing_heartbeat = _make_routing_heartbeat(state)
-    for address in sorted(state.routing.seeds):
-        state.emit(SendPeerMessage(SEED_PREFIX + address, routing_heartbeat))
-    for name in sorted(state.routing.peers):
-        state.emit(SendPeerMessage(name, routing_heartbeat))
+def _update_reporters(state: VmState) -> None:
+    state.routing.reporters = {
+        peer.name: peer
+        for peer in state.routing.peers.values()
+        if counts_report(state, peer)
+    }
 
 
-def _make_routing_heartbeat(state: VmState) -> RoutingHeartbeat:
+def _send_heartbeats(state: VmState, now: float) -> None:
     routing = state.routing
-    backlog = []
-    for instance, upstream in routing.upstreams.items():
-        own = measure_own_backlog(upstream)
-        if own.calls:
-            backlog.append(
-                UpstreamBacklog(instance, own.prefill_tokens, own.calls)
-            )
-    return RoutingHeartbeat(
-        address=state.settings.peer_address,
-        version=routing.table.version if routing.table else 0,
-        revision=routing.revision,
-        store_reachable=routing.store_reachable,
-        backlog=backlog,
-        waiting=routing.waiting.get_most_urgent_ranks(),
-        members=routing.members_digest,
+    own_report = make_report(state)
+    for address in sorted(routing.seeds):
+        state.emit(SendPeerMessage(SEED_PREFIX + address, own_report))
+    if is_relay(state):
+        _send_totals(state, now)
+        return
+    receivers = list(routing.peers.values())
+    if routing.relays:
+        own_report.to_relay = True
+        receivers = list_expected_relays(state)
+    for receiver in receivers:
+        send_to_peer(state, receiver, own_report)
+
+
+def _send_totals(state: VmState, now: float) -> None:
+    """Send the totals that a relay passes on.
+
+    The other relays get that of its data centre, and each VM of its data centre
+    that of all other VMs.
+    """
+    routing = state.routing
+    own = state.settings.data_centre
+    live_peers = list_live_peers(routing, now)
+    members = [peer for peer in live_peers if peer.data_centre == own]
+    data_centre_total = make_report(
+        state, ReportScope.data_centre, members, to_relay=True
     )
+    for relay in list_expected_relays(state):
+        send_to_peer(state, relay, data_centre_total)
+    for receiver in routing.peers.values():
+        if receiver.data_centre == own:
+            others = [peer for peer in live_peers if peer is not receiver]
+            total = make_report(state, ReportScope.others, others)
+            send_to_peer(state, receiver, total)
+
+
+def _answer_as_no_relay(state: VmState, peer: PeerView) -> None:
+    """Tell a peer that took this VM for a relay which VM is the relay."""
+    send_to_peer(state, peer, make_report(state))
+
+
+def _note_relay_of(state: VmState, message: RoutingHeartbeat) -> None:
+    """Trust the relay that a VM of a data centre uses, if it was suspected."""
+    relay = state.routing.peers.get(message.relay)
+    if relay is not None and not message.to_relay:
+        relay.suspected = False
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -0,0 +1,89 @@
+"""Reports of the backlog and waiting calls of one or more VMs."""
+
+from collections.abc import Iterable
+
+from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
+from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.routing_messages import (
+    ReportScope,
+    RoutingHeartbeat,
+    UpstreamBacklog,
+)
+
+
+def make_report(
+    state: VmState,
+    scope: ReportScope = ReportScope.vm,
+    parts: Iterable[PeerView] = (),
+    *,
+    to_relay: bool = False,
+) -> RoutingHeartbeat:
+    """Make a heartbeat that reports this VM's calls and those of ``parts``.
+
+    Its version and revision are the newest of those VMs that reach the store.
+    """
+    routing = state.routing
+    own = _view_own_state(state)
+    views = [own, *parts]
+    reader = max(views, key=_get_store_position)
+    return RoutingHeartbeat(
+        address=state.settings.peer_address,
+        version=reader.version,
+        revision=reader.revision,
+        store_reachable=reader.store_reachable,
+        backlog=[
+            UpstreamBacklog(instance, each.prefill_tokens, each.calls)
+            for instance, each in _add_backlogs(views).items()
+        ],
+        waiting=_find_most_urgent_ranks(views),
+        members=routing.members_digest,
+        data_centre=state.settings.data_centre,
+        scope=scope,
+        vms=sum(view.vms for view in views),
+        store_reader='' if reader is own else reader.store_reader,
+        relay=routing.relays.get(state.settings.data_centre, ''),
+        to_relay=to_relay,
+    )
+
+
+def _view_own_state(state: VmState) -> PeerView:
+    """Return this VM as other VMs see it."""
+    routing = state.routing
+    backlog = {}
+    for instance, upstream in routing.upstreams.items():
+        own = measure_own_backlog(upstream)
+        if own.calls:
+            backlog[instance] = PeerBacklog(own.prefill_tokens, own.calls)
+    return PeerView(
+        state.vm,
+        state.settings.peer_address,
+        version=routing.table.version if routing.table else 0,
+        revision=routing.revision,
+        store_reachable=routing.store_reachable,
+        store_reader=state.vm,
+        backlog=backlog,
+        waiting=routing.waiting.get_most_urgent_ranks(),
+    )
+
+
+def _add_backlogs(views: Iterable[PeerView]) -> dict[str, PeerBacklog]:
+    totals: dict[str, PeerBacklog] = {}
+    for view in views:
+        for instance, backlog in view.backlog.items():
+            total = totals.setdefault(instance, PeerBacklog(0, 0))
+            total.prefill_tokens += backlog.prefill_tokens
+            total.calls += backlog.calls
+    return totals
+
+
+def _find_most_urgent_ranks(views: Iterable[PeerView]) -> dict[str, int]:
+    ranks: dict[str, int] = {}
+    for view in views:
+        for group, rank in view.waiting.items():
+            ranks[group] = min(rank, ranks.get(group, rank))
+    return ranks
+
+
+def _get_store_position(view: PeerView) -> tuple[bool, int, int]:
+    return (view.store_reachable, view.version, view.revision)
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -6,19 +6,20 @@
 from bilberryspoke._internal.core.reducer import on_message
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.discovery import replace_upstreams
+from bilberryspoke._internal.core.routing.members import send_to_peer
 from bilberryspoke._internal.core.routing.state import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
-from bilberryspoke._internal.models.messages import (
-    SnapshotRequest,
-    SnapshotUpstream,
-    StoreSnapshot,
-)
 from bilberryspoke._internal.models.routing import ListedUpstream
 from bilberryspoke._internal.models.routing_effects import (
     DecodeRoutes,
     LogDecision,
 )
+from bilberryspoke._internal.models.routing_messages import (
+    SnapshotRequest,
+    SnapshotUpstream,
+    StoreSnapshot,
+)
 
 _SNAPSHOT_REQUEST_INTERVAL_S = 0.3
 # Time without the store after which a peer is asked for a snapshot.
@@ -69,7 +70,11 @@
         table=table.encoded if newer else b'',
         upstreams=upstreams,
     )
-    state.emit(SendPeerMessage(sender, snapshot))
+    peer = routing.peers.get(sender)
+    if peer is None:
+        state.emit(SendPeerMessage(sender, snapshot))
+    else:
+        send_to_peer(state, peer, snapshot)
 
 
 @on_message(StoreSnapshot)
@@ -110,8 +115,8 @@
     ]
     live_peers.sort(key=_get_newest_first_key)
     for peer in live_peers[:1]:
-        request = SnapshotRequest(version, routing.revision)
-        state.emit(SendPeerMessage(peer.name, request))
+        reader = routing.peers.get(peer.store_reader, peer)
+        send_to_peer(state, reader, SnapshotRequest(version, routing.revision))
 
 
 def _get_newest_first_key(peer: PeerView) -> tuple[int, int, str]:
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -15,6 +15,7 @@
     RoutedCall,
     RouteTable,
 )
+from bilberryspoke._internal.models.routing_messages import ReportScope
 
 
 class CallStage(StrEnum):
@@ -155,7 +156,11 @@
     of its route table, 0 without one, and ``revision`` the store revision as
     of which it knows the upstreams. ``backlog`` is by instance of the
     upstream. ``waiting`` is the most urgent rank among the calls that wait for
-    capacity at that VM, by group of upstreams.
+    capacity at that VM, by group of upstreams. Both are those of ``vms`` VMs,
+    as ``scope`` says. ``store_reader`` is the VM that ``version``, ``revision``
+    and ``store_reachable`` describe. ``connected`` is whether a connection was
+    requested. ``suspected`` is whether the peer does not answer, so that it is
+    not chosen as a relay.
     """
 
     name: str
@@ -168,6 +173,12 @@
     store_reachable: bool = False
     backlog: dict[str, PeerBacklog] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
+    data_centre: str = ''
+    scope: ReportScope = ReportScope.vm
+    vms: int = 1
+    store_reader: str = ''
+    connected: bool = False
+    suspected: bool = False
 
 
 @dataclass(slots=True)
@@ -186,7 +197,9 @@
     ``snapshot_requested_at`` when a peer was last asked for a snapshot of the
     store. A time of -1e9 means never. ``seeds`` are addresses of VMs whose
     names are not known yet. ``members_digest`` is equal at VMs that know the
-    same VMs.
+    same VMs. ``relays`` are the relays by data centre, empty in a small fleet,
+    and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
+    whose reports this VM counts, by name.
     """
 
     table: RouteTable | None = None
@@ -204,6 +217,9 @@
     peers: dict[str, PeerView] = field(default_factory=dict)
     seeds: set[str] = field(default_factory=set)
     members_digest: int = 0
+    relays: dict[str, str] = field(default_factory=dict)
+    relay_chosen_at: dict[str, float] = field(default_factory=dict)
+    reporters: dict[str, PeerView] = field(default_factory=dict)
     reviewed_at: float = -1e9
     resumed_at: float = -1e9
     heartbeat_sent_at: float = -1e9
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -8,19 +8,19 @@
 is the VM that grants the pool's slots.
 """
 
-from typing import Annotated, TypeAlias
+from typing import TypeAlias
 
 import msgspec
 
+from bilberryspoke._internal.models.bounded import BoundedCount, Duration
 from bilberryspoke._internal.models.requests import AttemptStatus
-
-# Decoding a message with a value beyond these limits raises
-# ``msgspec.ValidationError``. A ``Duration`` is in seconds, a ``BoundedCount``
-# a number of things.
-_MAX_DURATION_S = 1e7
-_MAX_COUNT = 10**9
-Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION_S)]
-BoundedCount = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+from bilberryspoke._internal.models.routing_messages import (
+    BacklogChange,
+    Introduction,
+    RoutingHeartbeat,
+    SnapshotRequest,
+    StoreSnapshot,
+)
 
 
 class SlotRequest(msgspec.Struct, tag='ask', array_like=True):
@@ -213,112 +213,6 @@
     values: dict[str, bytes]
 
 
-class UpstreamBacklog(msgspec.Struct, array_like=True):
-    """Calls that the sender has in progress at one upstream.
-
-    ``instance``: id of the upstream's incarnation.
-    ``prefill_tokens``: uncached prompt tokens of the calls whose answer has
-    not begun.
-    ``calls``: number of all calls in progress.
-    """
-
-    instance: str
-    prefill_tokens: BoundedCount
-    calls: BoundedCount
-
-
-class RoutingHeartbeat(msgspec.Struct, tag='beat', array_like=True):
-    """Heartbeat of a VM that routes calls, with its backlog at upstreams.
-
-    ``address``: the sender's address for other VMs, as ``host:port``.
-    ``version``: version of its routes; 0 if it has none.
-    ``revision``: revision of the store as of which it knows the upstreams.
-    ``store_reachable``: whether it reaches the store.
-    ``backlog``: one entry for each upstream with calls of the sender.
-    ``waiting``: rank of the most urgent call that waits for capacity (see
-    ``RoutedCall.rank``), by the group of upstreams that it waits for. The name
-    of a group comes from ``core.routing.waitqueue.get_group_name``.
-    ``members``: digest of the VMs that the sender knows; 0 from a sender that
-    does not say.
-    """
-
-    address: str
-    version: int
-    revision: int
-    store_reachable: bool
-    backlog: list[UpstreamBacklog] = []
-    waiting: dict[str, int] = {}
-    members: int = 0
-
-
-class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
-    """Change of the sender's backlog at one upstream, sent at once.
-
-    ``prefill_tokens``: prompt tokens added; negative once the upstream has
-    processed a prompt.
-    ``calls``: number of calls added.
-    The sender's next heartbeat includes the change.
-    """
-
-    instance: str
-    prefill_tokens: int
-    calls: int
-
-
-class Introduction(msgspec.Struct, tag='introduce', array_like=True):
-    """The VMs that the sender knows, itself included.
-
-    Sent in reply to a heartbeat from a VM that does not know the same ones.
-
-    ``addresses``: as ``host:port`` by name.
-    ``ages_s``: seconds since each was last known to be alive, by name.
-    """
-
-    addresses: dict[str, str]
-    ages_s: dict[str, float] = {}
-
-
-class SnapshotRequest(msgspec.Struct, tag='wanted', array_like=True):
-    """Request for a ``StoreSnapshot``, sent if the store is unreachable.
-
-    ``version``, ``revision``: what the sender has, as in its heartbeat.
-    """
-
-    version: int
-    revision: int
-
-
-class SnapshotUpstream(msgspec.Struct, array_like=True):
-    """One upstream as the sender read it from the store.
-
-    The fields are those of ``ListedUpstream``.
-    """
-
-    instance: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
-    leaving: bool
-    warmup_remaining_s: Duration
-    created_ms: int
-
-
-class StoreSnapshot(msgspec.Struct, tag='picture', array_like=True):
-    """The sender's state read from the store.
-
-    ``version``: version of its routes.
-    ``revision``: revision of the store as of which it knows the upstreams.
-    ``table``: the encoded routes; empty if they are not newer than the
-    receiver's.
-    """
-
-    version: int
-    revision: int
-    table: bytes
-    upstreams: list[SnapshotUpstream]
-
-
 PeerMessage: TypeAlias = (
     SlotRequest
     | SlotGrant
--- /dev/null
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -0,0 +1,142 @@
+"""Messages between VMs that route calls, see ``models.messages``."""
+
+from enum import StrEnum
+
+import msgspec
+
+from bilberryspoke._internal.models.bounded import BoundedCount, Duration
+
+
+class UpstreamBacklog(msgspec.Struct, array_like=True):
+    """Calls in progress at one upstream.
+
+    ``instance``: id of the upstream's incarnation.
+    ``prefill_tokens``: uncached prompt tokens of the calls whose answer has
+    not begun.
+    ``calls``: number of all calls in progress.
+    """
+
+    instance: str
+    prefill_tokens: BoundedCount
+    calls: BoundedCount
+
+
+class ReportScope(StrEnum):
+    """Whose backlog and waiting calls a heartbeat reports.
+
+    ``vm``: those of the sender.
+    ``data_centre``: those of all VMs of the sender's data centre.
+    ``others``: those of all VMs but the receiver.
+    """
+
+    vm = 'vm'
+    data_centre = 'data_centre'
+    others = 'others'
+
+
+class RoutingHeartbeat(msgspec.Struct, tag='beat', array_like=True):
+    """Heartbeat of a VM that routes calls, with the backlog at upstreams.
+
+    ``address``: the sender's address for other VMs, as ``host:port``.
+    ``version``: version of its routes; 0 if it has none.
+    ``revision``: revision of the store as of which it knows the upstreams.
+    ``store_reachable``: whether it reaches the store.
+    ``backlog``: one entry for each upstream with calls of the VMs in ``scope``.
+    ``waiting``: rank of the most urgent call that waits for capacity (see
+    ``RoutedCall.rank``), by the group of upstreams that it waits for. The name
+    of a group comes from ``core.routing.waitqueue.get_group_name``.
+    ``members``: digest of the VMs that the sender knows; 0 from a sender that
+    does not say.
+    ``data_centre``: that of the sender.
+    ``scope``: whose backlog and waiting calls are reported.
+    ``vms``: the number of these VMs.
+    ``store_reader``: the VM that ``version``, ``revision`` and
+    ``store_reachable`` describe; empty for the sender.
+    ``relay``: the VM that the sender takes for the relay of its data centre.
+    ``to_relay``: whether the sender takes the receiver for the relay of the
+    receiver's data centre.
+    """
+
+    address: str
+    version: int
+    revision: int
+    store_reachable: bool
+    backlog: list[UpstreamBacklog] = []
+    waiting: dict[str, int] = {}
+    members: int = 0
+    data_centre: str = ''
+    scope: ReportScope = ReportScope.vm
+    vms: int = 1
+    store_reader: str = ''
+    relay: str = ''
+    to_relay: bool = False
+
+
+class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
+    """Change of the sender's backlog at one upstream, sent at once.
+
+    ``prefill_tokens``: prompt tokens added; negative once the upstream has
+    processed a prompt.
+    ``calls``: number of calls added.
+    The sender's next heartbeat includes the change.
+    """
+
+    instance: str
+    prefill_tokens: int
+    calls: int
+
+
+class Introduction(msgspec.Struct, tag='introduce', array_like=True):
+    """The VMs that the sender knows, itself included.
+
+    Sent in reply to a heartbeat from a VM that does not know the same ones.
+
+    ``addresses``: as ``host:port`` by name.
+    ``ages_s``: seconds since each was last known to be alive, by name.
+    ``data_centres``: that of each, by name.
+    """
+
+    addresses: dict[str, str]
+    ages_s: dict[str, float] = {}
+    data_centres: dict[str, str] = {}
+
+
+class SnapshotRequest(msgspec.Struct, tag='wanted', array_like=True):
+    """Request for a ``StoreSnapshot``, sent if the store is unreachable.
+
+    ``version``, ``revision``: what the sender has, as in its heartbeat.
+    """
+
+    version: int
+    revision: int
+
+
+class SnapshotUpstream(msgspec.Struct, array_like=True):
+    """One upstream as the sender read it from the store.
+
+    The fields are those of ``ListedUpstream``.
+    """
+
+    instance: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool
+    warmup_remaining_s: Duration
+    created_ms: int
+
+
+class StoreSnapshot(msgspec.Struct, tag='picture', array_like=True):
+    """The sender's state read from the store.
+
+    ``version``: version of its routes.
+    ``revision``: revision of the store as of which it knows the upstreams.
+    ``table``: the encoded routes; empty if they are not newer than the
+    receiver's.
+    """
+
+    version: int
+    revision: int
+    table: bytes
+    upstreams: list[SnapshotUpstream]
--- a/src/bilberryspoke/_internal/network/routing/probes.py
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -5,7 +5,7 @@
 from starlette.responses import PlainTextResponse
 from starlette.routing import Route as AppRoute
 
-from bilberryspoke._internal.core.routing.backlog import list_live_peers
+from bilberryspoke._internal.core.routing.backlog import count_live_vms
 from bilberryspoke._internal.metrics.gauges import render_gauge
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
@@ -46,10 +46,10 @@
     each retry budget.
     """
     routing = runtime.core.state.routing
-    live_peers = list_live_peers(routing, read_boottime())
+    live_peers = count_live_vms(routing, read_boottime())
     gauges: dict[str, dict[str, float]] = {
         'known_peers': {'': len(routing.peers)},
-        'live_peers': {'': len(live_peers)},
+        'live_peers': {'': live_peers},
         'peer_messages_dropped': {'': runtime.peers.dropped},
         'retry_reserve': {
             service: budget.reserve
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -64,6 +64,7 @@
         self._heap: list[tuple[float, int, Callable[[], object]]] = []
         self._order = itertools.count()
         self._incarnations: Counter[str] = Counter()
+        self._cut_off: str | None = None
         self._open_at: dict[tuple[str, str], float] = {}
         self._address_of: dict[tuple[str, str], str] = {}
         for number, name in enumerate(self.data_centre_of):
@@ -109,6 +110,13 @@
                 self._open_at.pop((sender, peer), None)
                 self.handle(sender, PeerLost(peer))
 
+    def cut_off(self, data_centre: str | None) -> None:
+        """Lose all messages between a data centre and the others from now on.
+
+        None ends the cut.
+        """
+        self._cut_off = data_centre
+
     def handle(self, name: str, event: object) -> list[object]:
         """Submit an event to a VM, carry out and return its effects."""
         effects = self.cores[name].handle(event, now=self.now)
@@ -137,6 +145,12 @@
             self.now + TICK_INTERVAL_S, lambda: self._tick(name, incarnation)
         )
 
+    def _is_cut(self, name: str, other: str) -> bool:
+        inside = [
+            self.data_centre_of[each] == self._cut_off for each in (name, other)
+        ]
+        return inside[0] != inside[1]
+
     def _connect(self, name: str, effect: ConnectPeer) -> None:
         link = (name, effect.peer)
         if self._address_of.get(link) != effect.address:
@@ -146,7 +160,7 @@
     def _send(self, name: str, effect: SendPeerMessage) -> None:
         link = (name, effect.peer)
         receiver = self._address_of.get(link)
-        if receiver not in self.cores:
+        if receiver not in self.cores or self._is_cut(name, receiver):
             return
         if self.now < self._open_at.setdefault(
             link, self.now + CONNECT_DELAY_S
--- a/tests/unit/test_routed_discovery.py
+++ b/tests/unit/test_routed_discovery.py
@@ -2,11 +2,6 @@
 
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
-from bilberryspoke._internal.models.messages import (
-    SnapshotRequest,
-    SnapshotUpstream,
-    StoreSnapshot,
-)
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_effects import (
     DecodeRoutes,
@@ -19,6 +14,11 @@
     UpstreamChanged,
     UpstreamsListed,
 )
+from bilberryspoke._internal.models.routing_messages import (
+    SnapshotRequest,
+    SnapshotUpstream,
+    StoreSnapshot,
+)
 from tests.lib.routedcore import (
     RoutedCore,
     build_call,
--- a/tests/unit/test_routed_selection.py
+++ b/tests/unit/test_routed_selection.py
@@ -8,14 +8,14 @@
 )
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
-from bilberryspoke._internal.models.messages import (
-    RoutingHeartbeat,
-    UpstreamBacklog,
-)
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_events import (
     CallArrived,
 )
+from bilberryspoke._internal.models.routing_messages import (
+    RoutingHeartbeat,
+    UpstreamBacklog,
+)
 from tests.lib.routedcore import (
     DRAFT_ROUTE,
     TIGHT_GAP_ROUTE,
--- a/tests/unit/test_routed_waitqueue.py
+++ b/tests/unit/test_routed_waitqueue.py
@@ -2,13 +2,13 @@
 
 from bilberryspoke._internal.core.routing.waitqueue import sort_waiting
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
-from bilberryspoke._internal.models.messages import (
-    RoutingHeartbeat,
-)
 from bilberryspoke._internal.models.routing_effects import (
     RefuseCall,
     Send,
 )
+from bilberryspoke._internal.models.routing_messages import (
+    RoutingHeartbeat,
+)
 from tests.lib.routedcore import (
     DRAFT_ROUTE,
     RUN_ONCE_ROUTE,
