Count a call's first send once in the retry budget

Cause: a call whose sends had reached no upstream so far counted as another first send each time, and so raised what the VM may retry.

Evidence: test_call_counts_as_one_first_send_however_often_it_is_sent counted 3 before.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -107,7 +107,7 @@
     publish_backlog_change(
         state, listed.instance, placement.prefill_tokens, now, calls=1
     )
-    if call_state.sends == 0:
+    if call_state.attempt == 1:
         ensure_budget(state, call.service, now).record_first_send(now)
     service = state.routing.table.services.get(call.service)
     is_engine = service is not None and service.engine is not None
--- a/tests/unit/test_routed_retries.py
+++ b/tests/unit/test_routed_retries.py
@@ -112,6 +112,16 @@
         )
 
 
+def test_call_counts_as_one_first_send_however_often_it_is_sent():
+    """Each send after one that reached no upstream raised the budget."""
+    core = RoutedCore(plain_upstreams=4)
+    send = core.arrive(build_call('o', RUN_ONCE_ROUTE), now=0.0)
+    for status in (SendStatus.unsent, SendStatus.misdirected):
+        send = find_decision(core.end(send, status, now=0.1))
+    assert isinstance(send, Send)
+    assert len(core.routing.budgets['app'].first_sends) == 1
+
+
 def test_stream_of_stalled_engine_resumes_at_another_engine():
     core = RoutedCore()
     send = core.arrive(build_call('d'), now=0.0)
