Send calls to the other group's engines only if these have a free slot

Cause: a call that finds no engine of its own group goes to one of the other group with an almost empty prefill backlog. Slots were not looked at, and an engine whose 16 streams all decode has no prefill backlog. There more urgent streams pass and preempt it, and its VM can't take it back.

--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -212,13 +212,18 @@
     call_state: CallState,
     now: float,
 ) -> Placement | None:
-    """Return an engine of the other group with an almost empty backlog."""
+    """Return an engine of the other group with an almost empty backlog.
+
+    It also has a free slot: a call that waits in an engine's own queue can't be
+    sent elsewhere, and is preempted or passed there by more urgent ones.
+    """
     for placement in _iterate_placements(
         routing, group, call_state, now, own_group=False
     ):
+        waiting = placement.backlog.prefill_tokens + placement.prefill_tokens
         if (
-            placement.backlog.prefill_tokens + placement.prefill_tokens
-            <= _MAX_OTHER_GROUP_BACKLOG_TOKENS
+            _has_capacity(placement)
+            and waiting <= _MAX_OTHER_GROUP_BACKLOG_TOKENS
         ):
             return placement
     return None
--- a/tests/unit/test_routed_selection.py
+++ b/tests/unit/test_routed_selection.py
@@ -1,5 +1,7 @@
 """Selection of the engine; each rule is tested under the load it is for."""
 
+from collections import Counter
+
 from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
 from bilberryspoke._internal.core.routing.selection import (
     _AFFINITY_WAIT_TARGET_FRACTION,
@@ -11,6 +13,7 @@
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_events import (
     CallArrived,
+    UpstreamsListed,
 )
 from bilberryspoke._internal.models.routing_messages import (
     RoutingHeartbeat,
@@ -18,9 +21,11 @@
 )
 from tests.lib.routedcore import (
     DRAFT_ROUTE,
+    SHORT_TARGET_ROUTE,
     TIGHT_GAP_ROUTE,
     RoutedCore,
     build_call,
+    build_upstream,
     find_decision,
     list_sends,
     probe_tight_gap_engines,
@@ -222,3 +227,22 @@
     )
     [waited] = list_sends(second.handle(Tick(), now=0.05))
     assert waited.call_id == 'd2'
+
+
+def test_calls_go_only_to_engines_with_a_free_slot():
+    """Counter answers waited at engines that were full of urgent streams."""
+    core = RoutedCore(engines=4)
+    listed = tuple(
+        build_upstream(f'engine-{each}', slots=2) for each in range(4)
+    )
+    core.handle(UpstreamsListed(listed, 2), now=0.0)
+    sends = []
+    for number in range(40):
+        route = (TIGHT_GAP_ROUTE, SHORT_TARGET_ROUTE)[number % 2]
+        call = build_call(f'c{number}', route, parts=(), prompt_tokens=100)
+        send = core.arrive(call, now=0.0)
+        if send is not None:
+            sends.append(send)
+            core.progress(send, now=0.0)
+    at_engine = Counter(send.instance for send in sends)
+    assert max(at_engine.values()) == 2
