Tell engines the rank of a call, not its workspace's priority alone

Callers of a workspace saw their streams preempted while drafts of workspaces of the same priority ran on: the router orders calls by workspace and then by route, but engines were sent the workspace's priority only, and preempt the newest of equal ones.

Now the engine's priority is the position of the call's rank among those that its service's routes and workspaces make; with more ranks than the ten priorities, those of one workspace priority share one.

Evidence: test_engine_knows_the_order_of_calls_of_one_workspace_priority failed before (equal priorities for routes 0 and 2).

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -109,7 +109,8 @@
     )
     if call_state.attempt == 1:
         ensure_budget(state, call.service, now).record_first_send(now)
-    service = state.routing.table.services.get(call.service)
+    table = state.routing.table
+    service = table.services.get(call.service)
     is_engine = service is not None and service.engine is not None
     state.emit(
         LogDecision(
@@ -125,19 +126,20 @@
                 'calls': placement.backlog.calls,
                 'waited_s': round(call_state.waited_s, 3),
                 'expected_first_event_s': round(placement.first_event_s, 3),
-                'version': state.routing.table.version,
+                'version': table.version,
             },
             important=False,
         ),
     )
-    # Engines take priorities from 0 (most urgent) to 9.
     state.emit(
         Send(
             call_id=call.call_id,
             attempt=call_state.attempt,
             instance=listed.instance,
             address=listed.address,
-            priority=min(9, max(0, call.priority)) if is_engine else None,
+            priority=table.choose_engine_priority(call.service, call.rank)
+            if is_engine
+            else None,
             upstream_deadline_at=call.deadline_at,
             last_event_id=call_state.last_event_id,
         ),
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -4,12 +4,26 @@
 ``network.routing.ingress`` makes the calls. The core reads them all.
 """
 
+import bisect
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 # Number of route priorities that ``RoutedCall.rank`` tells apart; those from
 # the last one on count as equal.
 _ROUTE_PRIORITY_LEVELS = 100
+# Engines take priorities from 0, the most urgent, to this one.
+_MAX_ENGINE_PRIORITY = 9
+
+
+def make_rank(priority: int, route_priority: int) -> int:
+    """Return the position of a call in the order of urgency.
+
+    The lowest is the most urgent. Calls are ordered by ``priority``, which a
+    workspace may set, and among equal ones by the priority of their routes.
+    """
+    return priority * _ROUTE_PRIORITY_LEVELS + min(
+        _ROUTE_PRIORITY_LEVELS - 1, route_priority
+    )
 
 
 class RetrySafety(StrEnum):
@@ -136,6 +150,8 @@
     inter-token gaps of its routes, in seconds.
     ``latency_targets_of_service``: for each service, the longest latency
     target in seconds by the priority of the route.
+    ``ranks_of_service``: for each service, the ranks that its calls may have,
+    in order.
     """
 
     version: int
@@ -152,6 +168,7 @@
     latency_targets_of_service: dict[str, dict[int, float]] = field(
         default_factory=dict,
     )
+    ranks_of_service: dict[str, list[int]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Build the indexes of routes by host and of targets by service."""
@@ -161,6 +178,23 @@
                 self._index_service(target.service, route)
         for routes in self.routes_of_host.values():
             routes.sort(key=_get_prefix_length, reverse=True)
+        self._index_ranks()
+
+    def choose_engine_priority(self, service: str, rank: int) -> int:
+        """Return the priority of a call at the engines of a service.
+
+        Engines preempt by it, so that it follows the rank of the calls. If
+        there are more ranks than priorities, those of equal workspace
+        priority share one.
+        """
+        ranks = self.ranks_of_service.get(service, [])
+        position = bisect.bisect_left(ranks, rank)
+        if len(ranks) > _MAX_ENGINE_PRIORITY + 1:
+            priorities = {each // _ROUTE_PRIORITY_LEVELS for each in ranks}
+            position = bisect.bisect_left(
+                sorted(priorities), rank // _ROUTE_PRIORITY_LEVELS
+            )
+        return min(_MAX_ENGINE_PRIORITY, position)
 
     def find_longest_latency_target(self, service: str, priority: int) -> float:
         """Return the longest latency target of less urgent routes, in seconds.
@@ -195,6 +229,28 @@
         longest_s = latency_targets.get(route.priority, 0.0)
         latency_targets[route.priority] = max(longest_s, route.latency_target_s)
 
+    def _index_ranks(self) -> None:
+        """Index the ranks of the calls of all holders of API keys.
+
+        A call without a workspace's priority has that of its route.
+        """
+        own_priorities = {
+            holder.priority for holder in self.api_key_holders.values()
+        }
+        ranks: dict[str, set[int]] = {}
+        for route in self.routes:
+            priorities = {
+                route.priority if each is None else each
+                for each in (None, *own_priorities)
+            }
+            for target in route.targets:
+                ranks.setdefault(target.service, set()).update(
+                    make_rank(each, route.priority) for each in priorities
+                )
+        self.ranks_of_service = {
+            service: sorted(each) for service, each in ranks.items()
+        }
+
 
 def _get_prefix_length(route: Route) -> int:
     return len(route.path_prefix)
@@ -265,14 +321,8 @@
 
     @property
     def rank(self) -> int:
-        """Position in the order of urgency; the lowest is the most urgent.
-
-        Calls are ordered by ``priority``, which a workspace may set, and
-        among equal ones by the priority of their routes.
-        """
-        return self.priority * _ROUTE_PRIORITY_LEVELS + min(
-            _ROUTE_PRIORITY_LEVELS - 1, self.route.priority
-        )
+        """Position in the order of urgency, see ``make_rank``."""
+        return make_rank(self.priority, self.route.priority)
 
     @property
     def allows_retry_after_run(self) -> bool:
