--- a/src/bilberryspoke/_internal/core/routing/backlog.py
+++ b/src/bilberryspoke/_internal/core/routing/backlog.py
@@ -52,8 +52,13 @@
     calls: int
 
 
+_NO_BACKLOG = EngineBacklog(0, 0)
+
+
 def measure_own_backlog(upstream: UpstreamState) -> EngineBacklog:
     """Return the backlog of this VM's own calls at an upstream."""
+    if not upstream.sends:
+        return _NO_BACKLOG
     prefill_tokens = sum(
         call_state.prefill_tokens
         for call_state in upstream.sends.values()
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -44,7 +44,8 @@
 def _retry_stalled_calls(state: VmState, now: float) -> None:
     """Retry calls elsewhere that stalled or whose upstream is silent."""
     routing = state.routing
-    for upstream in list(routing.upstreams.values()):
+    in_use = [each for each in routing.upstreams.values() if each.sends]
+    for upstream in in_use:
         silent = is_silent(routing, upstream, now)
         if silent:
             _record_silence(state, upstream, now)
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -22,7 +22,11 @@
     UpstreamState,
 )
 from bilberryspoke._internal.models.routing import Route, RoutedCall
-from bilberryspoke._internal.utils.hashing import hash_parts, rank_members
+from bilberryspoke._internal.utils.hashing import (
+    hash_member,
+    hash_parts,
+    rank_members,
+)
 
 # Fraction of a service's engines that form the tight group.
 _TIGHT_GROUP_FRACTION = 0.25
@@ -171,7 +175,7 @@
         return accepting, []
     ranked = sorted(
         accepting,
-        key=lambda each: hash_parts(service, each.listed.instance),
+        key=lambda each: hash_member(service, each.listed.instance),
     )
     tight_count = max(1, round(len(ranked) * _TIGHT_GROUP_FRACTION))
     if has_tight_gap_limit(routing, call_state.call.route, service):
--- a/src/bilberryspoke/_internal/utils/hashing.py
+++ b/src/bilberryspoke/_internal/utils/hashing.py
@@ -4,10 +4,12 @@
 evenly and still be reproducible.
 """
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
 _HASH_BYTES = 8
+_MAX_CACHED_RANK_HASHES = 16_384
 
 
 def hash_parts(*parts: object) -> int:
@@ -24,11 +26,20 @@
     """
     return sorted(
         members,
-        key=lambda member: hash_parts(subject, member),
+        key=lambda member: hash_member(subject, member),
         reverse=True,
     )
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_RANK_HASHES)
+def hash_member(subject: str, member: str) -> int:
+    """Return the hash of a member for a subject, as ``hash_parts`` does.
+
+    The hashes of the same members are needed for each choice.
+    """
+    return hash_parts(subject, member)
+
+
 def hash_prefix(text: str, max_chars: int = 256) -> int:
     """Return a 62-bit hash of the beginning of a prompt, for prefix affinity.
 
