Survive a relay whose data centre becomes known later

Found by reading: the time at which a relay was chosen was looked up by the data centre that the peer has now, not by the one it was chosen for. A VM of an older version introduces others without their data centres; the next heartbeat of such a VM then ended the periodic review of a relay with a KeyError. The new test showed it before the change.

--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -14,8 +14,8 @@
 from bilberryspoke._internal.core.routing.relays import (
     choose_relays,
     counts_report,
+    find_expected_relays,
     is_relay,
-    list_expected_relays,
 )
 from bilberryspoke._internal.core.routing.reports import make_report
 from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
@@ -132,7 +132,7 @@
     receivers = list(routing.peers.values())
     if routing.relays:
         own_report.to_relay = True
-        receivers = list_expected_relays(state)
+        receivers = list(find_expected_relays(state).values())
     for receiver in receivers:
         send_to_peer(state, receiver, own_report)
 
@@ -150,7 +150,7 @@
     data_centre_total = make_report(
         state, ReportScope.data_centre, members, to_relay=True
     )
-    for relay in list_expected_relays(state):
+    for relay in find_expected_relays(state).values():
         send_to_peer(state, relay, data_centre_total)
     for receiver in routing.peers.values():
         if receiver.data_centre == own:
--- a/src/bilberryspoke/_internal/core/routing/relays.py
+++ b/src/bilberryspoke/_internal/core/routing/relays.py
@@ -60,20 +60,19 @@
     return state.routing.relays.get(state.settings.data_centre) == state.vm
 
 
-def list_expected_relays(state: VmState) -> list[PeerView]:
-    """Return the relays from which this VM expects reports.
+def find_expected_relays(state: VmState) -> dict[str, PeerView]:
+    """Return the relays from which this VM expects reports, by data centre.
 
     A relay expects them from the other relays, another VM from its own one.
     """
     routing = state.routing
     own = state.settings.data_centre
     expects_others = is_relay(state)
-    names = [
-        relay
+    return {
+        data_centre: routing.peers[relay]
         for data_centre, relay in routing.relays.items()
-        if expects_others or data_centre == own
-    ]
-    return [routing.peers[name] for name in names if name in routing.peers]
+        if relay in routing.peers and (expects_others or data_centre == own)
+    }
 
 
 def counts_report(state: VmState, peer: PeerView) -> bool:
@@ -108,7 +107,7 @@
 
 def _suspect_silent_relays(state: VmState, now: float) -> None:
     chosen_at = state.routing.relay_chosen_at
-    for peer in list_expected_relays(state):
-        since = max(peer.last_heard_at, chosen_at[peer.data_centre])
+    for data_centre, peer in find_expected_relays(state).items():
+        since = max(peer.last_heard_at, chosen_at[data_centre])
         if now - since > _RELAY_TIMEOUT_S:
             peer.suspected = True
--- a/tests/unit/test_routed_peers.py
+++ b/tests/unit/test_routed_peers.py
@@ -6,8 +6,13 @@
     count_live_vms,
     measure_backlog,
 )
+from bilberryspoke._internal.models.events import PeerMessageReceived
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_events import CallArrived, SendEnded
+from bilberryspoke._internal.models.routing_messages import (
+    Introduction,
+    RoutingHeartbeat,
+)
 from tests.lib.corefleet import RETRY_RESERVE, RETRY_SHARE, CoreFleet
 from tests.lib.routedcore import READ_ROUTE, build_call, list_sends
 
@@ -159,6 +164,20 @@
     assert set(count_live_peers(fleet, 20.0).values()) == {62}
 
 
+def test_relay_whose_data_centre_becomes_known_later_is_no_error():
+    """An older VM introduces others without their data centres."""
+    fleet = CoreFleet(20, data_centres=1)
+    fleet.run_until(3.0)
+    name = get_relay(fleet, 'vm-0', 'dc-0')
+    stranger = Introduction({'vm-x': 'vm-x:1'})
+    fleet.handle(name, PeerMessageReceived('vm-old', 1, stranger))
+    fleet.run_until(3.3)
+    heartbeat = RoutingHeartbeat('vm-x:1', 1, 1, True, data_centre='dc-x')
+    fleet.handle(name, PeerMessageReceived('vm-x', 1, heartbeat))
+    fleet.run_until(4.0)
+    assert get_relay(fleet, name, 'dc-x') == 'vm-x'
+
+
 def test_vm_that_never_returns_is_forgotten():
     fleet = CoreFleet(14)
     fleet.run_until(5.0)
