--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -5,6 +5,7 @@
     fail_call,
     refuse_call,
 )
+from bilberryspoke._internal.core.routing.groups import get_group_name
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.core.routing.selection import (
@@ -15,7 +16,6 @@
 )
 from bilberryspoke._internal.core.routing.state import CallStage, CallState
 from bilberryspoke._internal.core.routing.waitqueue import (
-    get_group_name,
     must_refuse,
     must_yield,
     sort_waiting,
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -1,10 +1,8 @@
 """Choice of the upstream for the next send of a call.
 
-An engine that reads a long prompt delays the tokens of all its other streams.
-A service's engines are therefore split into two groups: the tight group serves
-streams with the shortest gap limit (maximum inter-token gap,
-``Route.max_event_gap_s``), and other calls run there only while the prefill
-backlog is almost empty. Times are in seconds of the boot-time clock.
+A call goes to an engine of its own group, see ``groups``, or else to one of the
+other group whose prefill backlog is almost empty. Times are in seconds of the
+boot-time clock.
 """
 
 from collections.abc import Iterable
@@ -16,20 +14,18 @@
     estimate_first_event_s,
     measure_backlog,
 )
+from bilberryspoke._internal.core.routing.groups import split_into_groups
 from bilberryspoke._internal.core.routing.state import (
     CallState,
     RoutingState,
     UpstreamState,
 )
-from bilberryspoke._internal.models.routing import Route, RoutedCall
+from bilberryspoke._internal.models.routing import RoutedCall
 from bilberryspoke._internal.utils.hashing import (
-    hash_member,
     hash_parts,
     rank_members,
 )
 
-# Fraction of a service's engines that form the tight group.
-_TIGHT_GROUP_FRACTION = 0.25
 # The first engine in order of prefix affinity is chosen whose first event is
 # expected within this fraction of the latency target.
 _MAX_FIRST_EVENT_TARGET_FRACTION = 0.25
@@ -90,7 +86,7 @@
     if service_conf is None or service_conf.engine is None:
         usable = list_usable_upstreams(routing, call_state, now)
         return _choose_less_loaded(routing, usable, call_state, now)
-    own_group, other_group = _split_into_groups(routing, call_state, now)
+    own_group, other_group = split_into_groups(routing, call_state, now)
     own_group = _exclude_tried_and_ejected(own_group, call_state, now)
     other_group = _exclude_tried_and_ejected(other_group, call_state, now)
     if not own_group:
@@ -112,19 +108,6 @@
     )
 
 
-def has_tight_gap_limit(
-    routing: RoutingState, route: Route, service: str
-) -> bool:
-    """Return whether a route has the shortest gap limit of its service.
-
-    It is false if all routes of the service have the same limit.
-    """
-    if route.max_event_gap_s is None:
-        return False
-    gaps = routing.table.max_event_gaps_of_service.get(service, set())
-    return len(gaps) > 1 and route.max_event_gap_s <= min(gaps)
-
-
 def has_prefix_affinity(call: RoutedCall, now: float) -> bool:
     """Return whether a call waits for the engine that caches its prompt."""
     shared_tokens = sum(part.tokens for part in call.parts[:-1])
@@ -153,36 +136,6 @@
     return healthy or untried
 
 
-def _split_into_groups(
-    routing: RoutingState,
-    call_state: CallState,
-    now: float,
-) -> tuple[list[UpstreamState], list[UpstreamState]]:
-    """Return the engines of a call's own group, and those of the other group.
-
-    The order by hash is the same at all VMs and changes little when engines
-    come and go. The groups are formed without unresponsive engines, so that
-    another engine replaces them. An engine that is ejected because it failed
-    some of its calls stays in its group.
-    """
-    service = call_state.call.service
-    listed = routing.list_accepting_upstreams(service)
-    accepting = [
-        each for each in listed if not each.health.is_unresponsive(now)
-    ]
-    accepting = accepting or listed
-    if len(accepting) < 2:
-        return accepting, []
-    ranked = sorted(
-        accepting,
-        key=lambda each: hash_member(service, each.listed.instance),
-    )
-    tight_count = max(1, round(len(ranked) * _TIGHT_GROUP_FRACTION))
-    if has_tight_gap_limit(routing, call_state.call.route, service):
-        return ranked[:tight_count], ranked[tight_count:]
-    return ranked[tight_count:], ranked[:tight_count]
-
-
 def _choose_within_target(
     routing: RoutingState,
     group: list[UpstreamState],
--- a/src/bilberryspoke/_internal/core/routing/waitqueue.py
+++ b/src/bilberryspoke/_internal/core/routing/waitqueue.py
@@ -6,7 +6,10 @@
 import math
 
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
-from bilberryspoke._internal.core.routing.selection import has_tight_gap_limit
+from bilberryspoke._internal.core.routing.groups import (
+    get_group_name,
+    get_tight_group_name,
+)
 from bilberryspoke._internal.core.routing.state import CallState, RoutingState
 from bilberryspoke._internal.models.routing import Route, RoutedCall
 from bilberryspoke._internal.utils.hashing import hash_parts
@@ -28,7 +31,6 @@
 _MIN_CALLER_TIMEOUT_S = 2.0
 _CALLER_TIMEOUT_TARGET_RATIO = 4
 _CALLER_TIMEOUT_GAP_RATIO = 8
-_TIGHT_GROUP_SUFFIX = '/tight'
 
 
 def sort_waiting(routing: RoutingState, now: float) -> list[CallState]:
@@ -47,13 +49,6 @@
     return sorted(routing.waiting, key=rank)
 
 
-def get_group_name(routing: RoutingState, call: RoutedCall) -> str:
-    """Return the name of the group of engines that a call is sent to."""
-    if has_tight_gap_limit(routing, call.route, call.service):
-        return call.service + _TIGHT_GROUP_SUFFIX
-    return call.service
-
-
 def must_yield(
     routing: RoutingState, call_state: CallState, now: float
 ) -> bool:
@@ -64,7 +59,10 @@
     are full.
     """
     call = call_state.call
-    groups = {get_group_name(routing, call), call.service + _TIGHT_GROUP_SUFFIX}
+    groups = {
+        get_group_name(routing, call),
+        get_tight_group_name(call.service),
+    }
     urgent_ranks = [peer.waiting for peer in list_live_peers(routing, now)]
     urgent_ranks.append(routing.waiting.get_most_urgent_ranks())
     return any(
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -44,7 +44,7 @@
     ``backlog``: one entry for each upstream with calls of the VMs in ``scope``.
     ``waiting``: rank of the most urgent call that waits for capacity (see
     ``RoutedCall.rank``), by the group of upstreams that it waits for. The name
-    of a group comes from ``core.routing.waitqueue.get_group_name``.
+    of a group comes from ``core.routing.groups.get_group_name``.
     ``members``: digest of the VMs that the sender knows; 0 from a sender that
     does not say.
     ``data_centre``: that of the sender.
