Split route tables and ranks from the types of routed calls

RouteTable, its indexes and the engine priorities are in models/routetable.py, the order of urgency in models/ranks.py.

--- a/bench/routed/load.py
+++ b/bench/routed/load.py
@@ -5,13 +5,13 @@
 import random
 from dataclasses import dataclass
 
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ApiKeyHolder,
     EngineLimits,
     PromptPart,
     RetrySafety,
     Route,
-    RouteTable,
     Service,
     Target,
 )
--- a/src/bilberryspoke/_internal/core/routing/matching.py
+++ b/src/bilberryspoke/_internal/core/routing/matching.py
@@ -4,10 +4,10 @@
 
 from expression import Error, Ok, Result
 
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ApiKeyHolder,
     Route,
-    RouteTable,
 )
 from bilberryspoke._internal.utils.hashing import hash_parts
 
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -10,10 +10,10 @@
 
 from bilberryspoke._internal.core.routing.passivehealth import PassiveHealth
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ListedUpstream,
     RoutedCall,
-    RouteTable,
 )
 from bilberryspoke._internal.models.routing_messages import ReportScope
 
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass
 
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ListedUpstream,
     RoutedCall,
-    RouteTable,
     SendStatus,
 )
 
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -12,10 +12,10 @@
     match_call,
 )
 from bilberryspoke._internal.exceptions import CallerGoneError
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     IngressLimits,
     RoutedCall,
-    RouteTable,
 )
 from bilberryspoke._internal.models.routing_effects import (
     RefuseCall,
--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -5,6 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ApiKeyHolder,
     EngineLimits,
@@ -12,7 +13,6 @@
     ListedUpstream,
     RetrySafety,
     Route,
-    RouteTable,
     Service,
     Target,
 )
--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -4,6 +4,7 @@
 
 from bilberryspoke._internal.core import Core, CoreSettings
 from bilberryspoke._internal.models.events import Tick
+from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ApiKeyHolder,
     EngineLimits,
@@ -12,7 +13,6 @@
     RetrySafety,
     Route,
     RoutedCall,
-    RouteTable,
     SendStatus,
     Service,
     Target,
