--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -131,15 +131,14 @@
             important=False,
         ),
     )
+    # Engines take priorities from 0 (most urgent) to 9.
     state.emit(
         Send(
             call_id=call.call_id,
             attempt=call_state.attempt,
             instance=listed.instance,
             address=listed.address,
-            priority=table.choose_engine_priority(call.service, call.rank)
-            if is_engine
-            else None,
+            priority=min(9, max(0, call.priority)) if is_engine else None,
             upstream_deadline_at=call.deadline_at,
             last_event_id=call_state.last_event_id,
         ),
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from bilberryspoke._internal.models.ranks import make_rank
+# Number of route priorities that ``RoutedCall.rank`` tells apart; those from
+# the last one on count as equal.
+_ROUTE_PRIORITY_LEVELS = 100
 
 
 class RetrySafety(StrEnum):
@@ -184,8 +186,14 @@
 
     @property
     def rank(self) -> int:
-        """Position in the order of urgency, see ``make_rank``."""
-        return make_rank(self.priority, self.route.priority)
+        """Position in the order of urgency; the lowest is the most urgent.
+
+        Calls are ordered by ``priority``, which a workspace may set, and
+        among equal ones by the priority of their routes.
+        """
+        return self.priority * _ROUTE_PRIORITY_LEVELS + min(
+            _ROUTE_PRIORITY_LEVELS - 1, self.route.priority
+        )
 
     @property
     def allows_retry_after_run(self) -> bool:
