View this VM's own state once for each round of heartbeats

A relay went through all engines again for each VM of its data centre, ten times a second, to add the same own state to each total; and a report was changed after it had been handed over as an effect. Reports are now made of a list of views, of which the own one is made once. Forgotten peers need not leave the reporters: these are listed anew right after. What is sent stays the same.

--- a/src/bilberryspoke/_internal/core/routing/members.py
+++ b/src/bilberryspoke/_internal/core/routing/members.py
@@ -106,7 +106,6 @@
     ]
     for peer in expired:
         routing.peers.pop(peer.name)
-        routing.reporters.pop(peer.name, None)
     if expired:
         _update_digest(state)
 
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -17,7 +17,10 @@
     find_expected_relays,
     is_relay,
 )
-from bilberryspoke._internal.core.routing.reports import make_report
+from bilberryspoke._internal.core.routing.reports import (
+    make_report,
+    view_own_state,
+)
 from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
@@ -123,45 +126,48 @@
 
 def _send_heartbeats(state: VmState, now: float) -> None:
     routing = state.routing
-    own_report = make_report(state)
+    own = view_own_state(state)
+    relays_here = is_relay(state)
+    own_report = make_report(
+        state, [own], to_relay=bool(routing.relays) and not relays_here
+    )
     for address in sorted(routing.seeds):
         state.emit(SendPeerMessage(SEED_PREFIX + address, own_report))
-    if is_relay(state):
-        _send_totals(state, now)
+    if relays_here:
+        _send_totals(state, own, now)
         return
-    receivers = list(routing.peers.values())
+    receivers = routing.peers.values()
     if routing.relays:
-        own_report.to_relay = True
-        receivers = list(find_expected_relays(state).values())
+        receivers = find_expected_relays(state).values()
     for receiver in receivers:
         send_to_peer(state, receiver, own_report)
 
 
-def _send_totals(state: VmState, now: float) -> None:
+def _send_totals(state: VmState, own: PeerView, now: float) -> None:
     """Send the totals that a relay passes on.
 
     The other relays get that of its data centre, and each VM of its data centre
-    that of all other VMs.
+    that of all other VMs. ``own`` is this VM's own state.
     """
     routing = state.routing
-    own = state.settings.data_centre
+    data_centre = state.settings.data_centre
     live_peers = list_live_peers(routing, now)
-    members = [peer for peer in live_peers if peer.data_centre == own]
+    members = [peer for peer in live_peers if peer.data_centre == data_centre]
     data_centre_total = make_report(
-        state, ReportScope.data_centre, members, to_relay=True
+        state, [own, *members], ReportScope.data_centre, to_relay=True
     )
     for relay in find_expected_relays(state).values():
         send_to_peer(state, relay, data_centre_total)
     for receiver in routing.peers.values():
-        if receiver.data_centre == own:
+        if receiver.data_centre == data_centre:
             others = [peer for peer in live_peers if peer is not receiver]
-            total = make_report(state, ReportScope.others, others)
+            total = make_report(state, [own, *others], ReportScope.others)
             send_to_peer(state, receiver, total)
 
 
 def _answer_as_no_relay(state: VmState, peer: PeerView) -> None:
     """Tell a peer that took this VM for a relay which VM is the relay."""
-    send_to_peer(state, peer, make_report(state))
+    send_to_peer(state, peer, make_report(state, [view_own_state(state)]))
 
 
 def _note_relay_of(state: VmState, message: RoutingHeartbeat) -> None:
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -14,18 +14,17 @@
 
 def make_report(
     state: VmState,
+    views: list[PeerView],
     scope: ReportScope = ReportScope.vm,
-    parts: Iterable[PeerView] = (),
     *,
     to_relay: bool = False,
 ) -> RoutingHeartbeat:
-    """Make a heartbeat that reports this VM's calls and those of ``parts``.
+    """Make a heartbeat that reports the calls of ``views``.
 
-    Its version and revision are the newest of those VMs that reach the store.
+    One of them is this VM's own, see ``view_own_state``. The version and
+    revision are the newest of those VMs that reach the store.
     """
     routing = state.routing
-    own = _view_own_state(state)
-    views = [own, *parts]
     reader = max(views, key=_get_store_position)
     return RoutingHeartbeat(
         address=state.settings.peer_address,
@@ -41,13 +40,13 @@
         data_centre=state.settings.data_centre,
         scope=scope,
         vms=sum(view.vms for view in views),
-        store_reader='' if reader is own else reader.store_reader,
+        store_reader='' if reader.name == state.vm else reader.store_reader,
         relay=routing.relays.get(state.settings.data_centre, ''),
         to_relay=to_relay,
     )
 
 
-def _view_own_state(state: VmState) -> PeerView:
+def view_own_state(state: VmState) -> PeerView:
     """Return this VM as other VMs see it."""
     routing = state.routing
     backlog = {}
