--- a/src/bilberryspoke/_internal/metrics/counters.py
+++ b/src/bilberryspoke/_internal/metrics/counters.py
@@ -29,8 +29,7 @@
             if name != previous:
                 lines.append(f'# TYPE {PREFIX}{name}_total counter')
                 previous = name
-            labels = f'{{label="{escape_label(label)}"}}' if label else ''
-            lines.append(f'{PREFIX}{name}_total{labels} {total}')
+            lines.append(f'{PREFIX}{name}_total{format_label(label)} {total}')
         return lines
 
     def dump(self) -> dict[str, dict[str, int]]:
@@ -41,7 +40,10 @@
         return dumped
 
 
-def escape_label(label: str) -> str:
-    """Escape a label's value for the Prometheus text format."""
+def format_label(label: str) -> str:
+    """Return a label in the Prometheus text format, empty if there is none."""
+    if not label:
+        return ''
     escaped = label.replace('\\', '\\\\').replace('"', '\\"')
-    return escaped.replace('\n', '\\n')
+    escaped = escaped.replace('\n', '\\n')
+    return f'{{label="{escaped}"}}'
--- a/src/bilberryspoke/_internal/metrics/gauges.py
+++ b/src/bilberryspoke/_internal/metrics/gauges.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from bilberryspoke._internal.metrics.counters import PREFIX, escape_label
+from bilberryspoke._internal.metrics.counters import PREFIX, format_label
 
 
 def render_gauge(name: str, values: Mapping[str, float]) -> list[str]:
@@ -12,6 +12,5 @@
     """
     lines = [f'# TYPE {PREFIX}{name} gauge']
     for label, value in sorted(values.items()):
-        labels = f'{{label="{escape_label(label)}"}}' if label else ''
-        lines.append(f'{PREFIX}{name}{labels} {value:g}')
+        lines.append(f'{PREFIX}{name}{format_label(label)} {value:g}')
     return lines
--- a/src/bilberryspoke/_internal/metrics/histograms.py
+++ b/src/bilberryspoke/_internal/metrics/histograms.py
@@ -4,6 +4,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from bilberryspoke._internal.metrics.counters import PREFIX
+
 MIN_DURATION_MS = 1
 MAX_DURATION_MS = 3_600_000
 _SIGNIFICANT_DIGITS = 2
@@ -11,7 +13,6 @@
 _MAX_WORKSPACES = 40
 _OTHER_WORKSPACES = '(other)'
 _PERCENTILES = (50, 95, 99)
-_PREFIX = 'bilberryspoke_'
 
 
 def make_histogram() -> HdrHistogram:
@@ -63,7 +64,7 @@
         for (kind, group, measure), histogram in sorted(self._table.items()):
             if kind not in wanted:
                 continue
-            name = f'{_PREFIX}{measure}_ms'
+            name = f'{PREFIX}{measure}_ms'
             label = f'{kind}="{group}"'
             for percentile in _PERCENTILES:
                 value_ms = histogram.get_value_at_percentile(percentile)
