Show the store's position, the version in force and the store's silence

Logs and metrics could not tell the three hypotheses apart: no line said at which revision a VM watches, whether the store came back from a copy, or how long it has been silent. Now `store_restored` does, `routes_adopted` names era and revision, `store_lost` names the watch, and four gauges show the version in force, the position of the store and its silence.

--- a/bench/routed/simulation.py
+++ b/bench/routed/simulation.py
@@ -26,6 +26,7 @@
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
 from bilberryspoke._internal.models.routing import (
     SendStatus,
+    StorePosition,
 )
 from bilberryspoke._internal.models.routing_effects import (
     CancelSend,
@@ -158,7 +159,7 @@
             build_listed_engine(each, self._size) for each in self.engines
         )
         self._submit(name, RoutesOffered(table))
-        self._submit(name, UpstreamsListed(listed, 1))
+        self._submit(name, UpstreamsListed(listed, StorePosition(0, 1)))
         seeds = tuple(f'vm-{each}' for each in range(self._size.seeds))
         self._submit(name, SeedsConfigured(seeds))
         offset_s = self._rng.random() * _TICK_INTERVAL_S
--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -15,7 +15,11 @@
 from bilberryspoke._internal.models.effects import (
     Count,
 )
-from bilberryspoke._internal.models.routing import ListedUpstream
+from bilberryspoke._internal.models.routing import (
+    NO_POSITION,
+    ListedUpstream,
+    StorePosition,
+)
 from bilberryspoke._internal.models.routing_effects import (
     LogDecision,
 )
@@ -60,6 +64,7 @@
                 'version': offered.version,
                 'before': current,
                 'source': event.source,
+                **_describe_position(event.position),
                 'routes': len(offered.routes),
             },
         ),
@@ -76,6 +81,7 @@
     ones, to recognize afterwards whether their entries expired in the outage.
     """
     routing = state.routing
+    _record_answer(state, event, now)
     if event.store_reachable == routing.store_reachable:
         return
     routing.store_reachable = event.store_reachable
@@ -91,7 +97,7 @@
         routing.store_lost_at = now
     name = 'store_back' if event.store_reachable else 'store_lost'
     state.emit(Count(name))
-    state.emit(LogDecision(name, {'cause': event.cause}))
+    state.emit(LogDecision(name, {'watch': event.watch, 'cause': event.cause}))
 
 
 @on_event(UpstreamsListed)
@@ -99,18 +105,18 @@
     state: VmState, event: UpstreamsListed, now: float
 ) -> None:
     """Replace the known upstreams by the complete list from discovery."""
-    state.routing.revision = event.revision
+    state.routing.position = event.position
     replace_upstreams(state, event.upstreams, now)
 
 
 @on_event(DiscoverySynced)
-def update_revision(
+def update_position(
     state: VmState,
     event: DiscoverySynced,
     now: float,
 ) -> None:
-    """Record the store revision up to which the upstreams are known."""
-    state.routing.revision = max(state.routing.revision, event.revision)
+    """Record the position of the store up to which the upstreams are known."""
+    state.routing.position = max(state.routing.position, event.position)
 
 
 def replace_upstreams(
@@ -154,6 +160,35 @@
             )
 
 
+def _record_answer(
+    state: VmState, event: StoreReachReported, now: float
+) -> None:
+    """Record when and with which position the store answered a watch.
+
+    A position below that of the answer before means that the store was
+    restored from a copy.
+    """
+    if not event.store_reachable or event.position is None:
+        return
+    routing = state.routing
+    routing.store_answered_at[event.watch] = now
+    previous = routing.answered_positions.get(event.watch, NO_POSITION)
+    routing.answered_positions[event.watch] = event.position
+    restored = (
+        event.position.era != previous.era
+        or 0 < event.position.revision < previous.revision
+    )
+    if restored and previous != NO_POSITION:
+        fields = {
+            'watch': event.watch,
+            'previous_era': previous.era,
+            'previous_revision': previous.revision,
+            **_describe_position(event.position),
+        }
+        state.emit(Count('store_restored'))
+        state.emit(LogDecision('store_restored', fields))
+
+
 def _put_upstream(state: VmState, listed: ListedUpstream) -> None:
     upstreams = state.routing.upstreams
     known = upstreams.get(listed.instance)
@@ -214,6 +249,12 @@
     )
 
 
+def _describe_position(position: StorePosition | None) -> dict[str, object]:
+    if position is None:
+        return {}
+    return {'era': position.era, 'revision': position.revision}
+
+
 def _describe_upstream(listed: ListedUpstream) -> dict[str, object]:
     return {
         'upstream': listed.instance,
@@ -221,4 +262,5 @@
         'data_centre': listed.data_centre,
         'address': listed.address,
         'created_ms': listed.created_ms,
+        'sequence': listed.sequence,
     }
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -58,7 +58,7 @@
         state.vm,
         state.settings.peer_address,
         version=routing.table.version if routing.table else 0,
-        revision=routing.revision,
+        revision=routing.position.revision,
         store_reachable=routing.store_reachable,
         store_reader=state.vm,
         backlog=backlog,
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -10,7 +10,10 @@
 from bilberryspoke._internal.core.routing.state import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
-from bilberryspoke._internal.models.routing import ListedUpstream
+from bilberryspoke._internal.models.routing import (
+    ListedUpstream,
+    StorePosition,
+)
 from bilberryspoke._internal.models.routing_effects import (
     DecodeRoutes,
     LogDecision,
@@ -58,7 +61,7 @@
     if not routing.ready or not routing.store_reachable or table is None:
         return
     newer = table.version > message.version
-    if not newer and routing.revision <= message.revision:
+    if not newer and routing.position.revision <= message.revision:
         return
     upstreams = [
         _encode_upstream(upstream.listed)
@@ -66,7 +69,7 @@
     ]
     snapshot = StoreSnapshot(
         version=table.version,
-        revision=routing.revision,
+        revision=routing.position.revision,
         table=table.encoded if newer else b'',
         upstreams=upstreams,
     )
@@ -92,16 +95,16 @@
     current = routing.table.version if routing.table else None
     if message.table and (current is None or message.version > current):
         state.emit(DecodeRoutes(message.table, f'peer {sender}'))
-    if routing.store_reachable or message.revision <= routing.revision:
+    if routing.store_reachable or message.revision <= routing.position.revision:
         return
     fields = {
         'peer': sender,
         'version': message.version,
         'revision': message.revision,
-        'previous_revision': routing.revision,
+        'previous_revision': routing.position.revision,
     }
     state.emit(LogDecision('snapshot_applied', fields, important=False))
-    routing.revision = message.revision
+    routing.position = StorePosition(routing.position.era, message.revision)
     upstreams = [_decode_upstream(each) for each in message.upstreams]
     replace_upstreams(state, upstreams, now)
 
@@ -116,7 +119,9 @@
     live_peers.sort(key=_get_newest_first_key)
     for peer in live_peers[:1]:
         reader = routing.peers.get(peer.store_reader, peer)
-        send_to_peer(state, reader, SnapshotRequest(version, routing.revision))
+        send_to_peer(
+            state, reader, SnapshotRequest(version, routing.position.revision)
+        )
 
 
 def _get_newest_first_key(peer: PeerView) -> tuple[int, int, str]:
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -12,9 +12,12 @@
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
+    NO_POSITION,
     ListedUpstream,
     RoutedCall,
+    StorePosition,
 )
+from bilberryspoke._internal.models.routing_events import StoreWatch
 from bilberryspoke._internal.models.routing_messages import ReportScope
 
 
@@ -186,7 +189,9 @@
     """State of one VM for routed calls.
 
     ``listed`` tells whether a complete list of upstreams was received.
-    ``revision`` is the store revision as of which the upstreams are known.
+    ``position`` is the position of the store as of which the upstreams are
+    known. ``store_answered_at`` is when the store last answered each watch and
+    ``answered_positions`` the position that it answered with.
     ``store_lost_at`` and ``store_back_at`` are when the store last became
     unreachable and reachable again, ``store_outage_s`` is the time between, in
     seconds. ``counts_at_store_back`` is the number of upstreams of each service
@@ -213,7 +218,11 @@
     store_lost_at: float = -1e9
     store_outage_s: float = 0.0
     counts_at_store_back: Counter[str] = field(default_factory=Counter)
-    revision: int = 0
+    position: StorePosition = NO_POSITION
+    store_answered_at: dict[StoreWatch, float] = field(default_factory=dict)
+    answered_positions: dict[StoreWatch, StorePosition] = field(
+        default_factory=dict,
+    )
     peers: dict[str, PeerView] = field(default_factory=dict)
     seeds: set[str] = field(default_factory=set)
     members_digest: int = 0
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -6,12 +6,30 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 # Number of route priorities that ``RoutedCall.rank`` tells apart; those from
 # the last one on count as equal.
 _ROUTE_PRIORITY_LEVELS = 100
 
 
+class StorePosition(NamedTuple):
+    """Position in the sequence of changes of the store.
+
+    Positions compare by era first: the store gives revisions out again after
+    it was restored from a copy, which starts a new era.
+
+    ``era``: how often the store was restored, 0 if it does not say.
+    ``revision``: number of the last change.
+    """
+
+    era: int
+    revision: int
+
+
+NO_POSITION = StorePosition(0, 0)
+
+
 class RetrySafety(StrEnum):
     """Whether a call of a route may be retried after it may have run.
 
@@ -132,6 +150,8 @@
     ``warmup_remaining_s``: seconds for which it is still slow after its start.
     ``created_ms``: Unix time of its creation, in milliseconds; another value
     under the same id means another incarnation.
+    ``sequence``: number of the entry within the incarnation; a higher one was
+    written later. 0 if the entry does not say.
     """
 
     instance: str
@@ -142,6 +162,7 @@
     leaving: bool = False
     warmup_remaining_s: float = 0.0
     created_ms: int = 0
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -5,33 +5,45 @@
 """
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ListedUpstream,
     RoutedCall,
     SendStatus,
+    StorePosition,
 )
 
 
+class StoreWatch(StrEnum):
+    """What a watch of the store follows."""
+
+    routes = 'routes'
+    upstreams = 'upstreams'
+
+
 @dataclass(frozen=True, slots=True)
 class RoutesOffered:
     """A complete configuration of routes was read and decoded.
 
     The core adopts it if it is newer than the one in force.
     ``source``: ``store``, or the VM that sent it, for the log.
+    ``position``: that of the store when it was read, for the log; None if it
+    came from another VM.
     """
 
     table: RouteTable
     source: str = 'store'
+    position: StorePosition | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """All upstreams were read, as of a revision of the store."""
+    """All upstreams were read, as of a position of the store."""
 
     upstreams: tuple[ListedUpstream, ...]
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,9 +59,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscoverySynced:
-    """All changes of upstreams up to a revision of the store were applied."""
+    """All changes of upstreams up to a position of the store were applied."""
 
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +69,15 @@
     """The store of routes and upstreams was found reachable or unreachable.
 
     Sent after requests to the store, also if its reachability is unchanged.
+    ``watch``: the watch whose request it was.
     ``cause``: the error, if it is unreachable.
+    ``position``: the position that the store answered with, if it did.
     """
 
     store_reachable: bool
+    watch: StoreWatch
     cause: str = ''
+    position: StorePosition | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -8,11 +8,15 @@
     PlatformHistoryLostError,
     PlatformUnavailableError,
 )
-from bilberryspoke._internal.models.routing import ListedUpstream
+from bilberryspoke._internal.models.routing import (
+    ListedUpstream,
+    StorePosition,
+)
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
     RoutesOffered,
     StoreReachReported,
+    StoreWatch,
     UpstreamChanged,
     UpstreamsListed,
 )
@@ -41,6 +45,11 @@
 # Number of different jitter fractions.
 _JITTER_STEPS = 100
 
+_WATCHES = {
+    CONFIG_KEY: StoreWatch.routes,
+    UPSTREAM_PREFIX: StoreWatch.upstreams,
+}
+
 
 class DiscoveryWatcher:
     """Submits routes and upstreams from the store to the core.
@@ -89,10 +98,11 @@
                 continue
             except PlatformUnavailableError as exc:
                 self._runtime.counters.add('store_errors', prefix)
-                self._runtime.submit(StoreReachReported(False, str(exc)))
+                self._runtime.submit(
+                    StoreReachReported(False, _WATCHES[prefix], str(exc))
+                )
                 await self._sleep_with_jitter(_RETRY_INTERVAL_S)
                 continue
-            self._runtime.submit(StoreReachReported(True))
             if not revision:
                 await self._sleep_with_jitter(_RETRY_INTERVAL_S)
             elif batch_interval_s:
@@ -111,34 +121,40 @@
         if not revision:
             return await self._read_current(prefix)
         changes = await self._store.watch(prefix, revision, wait_s)
+        self._report_answer(prefix, changes)
         self._apply_changes(changes)
-        current = max(revision, changes.revision)
+        current = max(revision, changes.position.revision)
         if prefix == UPSTREAM_PREFIX:
-            self._runtime.submit(DiscoverySynced(current))
+            synced = StorePosition(changes.position.era, current)
+            self._runtime.submit(DiscoverySynced(synced))
         return current
 
     async def _read_current(self, prefix: str) -> int:
         if prefix == CONFIG_KEY:
             stored = await self._store.read(CONFIG_KEY)
+            self._report_answer(prefix, stored)
             self._apply_changes(stored)
-            return stored.revision
+            return stored.position.revision
         stored = await self._store.read_prefix(prefix)
-        self._runtime.submit(StoreReachReported(True))
+        self._report_answer(prefix, stored)
         listed = [self._decode_upstream(value) for value in stored.values]
         self._runtime.submit(
             UpstreamsListed(
                 tuple(each for each in listed if each is not None),
-                stored.revision,
+                stored.position,
             ),
         )
-        return stored.revision
+        return stored.position.revision
+
+    def _report_answer(self, prefix: str, stored: StoredValues) -> None:
+        self._runtime.submit(
+            StoreReachReported(True, _WATCHES[prefix], position=stored.position)
+        )
 
     def _apply_changes(self, changes: StoredValues) -> None:
-        if changes.values:
-            self._runtime.submit(StoreReachReported(True))
         for value in changes.values:
             if value.key == CONFIG_KEY:
-                self._submit_routes(value)
+                self._submit_routes(value, changes.position)
             elif value.key.startswith(UPSTREAM_PREFIX):
                 self._submit_upstream_change(value)
 
@@ -149,7 +165,9 @@
             listed = self._decode_upstream(value)
         self._runtime.submit(UpstreamChanged(instance, listed))
 
-    def _submit_routes(self, value: StoredValue) -> None:
+    def _submit_routes(
+        self, value: StoredValue, position: StorePosition
+    ) -> None:
         if value.raw is None:
             self._log_unusable_entry(value, 'deleted')
             return
@@ -157,7 +175,7 @@
         if decoded.is_error():
             self._log_unusable_entry(value, decoded.error)
             return
-        self._runtime.submit(RoutesOffered(decoded.ok))
+        self._runtime.submit(RoutesOffered(decoded.ok, position=position))
 
     def _decode_upstream(self, value: StoredValue) -> ListedUpstream | None:
         decoded = decode_upstream(value.key, value.raw or b'')
--- a/src/bilberryspoke/_internal/network/routing/probes.py
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -42,11 +42,14 @@
     """Return the gauges of what this VM knows of the others.
 
     They are the peers that it knows and those heard from lately, the messages
-    to peers that were dropped since the start, and its part of the reserve of
-    each retry budget.
+    to peers that were dropped since the start, its part of the reserve of
+    each retry budget, the version of its routes, the position of the store as
+    of which it knows the upstreams, and the seconds since the store last
+    answered each watch.
     """
     routing = runtime.core.state.routing
-    live_peers = count_live_vms(routing, read_boottime())
+    now = read_boottime()
+    live_peers = count_live_vms(routing, now)
     gauges: dict[str, dict[str, float]] = {
         'known_peers': {'': len(routing.peers)},
         'live_peers': {'': live_peers},
@@ -55,6 +58,13 @@
             service: budget.reserve
             for service, budget in routing.budgets.items()
         },
+        'routes_version': {'': routing.table.version if routing.table else 0},
+        'store_era': {'': routing.position.era},
+        'store_revision': {'': routing.position.revision},
+        'store_silence_s': {
+            watch: now - answered_at
+            for watch, answered_at in routing.store_answered_at.items()
+        },
     }
     return [
         line
--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -113,6 +113,7 @@
     ``slots``: number of calls it works on at the same time.
     ``cold_remaining_ms``: time for which it is still slow after its start.
     ``born``: Unix time of its creation, in milliseconds.
+    ``sequence``: counts what it has written since its start.
     """
 
     service: str
@@ -122,6 +123,7 @@
     state: str
     cold_remaining_ms: float = 0
     born: int = 0
+    sequence: int = 0
 
 
 def decode_route_table(raw: bytes) -> Result[RouteTable, str]:
@@ -179,6 +181,7 @@
             leaving=server.state == _DRAINING,
             warmup_remaining_s=server.cold_remaining_ms / _MS_PER_S,
             created_ms=server.born,
+            sequence=server.sequence,
         ),
     )
 
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -11,6 +11,7 @@
     PlatformHistoryLostError,
     PlatformUnavailableError,
 )
+from bilberryspoke._internal.models.routing import NO_POSITION, StorePosition
 
 _READ_TIMEOUT_S = 1.0
 # Time for the answer to arrive after the store has ended a watch by itself.
@@ -19,6 +20,8 @@
 _STATUS_OK = 200
 _STATUS_GONE = 410
 _STATUS_NOT_FOUND = 404
+# Rises by one whenever the store was restored from a copy.
+_ERA_HEADER = 'Store-Era'
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +41,12 @@
 class StoredValues:
     """Values that one read or watch returned.
 
-    ``revision`` is the revision of the store after which the next watch
-    continues, or 0 if the key that was read does not exist.
+    ``position`` is the position of the store after which the next watch
+    continues; its revision is 0 if the key that was read does not exist.
     """
 
     values: tuple[StoredValue, ...]
-    revision: int
+    position: StorePosition
 
 
 class _Item(msgspec.Struct, rename='kebab'):
@@ -71,6 +74,14 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Body of an answer, None for status 404, and the era of the store."""
+
+    raw: bytes | None
+    era: int
+
+
 class StoreClient:
     """Reads values of the store and waits for changes.
 
@@ -96,32 +107,34 @@
 
     async def read(self, key: str) -> StoredValues:
         """Read the current value of a key; no values if it does not exist."""
-        raw = await self._get('/-/kv-key', {'key': key}, _READ_TIMEOUT_S)
-        if raw is None:
-            return StoredValues((), 0)
-        item = _decode_reply(raw, _ReadReply, key)
-        return StoredValues((_decode_item(item),), item.at)
+        answer = await self._get('/-/kv-key', {'key': key}, _READ_TIMEOUT_S)
+        if answer.raw is None:
+            return StoredValues((), StorePosition(answer.era, 0))
+        item = _decode_reply(answer.raw, _ReadReply, key)
+        position = StorePosition(answer.era, item.at)
+        return StoredValues((_decode_item(item),), position)
 
     async def read_prefix(self, prefix: str) -> StoredValues:
         """Read all values whose keys start with a prefix, page by page.
 
-        Pages may be from different revisions. The returned revision is that
+        Pages may be from different revisions. The returned position is that
         of the first page, so that a watch from there also returns what
         changed while the other pages were read.
         """
         values: list[StoredValue] = []
-        revision = 0
+        position = NO_POSITION
         after = ''
         while True:
             query = {'path-prefix': prefix}
             if after:
                 query['after'] = after
-            raw = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
-            page = _decode_reply(raw or b'', _RangeReply, prefix)
+            answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
+            page = _decode_reply(answer.raw or b'', _RangeReply, prefix)
             values.extend(_decode_item(item) for item in page.items)
-            revision = revision or page.at
+            if not after:
+                position = StorePosition(answer.era, page.at)
             if not page.has_more or not page.items:
-                return StoredValues(tuple(values), revision)
+                return StoredValues(tuple(values), position)
             after = page.items[-1].key
 
     async def watch(
@@ -139,17 +152,17 @@
             'wait-ms': str(round(wait_s * _MS_PER_S)),
         }
         timeout_s = wait_s + _WATCH_TIMEOUT_MARGIN_S
-        raw = await self._get('/-/kv-watch', query, timeout_s)
-        reply = _decode_reply(raw or b'', _WatchReply, prefix)
+        answer = await self._get('/-/kv-watch', query, timeout_s)
+        reply = _decode_reply(answer.raw or b'', _WatchReply, prefix)
         values = tuple(_decode_item(item) for item in reply.events)
-        return StoredValues(values, reply.at)
+        return StoredValues(values, StorePosition(answer.era, reply.at))
 
     async def _get(
         self,
         path: str,
         query: dict[str, str],
         timeout_s: float,
-    ) -> bytes | None:
+    ) -> _Answer:
         self.calls += 1
         url = self._base_url + path
         timeout = aiohttp.ClientTimeout(total=timeout_s)
@@ -159,19 +172,25 @@
                 params=query,
                 timeout=timeout,
             ) as resp:
+                era = _parse_era(resp.headers.get(_ERA_HEADER, ''))
                 if resp.status == _STATUS_NOT_FOUND:
-                    return None
+                    return _Answer(None, era)
                 if resp.status == _STATUS_GONE:
                     raise PlatformHistoryLostError(url)
                 if resp.status != _STATUS_OK:
                     cause = f'status {resp.status}'
                     raise PlatformUnavailableError(url, cause)
-                return await resp.read()
+                return _Answer(await resp.read(), era)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             cause = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(url, cause) from exc
 
 
+def _parse_era(text: str) -> int:
+    """Return the era of an answer; 0 if it is missing or malformed."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _decode_reply(raw: bytes, reply_type: type, key_or_prefix: str):
     try:
         return msgspec.json.decode(raw, type=reply_type)
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -12,6 +12,7 @@
     PeerMessageReceived,
     Tick,
 )
+from bilberryspoke._internal.models.routing import StorePosition
 from bilberryspoke._internal.models.routing_effects import ConnectPeer
 from bilberryspoke._internal.models.routing_events import (
     RoutesOffered,
@@ -96,7 +97,7 @@
             ),
         )
         self.handle(name, RoutesOffered(build_table()))
-        self.handle(name, UpstreamsListed(self._upstreams, 1))
+        self.handle(name, UpstreamsListed(self._upstreams, StorePosition(0, 1)))
         self.handle(name, SeedsConfigured(tuple(self.data_centre_of)[:3]))
         self._tick(name, self._incarnations[name])
 
--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -15,6 +15,7 @@
     RoutedCall,
     SendStatus,
     Service,
+    StorePosition,
     Target,
 )
 from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
@@ -187,7 +188,8 @@
         ]
         self.handle(Tick(), now=-RUNNING_TIME_S)
         self.handle(RoutesOffered(build_table()), now=0.0)
-        self.handle(UpstreamsListed(tuple(self.upstreams), 1), now=0.0)
+        listed = UpstreamsListed(tuple(self.upstreams), StorePosition(0, 1))
+        self.handle(listed, now=0.0)
 
     def handle(self, event: object, *, now: float) -> list[object]:
         """Submit an event and return its effects."""
--- a/tests/unit/test_routed_discovery.py
+++ b/tests/unit/test_routed_discovery.py
@@ -2,7 +2,7 @@
 
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
-from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing import SendStatus, StorePosition
 from bilberryspoke._internal.models.routing_effects import (
     DecodeRoutes,
 )
@@ -11,6 +11,7 @@
     DiscoverySynced,
     RoutesOffered,
     StoreReachReported,
+    StoreWatch,
     UpstreamChanged,
     UpstreamsListed,
 )
@@ -30,7 +31,7 @@
 
 def test_leaving_and_removed_engines_get_no_calls():
     core = RoutedCore(engines=3)
-    core.handle(StoreReachReported(True), now=0.0)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=0.0)
     leaving = build_upstream('engine-0', leaving=True)
     core.handle(UpstreamChanged('engine-0', leaving), now=10.0)
     core.handle(UpstreamChanged('engine-1', None), now=10.0)
@@ -43,15 +44,15 @@
 
 def simulate_store_outage(core, since, until):
     """Report the store as unreachable between two times in seconds."""
-    core.handle(StoreReachReported(True), now=0.0)
-    core.handle(StoreReachReported(False), now=since)
-    core.handle(StoreReachReported(True), now=until)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=0.0)
+    core.handle(StoreReachReported(False, StoreWatch.upstreams), now=since)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=until)
 
 
 def test_entries_expired_in_store_outage_are_kept_for_two_seconds():
     core = RoutedCore()
     simulate_store_outage(core, 1.0, 9.0)
-    core.handle(UpstreamsListed((), 5), now=9.0)
+    core.handle(UpstreamsListed((), StorePosition(0, 5)), now=9.0)
     kept = core.routing.list_accepting_upstreams('llm')
     assert len(kept) == 4
     returned = kept[0].listed
@@ -65,7 +66,7 @@
     core = RoutedCore()
     simulate_store_outage(core, 1.0, 9.0)
     staying = [each for each in core.upstreams if each.instance != 'engine-0']
-    core.handle(UpstreamsListed(tuple(staying), 5), now=9.0)
+    core.handle(UpstreamsListed(tuple(staying), StorePosition(0, 5)), now=9.0)
     assert 'engine-0' not in core.routing.upstreams
 
 
@@ -96,11 +97,11 @@
 
 def test_peer_snapshot_is_applied_only_without_the_store():
     core = RoutedCore(engines=2)
-    core.handle(StoreReachReported(True), now=0.0)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=0.0)
     snapshot = build_snapshot(3, 9, ['engine-1'])
     core.handle(PeerMessageReceived('vm-2', 1, snapshot), now=0.1)
     assert 'engine-0' in core.routing.upstreams
-    core.handle(StoreReachReported(False), now=0.2)
+    core.handle(StoreReachReported(False, StoreWatch.upstreams), now=0.2)
     effects = core.handle(PeerMessageReceived('vm-2', 1, snapshot), now=0.3)
     assert any(isinstance(each, DecodeRoutes) for each in effects)
     assert 'engine-0' not in core.routing.upstreams
@@ -115,8 +116,8 @@
     assert not core.handle(
         PeerMessageReceived('vm-2', 1, snapshot_req), now=0.0
     )
-    core.handle(StoreReachReported(True), now=0.1)
-    core.handle(DiscoverySynced(4), now=0.1)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=0.1)
+    core.handle(DiscoverySynced(StorePosition(0, 4)), now=0.1)
     [effect] = core.handle(
         PeerMessageReceived('vm-2', 1, snapshot_req), now=0.2
     )
--- a/tests/unit/test_routed_selection.py
+++ b/tests/unit/test_routed_selection.py
@@ -10,7 +10,7 @@
 )
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
-from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing import SendStatus, StorePosition
 from bilberryspoke._internal.models.routing_events import (
     CallArrived,
     UpstreamsListed,
@@ -235,7 +235,7 @@
     listed = tuple(
         build_upstream(f'engine-{each}', slots=2) for each in range(4)
     )
-    core.handle(UpstreamsListed(listed, 2), now=0.0)
+    core.handle(UpstreamsListed(listed, StorePosition(0, 2)), now=0.0)
     sends = []
     for number in range(40):
         route = (TIGHT_GAP_ROUTE, SHORT_TARGET_ROUTE)[number % 2]
