--- a/fakes/store.py
+++ b/fakes/store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's key-value store, with faults.
 
 It serves single values, ranges of keys in pages, and watches by long polling.
+It can be away and come back from a copy, as a restored store does.
 """
 
 import asyncio
@@ -12,6 +13,16 @@
 from aiohttp import web
 
 _MAX_ITEMS_PER_PAGE = 3
+_ERA_HEADER = 'Store-Era'
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Values, revision and changes of a store at one moment."""
+
+    values: dict[str, tuple[bytes, int]]
+    revision: int
+    history: list[dict[str, Any]]
 
 
 @dataclass(slots=True)
@@ -22,7 +33,8 @@
     ``oldest_revision`` is the first revision whose change is still known.
     ``refused`` maps a caller's IP address to the status that its calls get;
     with status 0 they get no answer for an hour. ``calls`` counts the calls,
-    a watch again each time that it wakes.
+    a watch again each time that it wakes. ``era`` is named in all answers and
+    rises with each restore; a store with era None does not name any.
     """
 
     values: dict[str, tuple[bytes, int]] = field(default_factory=dict)
@@ -32,24 +44,27 @@
     refused: dict[str, int] = field(default_factory=dict)
     calls: int = 0
     address: str = ''
+    era: int | None = 1
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _runner: web.AppRunner | None = None
 
     async def start(self, host: str = '127.0.0.1') -> None:
-        """Listen on a free port."""
+        """Listen on a free port, or on that of before if it was stopped."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get('/-/kv-key', self._handle_read)
         app.router.add_get('/-/kv-range', self._handle_range)
         app.router.add_get('/-/kv-watch', self._handle_watch)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, 0)
+        _, _, port = self.address.rpartition(':')
+        site = web.TCPSite(self._runner, host, int(port or 0))
         await site.start()
         bound_address = self._runner.addresses[0]
         self.address = f'{bound_address[0]}:{bound_address[1]}'
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -75,6 +90,25 @@
         self.history.clear()
         self._wake_watchers()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of the values and the history as of now."""
+        return StoreCopy(dict(self.values), self.revision, list(self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Continue from a copy: later revisions are given out again."""
+        self.values = dict(copy.values)
+        self.revision = copy.revision
+        self.history = list(copy.history)
+        if self.era is not None:
+            self.era += 1
+        self._wake_watchers()
+
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era is not None:
+            response.headers[_ERA_HEADER] = str(self.era)
+
     def _record(self, event: dict[str, Any]) -> None:
         self.history.append(event)
         self._wake_watchers()
@@ -142,7 +176,7 @@
             refusal = await self._count_and_check_call(request)
             if refusal is not None:
                 return refusal
-            if after + 1 < self.oldest_revision:
+            if after + 1 < self.oldest_revision or after > self.revision:
                 return web.Response(status=410)
             events = [
                 event
