Read the store anew where its revisions may have been given out again

What callers saw: a version that was acknowledged more than 2 s before was not in force at a VM in touch, until the next change of the configuration.

Cause: a revision was taken for an order for ever. It is one only within an era: after the store came back from a copy, the operator's record is written again with a revision below the one after which the VM watches. If the store has passed that one by the time the VM calls (every upstream writes again at once), there is no 410 and the change is never delivered. And aiohttp sends a GET again by itself when its connection breaks, on new connections too, so that the watcher could continue a watch without noticing that the store had been away.

Why it works: a position is the pair of era and revision. An answer of another era, or of a lower revision, makes the watcher read all entries. So does each failed call, which is what a store that names no era looks like when it is restored; a lost connection is now always an error.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -116,7 +116,7 @@
     now: float,
 ) -> None:
     """Record the position of the store up to which the upstreams are known."""
-    state.routing.position = max(state.routing.position, event.position)
+    state.routing.position = event.position
 
 
 def replace_upstreams(
@@ -173,12 +173,10 @@
     routing = state.routing
     routing.store_answered_at[event.watch] = now
     previous = routing.answered_positions.get(event.watch, NO_POSITION)
+    if not event.position.revision:
+        return
     routing.answered_positions[event.watch] = event.position
-    restored = (
-        event.position.era != previous.era
-        or 0 < event.position.revision < previous.revision
-    )
-    if restored and previous != NO_POSITION:
+    if previous.revision and not previous.is_continued_by(event.position):
         fields = {
             'watch': event.watch,
             'previous_era': previous.era,
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -43,7 +43,7 @@
     """Record a heartbeat and the backlog that its sender reports."""
     peer = record_sender(state, sender, message, now)
     peer.version = message.version
-    peer.revision = message.revision
+    peer.position = message.position
     peer.store_reachable = message.store_reachable
     peer.backlog = {
         each.instance: PeerBacklog(each.prefill_tokens, each.calls)
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -5,6 +5,7 @@
 from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
 from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
 from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.routing import StorePosition
 from bilberryspoke._internal.models.routing_messages import (
     ReportScope,
     RoutingHeartbeat,
@@ -22,14 +23,14 @@
     """Make a heartbeat that reports the calls of ``views``.
 
     One of them is this VM's own, see ``view_own_state``. The version and
-    revision are the newest of those VMs that reach the store.
+    position are the newest of those VMs that reach the store.
     """
     routing = state.routing
     reader = max(views, key=_get_store_position)
     return RoutingHeartbeat(
         address=state.settings.peer_address,
         version=reader.version,
-        revision=reader.revision,
+        revision=reader.position.revision,
         store_reachable=reader.store_reachable,
         backlog=[
             UpstreamBacklog(instance, each.prefill_tokens, each.calls)
@@ -43,6 +44,7 @@
         store_reader='' if reader.name == state.vm else reader.store_reader,
         relay=routing.relays.get(state.settings.data_centre, ''),
         to_relay=to_relay,
+        era=reader.position.era,
     )
 
 
@@ -58,7 +60,7 @@
         state.vm,
         state.settings.peer_address,
         version=routing.table.version if routing.table else 0,
-        revision=routing.position.revision,
+        position=routing.position,
         store_reachable=routing.store_reachable,
         store_reader=state.vm,
         backlog=backlog,
@@ -84,5 +86,5 @@
     return ranks
 
 
-def _get_store_position(view: PeerView) -> tuple[bool, int, int]:
-    return (view.store_reachable, view.version, view.revision)
+def _get_store_position(view: PeerView) -> tuple[bool, int, StorePosition]:
+    return (view.store_reachable, view.version, view.position)
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -10,10 +10,7 @@
 from bilberryspoke._internal.core.routing.state import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
-from bilberryspoke._internal.models.routing import (
-    ListedUpstream,
-    StorePosition,
-)
+from bilberryspoke._internal.models.routing import ListedUpstream
 from bilberryspoke._internal.models.routing_effects import (
     DecodeRoutes,
     LogDecision,
@@ -61,7 +58,7 @@
     if not routing.ready or not routing.store_reachable or table is None:
         return
     newer = table.version > message.version
-    if not newer and routing.position.revision <= message.revision:
+    if not newer and routing.position <= message.position:
         return
     upstreams = [
         _encode_upstream(upstream.listed)
@@ -72,6 +69,7 @@
         revision=routing.position.revision,
         table=table.encoded if newer else b'',
         upstreams=upstreams,
+        era=routing.position.era,
     )
     peer = routing.peers.get(sender)
     if peer is None:
@@ -95,16 +93,18 @@
     current = routing.table.version if routing.table else None
     if message.table and (current is None or message.version > current):
         state.emit(DecodeRoutes(message.table, f'peer {sender}'))
-    if routing.store_reachable or message.revision <= routing.position.revision:
+    if routing.store_reachable or message.position <= routing.position:
         return
     fields = {
         'peer': sender,
         'version': message.version,
+        'era': message.era,
         'revision': message.revision,
+        'previous_era': routing.position.era,
         'previous_revision': routing.position.revision,
     }
     state.emit(LogDecision('snapshot_applied', fields, important=False))
-    routing.position = StorePosition(routing.position.era, message.revision)
+    routing.position = message.position
     upstreams = [_decode_upstream(each) for each in message.upstreams]
     replace_upstreams(state, upstreams, now)
 
@@ -117,15 +117,16 @@
         peer for peer in list_live_peers(routing, now) if peer.store_reachable
     ]
     live_peers.sort(key=_get_newest_first_key)
+    position = routing.position
+    request = SnapshotRequest(version, position.revision, position.era)
     for peer in live_peers[:1]:
         reader = routing.peers.get(peer.store_reader, peer)
-        send_to_peer(
-            state, reader, SnapshotRequest(version, routing.position.revision)
-        )
+        send_to_peer(state, reader, request)
 
 
-def _get_newest_first_key(peer: PeerView) -> tuple[int, int, str]:
-    return (-peer.version, -peer.revision, peer.name)
+def _get_newest_first_key(peer: PeerView) -> tuple[int, int, int, str]:
+    era, revision = peer.position
+    return (-peer.version, -era, -revision, peer.name)
 
 
 def _encode_upstream(listed: ListedUpstream) -> SnapshotUpstream:
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -156,11 +156,11 @@
     other VMs, ``last_heard_at`` when its own last heartbeat came and
     ``introduced_at`` when it last got the addresses of other VMs, all in
     seconds of this VM's boot-time clock, -1e9 for never. ``version`` is that
-    of its route table, 0 without one, and ``revision`` the store revision as
+    of its route table, 0 without one, and ``position`` that of the store as
     of which it knows the upstreams. ``backlog`` is by instance of the
     upstream. ``waiting`` is the most urgent rank among the calls that wait for
     capacity at that VM, by group of upstreams. Both are those of ``vms`` VMs,
-    as ``scope`` says. ``store_reader`` is the VM that ``version``, ``revision``
+    as ``scope`` says. ``store_reader`` is the VM that ``version``, ``position``
     and ``store_reachable`` describe. ``connected`` is whether a connection was
     requested. ``suspected`` is whether the peer does not answer, so that it is
     not chosen as a relay.
@@ -172,7 +172,7 @@
     last_heard_at: float = -1e9
     introduced_at: float = -1e9
     version: int = 0
-    revision: int = 0
+    position: StorePosition = NO_POSITION
     store_reachable: bool = False
     backlog: dict[str, PeerBacklog] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -26,6 +26,13 @@
     era: int
     revision: int
 
+    def is_continued_by(self, later: 'StorePosition') -> bool:
+        """Return whether the changes from here to ``later`` are in sequence.
+
+        They are not if the store was restored between the two.
+        """
+        return later.era == self.era and later.revision >= self.revision
+
 
 NO_POSITION = StorePosition(0, 0)
 
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -5,6 +5,21 @@
 import msgspec
 
 from bilberryspoke._internal.models.bounded import BoundedCount, Duration
+from bilberryspoke._internal.models.routing import StorePosition
+
+
+class _HasStorePosition:
+    """Mixin for messages that name a position of the store in two fields."""
+
+    __slots__ = ()
+
+    revision: int
+    era: int
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the store as of which the upstreams are known."""
+        return StorePosition(self.era, self.revision)
 
 
 class UpstreamBacklog(msgspec.Struct, array_like=True):
@@ -34,7 +49,9 @@
     others = 'others'
 
 
-class RoutingHeartbeat(msgspec.Struct, tag='beat', array_like=True):
+class RoutingHeartbeat(
+    _HasStorePosition, msgspec.Struct, tag='beat', array_like=True
+):
     """Heartbeat of a VM that routes calls, with the backlog at upstreams.
 
     ``address``: the sender's address for other VMs, as ``host:port``.
@@ -55,6 +72,7 @@
     ``relay``: the VM that the sender takes for the relay of its data centre.
     ``to_relay``: whether the sender takes the receiver for the relay of the
     receiver's data centre.
+    ``era``: era of the store to which ``revision`` belongs.
     """
 
     address: str
@@ -70,6 +88,7 @@
     store_reader: str = ''
     relay: str = ''
     to_relay: bool = False
+    era: int = 0
 
 
 class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
@@ -101,14 +120,18 @@
     data_centres: dict[str, str] = {}
 
 
-class SnapshotRequest(msgspec.Struct, tag='wanted', array_like=True):
+class SnapshotRequest(
+    _HasStorePosition, msgspec.Struct, tag='wanted', array_like=True
+):
     """Request for a ``StoreSnapshot``, sent if the store is unreachable.
 
-    ``version``, ``revision``: what the sender has, as in its heartbeat.
+    ``version``, ``revision``, ``era``: what the sender has, as in its
+    heartbeat.
     """
 
     version: int
     revision: int
+    era: int = 0
 
 
 class SnapshotUpstream(msgspec.Struct, array_like=True):
@@ -127,16 +150,20 @@
     created_ms: int
 
 
-class StoreSnapshot(msgspec.Struct, tag='picture', array_like=True):
+class StoreSnapshot(
+    _HasStorePosition, msgspec.Struct, tag='picture', array_like=True
+):
     """The sender's state read from the store.
 
     ``version``: version of its routes.
     ``revision``: revision of the store as of which it knows the upstreams.
     ``table``: the encoded routes; empty if they are not newer than the
     receiver's.
+    ``era``: era of the store to which ``revision`` belongs.
     """
 
     version: int
     revision: int
     table: bytes
     upstreams: list[SnapshotUpstream]
+    era: int = 0
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -9,6 +9,7 @@
     PlatformUnavailableError,
 )
 from bilberryspoke._internal.models.routing import (
+    NO_POSITION,
     ListedUpstream,
     StorePosition,
 )
@@ -87,23 +88,26 @@
         wait_s: float,
         batch_interval_s: float,
     ) -> None:
-        revision = 0
+        position = NO_POSITION
         while True:
             try:
-                revision = await self._fetch_changes(prefix, revision, wait_s)
+                position = await self._fetch_changes(prefix, position, wait_s)
             except PlatformHistoryLostError as exc:
                 logger.warning('store_history_lost', cause=str(exc))
-                revision = 0
+                position = NO_POSITION
                 await self._sleep_with_jitter(_BATCH_INTERVAL_S)
                 continue
             except PlatformUnavailableError as exc:
+                # The store may have been restored from a copy meanwhile, and
+                # may not say so: its revisions mean nothing then.
+                position = NO_POSITION
                 self._runtime.counters.add('store_errors', prefix)
                 self._runtime.submit(
                     StoreReachReported(False, _WATCHES[prefix], str(exc))
                 )
                 await self._sleep_with_jitter(_RETRY_INTERVAL_S)
                 continue
-            if not revision:
+            if not position.revision:
                 await self._sleep_with_jitter(_RETRY_INTERVAL_S)
             elif batch_interval_s:
                 await asyncio.sleep(batch_interval_s)
@@ -111,30 +115,32 @@
     async def _fetch_changes(
         self,
         prefix: str,
-        revision: int,
+        position: StorePosition,
         wait_s: float,
-    ) -> int:
-        """Submit changes after ``revision``, or all entries if it is 0.
+    ) -> StorePosition:
+        """Submit changes after ``position``, or all entries if it is unknown.
 
-        Returns the revision of the store up to which changes are known.
+        Returns the position of the store up to which changes are known. All
+        entries are read as well if the store was restored since ``position``,
+        because changes between the two are not in its answer.
         """
-        if not revision:
+        if not position.revision:
             return await self._read_current(prefix)
-        changes = await self._store.watch(prefix, revision, wait_s)
+        changes = await self._store.watch(prefix, position.revision, wait_s)
         self._report_answer(prefix, changes)
+        if not position.is_continued_by(changes.position):
+            return await self._read_current(prefix)
         self._apply_changes(changes)
-        current = max(revision, changes.position.revision)
         if prefix == UPSTREAM_PREFIX:
-            synced = StorePosition(changes.position.era, current)
-            self._runtime.submit(DiscoverySynced(synced))
-        return current
+            self._runtime.submit(DiscoverySynced(changes.position))
+        return changes.position
 
-    async def _read_current(self, prefix: str) -> int:
+    async def _read_current(self, prefix: str) -> StorePosition:
         if prefix == CONFIG_KEY:
             stored = await self._store.read(CONFIG_KEY)
             self._report_answer(prefix, stored)
             self._apply_changes(stored)
-            return stored.position.revision
+            return stored.position
         stored = await self._store.read_prefix(prefix)
         self._report_answer(prefix, stored)
         listed = [self._decode_upstream(value) for value in stored.values]
@@ -144,7 +150,7 @@
                 stored.position,
             ),
         )
-        return stored.position.revision
+        return stored.position
 
     def _report_answer(self, prefix: str, stored: StoredValues) -> None:
         self._runtime.submit(
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -12,6 +12,7 @@
     PlatformUnavailableError,
 )
 from bilberryspoke._internal.models.routing import NO_POSITION, StorePosition
+from bilberryspoke._internal.utils.resending import forbid_resending
 
 _READ_TIMEOUT_S = 1.0
 # Time for the answer to arrive after the store has ended a watch by itself.
@@ -99,6 +100,7 @@
         self._base_url = f'http://{address}'
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, local_addr=(local_host, 0)),
+            middlewares=(forbid_resending,),
         )
 
     async def close(self) -> None:
@@ -119,7 +121,8 @@
 
         Pages may be from different revisions. The returned position is that
         of the first page, so that a watch from there also returns what
-        changed while the other pages were read.
+        changed while the other pages were read. Raises
+        PlatformHistoryLostError if the store was restored between two pages.
         """
         values: list[StoredValue] = []
         position = NO_POSITION
@@ -131,8 +134,11 @@
             answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
             page = _decode_reply(answer.raw or b'', _RangeReply, prefix)
             values.extend(_decode_item(item) for item in page.items)
+            page_position = StorePosition(answer.era, page.at)
             if not after:
-                position = StorePosition(answer.era, page.at)
+                position = page_position
+            if not position.is_continued_by(page_position):
+                raise PlatformHistoryLostError(prefix)
             if not page.has_more or not page.items:
                 return StoredValues(tuple(values), position)
             after = page.items[-1].key
--- a/tests/functional/test_routed_store_restores.py
+++ b/tests/functional/test_routed_store_restores.py
@@ -50,7 +50,6 @@
     await fleet.store.start()
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 16', strict=False)
 @pytest.mark.parametrize('era', [1, None])
 def test_change_written_below_the_revision_of_a_watch_is_adopted(era):
     """The watch went on from a revision that was given out again."""
--- a/tests/unit/test_routed_discovery.py
+++ b/tests/unit/test_routed_discovery.py
@@ -87,12 +87,12 @@
     assert core.routing.table.version == 7
 
 
-def build_snapshot(version, revision, instances):
+def build_snapshot(version, revision, instances, era=0):
     snapshot_upstreams = [
         SnapshotUpstream(each, 'llm', '1:1', 'levis', 4, False, 0.0, 0)
         for each in instances
     ]
-    return StoreSnapshot(version, revision, b'table', snapshot_upstreams)
+    return StoreSnapshot(version, revision, b'table', snapshot_upstreams, era)
 
 
 def test_peer_snapshot_is_applied_only_without_the_store():
@@ -135,3 +135,16 @@
         core.handle(CallArrived(build_call('d')), now=0.0),
     )
     assert (refusal.reason, refusal.not_run) == ('no_upstream', True)
+
+
+def test_peer_snapshot_of_a_newer_era_replaces_one_of_a_higher_revision():
+    """Revisions of two eras were compared, so that the older list stayed."""
+    core = RoutedCore(engines=2)
+    core.handle(DiscoverySynced(StorePosition(1, 200)), now=0.0)
+    core.handle(StoreReachReported(False, StoreWatch.upstreams), now=0.1)
+    newer = build_snapshot(1, 160, ['engine-1'], era=2)
+    core.handle(PeerMessageReceived('vm-2', 1, newer), now=0.2)
+    assert list(core.routing.upstreams) == ['engine-1']
+    older = build_snapshot(1, 300, ['engine-0', 'engine-1'], era=1)
+    core.handle(PeerMessageReceived('vm-3', 1, older), now=0.3)
+    assert list(core.routing.upstreams) == ['engine-1']
