Confirm a new process's routes with its peers, and ask those with newer ones

What callers saw: a process that started while the store served the copy was ready with an older version and answered 404 for a route that its peers served, until the operator had written again.

Cause: a VM that reaches the store took its answer for the newest there is and asked no peer, though each heartbeat of theirs names a higher version. Versions are for ever, whatever the store answers. Class: one source believed where several know.

Why it works: a new process is not ready, and its heartbeat names no version, before a peer with confirmed routes has none newer; or all known VMs are as new as it is (restart of the fleet); or a second has passed without a peer to ask. A VM that stays behind a peer for 0.3 s asks it, also while the store answers.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from bilberryspoke._internal.core.reducer import on_event
+from bilberryspoke._internal.core.routing.confirmation import confirm_routes
 from bilberryspoke._internal.core.routing.state import (
     RoutingState,
     UpstreamState,
@@ -69,6 +70,7 @@
             },
         ),
     )
+    confirm_routes(state, now)
 
 
 @on_event(StoreReachReported)
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -59,7 +59,7 @@
     return PeerView(
         state.vm,
         state.settings.peer_address,
-        version=routing.table.version if routing.table else 0,
+        version=routing.table.version if routing.confirmed else 0,
         position=routing.position,
         store_reachable=routing.store_reachable,
         store_reader=state.vm,
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -1,10 +1,14 @@
-"""Snapshots of the store, for VMs that do not reach it.
+"""Snapshots of the store, for VMs that lack a change.
 
 Times are in seconds of the boot-time clock.
 """
 
 from bilberryspoke._internal.core.reducer import on_message
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
+from bilberryspoke._internal.core.routing.confirmation import (
+    confirm_routes,
+    review_version_lag,
+)
 from bilberryspoke._internal.core.routing.discovery import replace_upstreams
 from bilberryspoke._internal.core.routing.members import send_to_peer
 from bilberryspoke._internal.core.routing.state import PeerView
@@ -27,16 +31,19 @@
 
 
 def review_snapshot(state: VmState, now: float) -> None:
-    """Ask a peer for a snapshot if this VM does not reach the store."""
+    """Ask a peer for a snapshot if this VM may lack a change.
+
+    It may if it does not reach the store, or if a peer has newer routes.
+    """
     routing = state.routing
-    needs_snapshot = (
+    confirm_routes(state, now)
+    lacks_store = (
         not routing.store_reachable
         and now - routing.store_lost_at >= _SNAPSHOT_REQUEST_DELAY_S
     )
     if (
-        needs_snapshot
-        and now - routing.snapshot_requested_at >= _SNAPSHOT_REQUEST_INTERVAL_S
-    ):
+        review_version_lag(routing, now) or lacks_store
+    ) and now - routing.snapshot_requested_at >= _SNAPSHOT_REQUEST_INTERVAL_S:
         routing.snapshot_requested_at = now
         _request_snapshot(state, now)
 
@@ -48,7 +55,7 @@
     message: SnapshotRequest,
     now: float,
 ) -> None:
-    """Send a snapshot of the store to a peer that does not reach it.
+    """Send a snapshot of the store to a peer that lacks a change.
 
     There is no answer if this VM does not reach the store either, or knows
     nothing newer than the sender.
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -188,7 +188,9 @@
 class RoutingState:
     """State of one VM for routed calls.
 
-    ``listed`` tells whether a complete list of upstreams was received.
+    ``listed`` tells whether a complete list of upstreams was received, and
+    ``confirmed`` whether the routes were compared with those of other VMs.
+    ``behind_since`` is when a peer first had newer routes, None if none has.
     ``position`` is the position of the store as of which the upstreams are
     known. ``store_answered_at`` is when the store last answered each watch and
     ``answered_positions`` the position that it answered with.
@@ -210,6 +212,8 @@
     table: RouteTable | None = None
     upstreams: dict[str, UpstreamState] = field(default_factory=dict)
     listed: bool = False
+    confirmed: bool = False
+    behind_since: float | None = None
     calls: dict[str, CallState] = field(default_factory=dict)
     waiting: WaitQueue = field(default_factory=WaitQueue)
     budgets: dict[str, SlidingRetryBudget] = field(default_factory=dict)
@@ -236,8 +240,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether routes and upstreams are both known."""
-        return self.table is not None and self.listed
+        """Whether upstreams are known, and routes that no VM has newer."""
+        return self.confirmed and self.listed
 
     def list_accepting_upstreams(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service that accept new calls."""
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -55,7 +55,8 @@
     """Heartbeat of a VM that routes calls, with the backlog at upstreams.
 
     ``address``: the sender's address for other VMs, as ``host:port``.
-    ``version``: version of its routes; 0 if it has none.
+    ``version``: version of its routes; 0 if it has none, or none that it has
+    compared with those of other VMs.
     ``revision``: revision of the store as of which it knows the upstreams.
     ``store_reachable``: whether it reaches the store.
     ``backlog``: one entry for each upstream with calls of the VMs in ``scope``.
--- a/tests/functional/test_routed_store_restores.py
+++ b/tests/functional/test_routed_store_restores.py
@@ -71,7 +71,6 @@
     asyncio.run(run())
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 17', strict=False)
 def test_process_started_from_an_older_copy_serves_the_version_of_its_peer():
     """It reached the store, took the copy for the present and asked no peer."""
 
--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -157,6 +157,20 @@
     return RoutedCall(**fields)
 
 
+def build_core() -> Core:
+    """Return a core that routes calls and has just started."""
+    return Core(
+        CoreSettings(
+            vm='vm-1',
+            data_centre='levis',
+            incarnation=1,
+            peer_address='127.0.0.1:1',
+            bounds=DeploymentBounds(retry_reserve=56),
+            shares_slots=False,
+        ),
+    )
+
+
 class RoutedCore:
     """A core with engines and plain upstreams, driven by events.
 
@@ -168,16 +182,7 @@
 
         It started ``RUNNING_TIME_S`` before 0 s.
         """
-        self.core = Core(
-            CoreSettings(
-                vm='vm-1',
-                data_centre='levis',
-                incarnation=1,
-                peer_address='127.0.0.1:1',
-                bounds=DeploymentBounds(retry_reserve=56),
-                shares_slots=False,
-            ),
-        )
+        self.core = build_core()
         self.routing = self.core.state.routing
         self.upstreams = [
             build_upstream(f'engine-{number}') for number in range(engines)
--- /dev/null
+++ b/tests/unit/test_routed_store_restores.py
@@ -0,0 +1,83 @@
+"""A store that comes back from a copy, as the core of one VM sees it."""
+
+from bilberryspoke._internal.models.effects import SendPeerMessage
+from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
+from bilberryspoke._internal.models.routing import StorePosition
+from bilberryspoke._internal.models.routing_events import (
+    RoutesOffered,
+    SeedsConfigured,
+    StoreReachReported,
+    StoreWatch,
+    UpstreamsListed,
+)
+from bilberryspoke._internal.models.routing_messages import (
+    RoutingHeartbeat,
+    SnapshotRequest,
+)
+from tests.lib.routedcore import RoutedCore, build_core, build_table
+
+STORE_ANSWERS = StoreReachReported(
+    True, StoreWatch.routes, position=StorePosition(2, 150)
+)
+
+
+def receive_heartbeat(core, version, *, now, sender='vm-2'):
+    beat = RoutingHeartbeat(f'{sender}:1', version, 200, True, era=1)
+    return core.handle(PeerMessageReceived(sender, 1, beat), now=now)
+
+
+def list_snapshot_requests(effects):
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, SendPeerMessage)
+        and isinstance(effect.message, SnapshotRequest)
+    ]
+
+
+def start_core_with_seed():
+    """Return a core that has just started, read version 1 and heard nobody."""
+    core = build_core()
+    core.handle(SeedsConfigured(('vm-2:1',)), now=0.0)
+    core.handle(STORE_ANSWERS, now=0.1)
+    core.handle(RoutesOffered(build_table(1)), now=0.1)
+    core.handle(UpstreamsListed((), StorePosition(2, 150)), now=0.1)
+    return core
+
+
+def test_new_process_is_not_ready_with_routes_older_than_those_of_a_peer():
+    core = start_core_with_seed()
+    receive_heartbeat(core, 7, now=0.2)
+    asked = list_snapshot_requests(core.handle(Tick(), now=0.25))
+    assert [each.version for each in asked] == [1]
+    assert not core.state.routing.ready
+    core.handle(RoutesOffered(build_table(7), 'peer vm-2'), now=0.3)
+    assert core.state.routing.ready
+
+
+def test_new_process_is_ready_once_all_peers_have_no_confirmed_routes_either():
+    """After a restart of the whole fleet nobody knows better than the store."""
+    core = start_core_with_seed()
+    core.handle(Tick(), now=0.15)
+    assert not core.state.routing.ready
+    receive_heartbeat(core, 0, now=0.2)
+    core.handle(Tick(), now=0.25)
+    assert core.state.routing.ready
+
+
+def test_new_process_without_a_peer_to_ask_is_ready_after_a_second():
+    core = start_core_with_seed()
+    core.handle(Tick(), now=0.9)
+    assert not core.state.routing.ready
+    core.handle(Tick(), now=1.05)
+    assert core.state.routing.ready
+
+
+def test_vm_that_reaches_the_store_asks_a_peer_with_newer_routes():
+    """A watch without answers left it behind, and it asked nobody."""
+    core = RoutedCore()
+    core.handle(STORE_ANSWERS, now=0.0)
+    receive_heartbeat(core, 7, now=0.1)
+    assert not list_snapshot_requests(core.handle(Tick(), now=0.15))
+    receive_heartbeat(core, 7, now=0.4)
+    assert list_snapshot_requests(core.handle(Tick(), now=0.5))
