Keep the HTTP client from sending calls again by itself

What callers would see: a call with GET, PUT or DELETE of a route that may run only once runs twice when its connection breaks.

Cause: aiohttp 3.14 sends idempotent methods again after a broken connection, also on a new one; a session without persistent connections, which both interfaces used against it, does not prevent that. Class: a retry below the place that decides on retries.

Evidence: test_non_idempotent_get_runs_once_when_its_connection_breaks failed before (two runs of one call). Now a middleware raises an error that aiohttp does not take for a reason to send again; the core decides on the retry, within the retry budget.

--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -31,6 +31,7 @@
     make_send_headers,
     parse_response_headers,
 )
+from bilberryspoke._internal.utils.resending import forbid_resending
 
 _CONNECT_TIMEOUT_S = 0.4
 # Responses up to this size are relayed only once they are complete, so that the
@@ -38,8 +39,8 @@
 _MAX_BUFFERED_BYTES = 1_048_576
 _MAX_HEADER_BYTES = 65_536
 _CONTENT_LENGTH = b'content-length'
-# aiohttp sends these again by itself if a pooled connection was closed.
-_CLIENT_RETRIED_METHODS = frozenset(
+# Calls with these methods that may run only once use a connection of their own.
+_SINGLE_USE_METHODS = frozenset(
     ('GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE')
 )
 # aiohttp adds these by itself; upstreams get only those of the caller.
@@ -131,7 +132,7 @@
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
         at_most_once = exchange.call.route.repeats is RetrySafety.never
-        if at_most_once and exchange.method in _CLIENT_RETRIED_METHODS:
+        if at_most_once and exchange.method in _SINGLE_USE_METHODS:
             return self._single_use_session
         return self._session
 
@@ -281,6 +282,7 @@
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
+        middlewares=(forbid_resending,),
         max_line_size=_MAX_HEADER_BYTES,
         max_field_size=_MAX_HEADER_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -18,6 +18,7 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
 )
+from bilberryspoke._internal.utils.resending import forbid_resending
 
 FORWARDED_HEADER = 'x-bilberryspoke-hop'
 
@@ -54,8 +55,8 @@
     """Runs attempts, reads load reports and sends orders to engines.
 
     Calls that may not be repeated use a session without persistent
-    connections: the client library repeats some methods by itself when it
-    finds a persistent connection closed.
+    connections, whose library does not repeat any method by itself when a
+    connection breaks.
     """
 
     def __init__(self, limits: LimitSettings, answers: AnswerStore) -> None:
@@ -83,6 +84,7 @@
             timeout=timeout,
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             auto_decompress=False,
+            middlewares=(forbid_resending,),
         )
 
     async def close(self) -> None:
--- a/tests/functional/test_routed_answers.py
+++ b/tests/functional/test_routed_answers.py
@@ -120,6 +120,20 @@
     asyncio.run(run())
 
 
+def test_non_idempotent_get_runs_once_when_its_connection_breaks():
+    """The HTTP client sent it again by itself, on a new connection too."""
+
+    async def run():
+        async with run_routed_fleet(
+            scripted_engines=0, app_upstreams=1
+        ) as fleet:
+            script_answers(fleet, 'app', 'reset')
+            resp = await fleet.call('/once/', 'g1')
+            assert (resp.status, fleet.count_runs('g1')) == (502, 1)
+
+    asyncio.run(run())
+
+
 def test_answer_without_length_is_complete_after_orderly_close():
     async def run():
         async with run_routed_fleet(scripted_engines=0) as fleet:
