Keep the time since the store was lost for each of its two watches

Routes and upstreams are watched by two loops that reported one reachability: each answer to the one restarted the time since the other was lost, so that a VM whose watch of the routes got no answers never asked a peer for as long as the other was answered.

Evidence: test_silent_watch_of_routes_is_noticed_beside_a_watch_that_is_answered failed before. Each watch now has its own time; either one lost for 0.4 s makes the VM ask. A call without an answer ends 0.5 s after the store should have ended the watch, 1.0 s before: with the retry it is over 2.9 s after the connection fell silent, within the 3 s for which the silence itself excuses a VM.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -28,6 +28,7 @@
     DiscoverySynced,
     RoutesOffered,
     StoreReachReported,
+    StoreWatch,
     UpstreamChanged,
     UpstreamsListed,
 )
@@ -77,26 +78,18 @@
 def update_store_reach(
     state: VmState, event: StoreReachReported, now: float
 ) -> None:
-    """Record that the store became unreachable or reachable again.
-
-    When it is back, the upstreams of each service are counted, without leaving
-    ones, to recognize afterwards whether their entries expired in the outage.
-    """
+    """Record that the store stopped to answer a watch, or answers it again."""
     routing = state.routing
     _record_answer(state, event, now)
-    if event.store_reachable == routing.store_reachable:
+    lost_at = routing.lost_watches.get(event.watch)
+    if event.store_reachable == (lost_at is None):
         return
-    routing.store_reachable = event.store_reachable
-    if event.store_reachable:
-        routing.store_back_at = now
-        routing.store_outage_s = now - routing.store_lost_at
-        routing.counts_at_store_back = Counter(
-            upstream.listed.service
-            for upstream in routing.upstreams.values()
-            if not upstream.listed.leaving
-        )
+    if lost_at is None:
+        routing.lost_watches[event.watch] = now
     else:
-        routing.store_lost_at = now
+        routing.lost_watches.pop(event.watch)
+        if event.watch is StoreWatch.upstreams:
+            _expect_relisting(routing, now, now - lost_at)
     name = 'store_back' if event.store_reachable else 'store_lost'
     state.emit(Count(name))
     state.emit(LogDecision(name, {'watch': event.watch, 'cause': event.cause}))
@@ -162,6 +155,23 @@
             )
 
 
+def _expect_relisting(
+    routing: RoutingState, now: float, outage_s: float
+) -> None:
+    """Record that the store answers about upstreams again after an outage.
+
+    The upstreams of each service are counted, without leaving ones, to
+    recognize afterwards whether their entries expired in the outage.
+    """
+    routing.store_back_at = now
+    routing.store_outage_s = outage_s
+    routing.counts_at_store_back = Counter(
+        upstream.listed.service
+        for upstream in routing.upstreams.values()
+        if not upstream.listed.leaving
+    )
+
+
 def _record_answer(
     state: VmState, event: StoreReachReported, now: float
 ) -> None:
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -33,13 +33,14 @@
 def review_snapshot(state: VmState, now: float) -> None:
     """Ask a peer for a snapshot if this VM may lack a change.
 
-    It may if it does not reach the store, or if a peer has newer routes.
+    It may if the store does not answer one of its watches, or if a peer has
+    newer routes.
     """
     routing = state.routing
     confirm_routes(state, now)
-    lacks_store = (
-        not routing.store_reachable
-        and now - routing.store_lost_at >= _SNAPSHOT_REQUEST_DELAY_S
+    lacks_store = any(
+        now - lost_at >= _SNAPSHOT_REQUEST_DELAY_S
+        for lost_at in routing.lost_watches.values()
     )
     if (
         review_version_lag(routing, now) or lacks_store
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -194,10 +194,10 @@
     ``position`` is the position of the store as of which the upstreams are
     known. ``store_answered_at`` is when the store last answered each watch and
     ``answered_positions`` the position that it answered with.
-    ``store_lost_at`` and ``store_back_at`` are when the store last became
-    unreachable and reachable again, ``store_outage_s`` is the time between, in
-    seconds. ``counts_at_store_back`` is the number of upstreams of each service
-    when the store was last back. ``calls`` are by id, ``budgets`` by service
+    ``lost_watches`` holds when the store stopped to answer a watch, by watch.
+    ``store_back_at`` is when it last answered about upstreams again after an
+    outage of ``store_outage_s`` seconds. ``counts_at_store_back`` is the number
+    of upstreams of each service at that time. ``calls`` are by id, ``budgets`` by service
     and ``peers`` by name. ``reviewed_at`` is when calls were last reviewed,
     ``resumed_at`` when this VM last resumed after a pause.
     ``heartbeat_sent_at`` is when heartbeats were last sent to the peers,
@@ -217,9 +217,10 @@
     calls: dict[str, CallState] = field(default_factory=dict)
     waiting: WaitQueue = field(default_factory=WaitQueue)
     budgets: dict[str, SlidingRetryBudget] = field(default_factory=dict)
-    store_reachable: bool = False
+    lost_watches: dict[StoreWatch, float] = field(
+        default_factory=lambda: dict.fromkeys(StoreWatch, -1e9),
+    )
     store_back_at: float = -1e9
-    store_lost_at: float = -1e9
     store_outage_s: float = 0.0
     counts_at_store_back: Counter[str] = field(default_factory=Counter)
     position: StorePosition = NO_POSITION
@@ -243,6 +244,11 @@
         """Whether upstreams are known, and routes that no VM has newer."""
         return self.confirmed and self.listed
 
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store answers about upstreams."""
+        return StoreWatch.upstreams not in self.lost_watches
+
     def list_accepting_upstreams(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service that accept new calls."""
         return [
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -16,7 +16,7 @@
 
 _READ_TIMEOUT_S = 1.0
 # Time for the answer to arrive after the store has ended a watch by itself.
-_WATCH_TIMEOUT_MARGIN_S = 1.0
+_WATCH_TIMEOUT_MARGIN_S = 0.5
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
--- a/tests/unit/test_routed_store_restores.py
+++ b/tests/unit/test_routed_store_restores.py
@@ -16,9 +16,13 @@
 )
 from tests.lib.routedcore import RoutedCore, build_core, build_table
 
-STORE_ANSWERS = StoreReachReported(
-    True, StoreWatch.routes, position=StorePosition(2, 150)
-)
+
+def answer_watches(core, *, now):
+    for watch in StoreWatch:
+        core.handle(
+            StoreReachReported(True, watch, position=StorePosition(2, 150)),
+            now=now,
+        )
 
 
 def receive_heartbeat(core, version, *, now, sender='vm-2'):
@@ -39,7 +43,7 @@
     """Return a core that has just started, read version 1 and heard nobody."""
     core = build_core()
     core.handle(SeedsConfigured(('vm-2:1',)), now=0.0)
-    core.handle(STORE_ANSWERS, now=0.1)
+    answer_watches(core, now=0.1)
     core.handle(RoutesOffered(build_table(1)), now=0.1)
     core.handle(UpstreamsListed((), StorePosition(2, 150)), now=0.1)
     return core
@@ -76,8 +80,20 @@
 def test_vm_that_reaches_the_store_asks_a_peer_with_newer_routes():
     """A watch without answers left it behind, and it asked nobody."""
     core = RoutedCore()
-    core.handle(STORE_ANSWERS, now=0.0)
+    answer_watches(core, now=0.0)
     receive_heartbeat(core, 7, now=0.1)
     assert not list_snapshot_requests(core.handle(Tick(), now=0.15))
     receive_heartbeat(core, 7, now=0.4)
     assert list_snapshot_requests(core.handle(Tick(), now=0.5))
+
+
+def test_silent_watch_of_routes_is_noticed_beside_a_watch_that_is_answered():
+    """Each answer to one watch restarted the time since the other was lost."""
+    core = RoutedCore()
+    answer_watches(core, now=0.0)
+    receive_heartbeat(core, 1, now=0.0)
+    core.handle(StoreReachReported(False, StoreWatch.routes), now=0.1)
+    answered = StoreReachReported(True, StoreWatch.upstreams)
+    core.handle(answered, now=0.4)
+    receive_heartbeat(core, 1, now=0.4)
+    assert list_snapshot_requests(core.handle(Tick(), now=0.55))
