Believe no entry of an upstream over a later one of the same upstream

What callers would see: calls to an upstream that is leaving or has left, since the copy still calls it ready (DRAIN); or none to one that the copy does not have yet.

An earlier one is counted (`upstream_entries_outdated`) and ignored; one that was removed returns only by a later entry; one that is missing from the copy is kept for the two seconds in which it is written again. Three tests of tests/unit/test_routed_store_restores.py failed before.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -9,6 +9,7 @@
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.confirmation import confirm_routes
 from bilberryspoke._internal.core.routing.state import (
+    RemovedUpstream,
     RoutingState,
     UpstreamState,
 )
@@ -36,6 +37,9 @@
 # Entries that expired in an outage of the store are written again by their
 # upstreams within this time after it is back.
 _RELIST_TIMEOUT_S = 2.0
+# A store that was restored from a copy may list an upstream that was removed up
+# to this long ago.
+_REMOVED_RETENTION_S = 60.0
 # Entries do not expire in a shorter outage of the store.
 _MIN_EXPIRY_OUTAGE_S = 2.0
 # After an outage, a missing upstream is kept for the time to relist it if
@@ -151,7 +155,10 @@
         drop_at = upstream.drop_at
         if drop_at is not None and now >= drop_at:
             _drop_upstream(
-                state, instance, 'not listed again in time after a store outage'
+                state,
+                instance,
+                'not listed again in time after a store outage',
+                now,
             )
 
 
@@ -195,16 +202,24 @@
             'previous_revision': previous.revision,
             **_describe_position(event.position),
         }
+        if event.watch is StoreWatch.upstreams:
+            routing.store_restored_at = now
         state.emit(Count('store_restored'))
         state.emit(LogDecision('store_restored', fields))
 
 
 def _put_upstream(state: VmState, listed: ListedUpstream) -> None:
-    upstreams = state.routing.upstreams
-    known = upstreams.get(listed.instance)
-    if known is None or known.listed.created_ms != listed.created_ms:
-        upstreams[listed.instance] = UpstreamState(listed)
-        state.emit(LogDecision('upstream_listed', _describe_upstream(listed)))
+    """Record an entry, unless a later one of the upstream is known.
+
+    A store that was restored from a copy returns earlier entries.
+    """
+    routing = state.routing
+    known = routing.upstreams.get(listed.instance)
+    if known is None or known.listed.created_ms < listed.created_ms:
+        _add_upstream(state, listed)
+        return
+    if listed.is_older_than(known.listed):
+        state.emit(Count('upstream_entries_outdated'))
         return
     if listed.leaving and not known.listed.leaving:
         state.emit(LogDecision('upstream_leaving', _describe_upstream(listed)))
@@ -212,6 +227,19 @@
     known.drop_at = None
 
 
+def _add_upstream(state: VmState, listed: ListedUpstream) -> None:
+    removed = state.routing.removed.get(listed.instance)
+    if removed is not None and (
+        listed.is_older_than(removed.listed)
+        or 0 < listed.sequence == removed.listed.sequence
+    ):
+        state.emit(Count('upstream_entries_outdated'))
+        return
+    state.routing.removed.pop(listed.instance, None)
+    state.routing.upstreams[listed.instance] = UpstreamState(listed)
+    state.emit(LogDecision('upstream_listed', _describe_upstream(listed)))
+
+
 def _apply_entry_removal(state: VmState, instance: str, now: float) -> None:
     """Drop an upstream without an entry, or keep it for the time to relist it.
 
@@ -222,16 +250,26 @@
     if upstream is None or upstream.drop_at is not None:
         return
     if _may_be_relisted(routing, upstream.listed, now):
-        upstream.drop_at = routing.store_back_at + _RELIST_TIMEOUT_S
+        returned_at = max(routing.store_back_at, routing.store_restored_at)
+        upstream.drop_at = returned_at + _RELIST_TIMEOUT_S
         state.emit(
             LogDecision('upstream_entry_missing', {'upstream': instance})
         )
         return
-    _drop_upstream(state, instance, 'discovery entry removed')
+    _drop_upstream(state, instance, 'discovery entry removed', now)
 
 
-def _drop_upstream(state: VmState, instance: str, reason: str) -> None:
-    state.routing.upstreams.pop(instance, None)
+def _drop_upstream(
+    state: VmState, instance: str, reason: str, now: float
+) -> None:
+    routing = state.routing
+    dropped = routing.upstreams.pop(instance)
+    routing.removed = {
+        name: each
+        for name, each in routing.removed.items()
+        if each.removed_at >= now - _REMOVED_RETENTION_S
+    }
+    routing.removed[instance] = RemovedUpstream(dropped.listed, now)
     fields = {'upstream': instance, 'reason': reason}
     state.emit(LogDecision('upstream_dropped', fields))
 
@@ -243,12 +281,17 @@
 ) -> bool:
     """Return whether a missing entry may have expired in a store outage.
 
+    It may also be missing in the copy from which the store was restored.
     If only this VM was cut off from the store, few entries are missing
     afterwards: those that were really removed. If the store itself was down,
     all entries expired, so that most upstreams of a service are missing. The
     upstream in question is not counted among the remaining ones.
     """
-    if listed.leaving or routing.store_outage_s < _MIN_EXPIRY_OUTAGE_S:
+    if listed.leaving:
+        return False
+    if now < routing.store_restored_at + _RELIST_TIMEOUT_S:
+        return True
+    if routing.store_outage_s < _MIN_EXPIRY_OUTAGE_S:
         return False
     if now >= routing.store_back_at + _RELIST_TIMEOUT_S:
         return False
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -147,6 +147,7 @@
         leaving=listed.leaving,
         warmup_remaining_s=max(0, listed.warmup_remaining_s),
         created_ms=listed.created_ms,
+        sequence=listed.sequence,
     )
 
 
@@ -160,4 +161,5 @@
         leaving=snapshot_upstream.leaving,
         warmup_remaining_s=snapshot_upstream.warmup_remaining_s,
         created_ms=snapshot_upstream.created_ms,
+        sequence=snapshot_upstream.sequence,
     )
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -140,6 +140,14 @@
     drop_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RemovedUpstream:
+    """An upstream that was dropped, with its last entry."""
+
+    listed: ListedUpstream
+    removed_at: float
+
+
 @dataclass(slots=True)
 class PeerBacklog:
     """Backlog of another VM at an upstream, as last reported."""
@@ -197,8 +205,10 @@
     ``lost_watches`` holds when the store stopped to answer a watch, by watch.
     ``store_back_at`` is when it last answered about upstreams again after an
     outage of ``store_outage_s`` seconds. ``counts_at_store_back`` is the number
-    of upstreams of each service at that time. ``calls`` are by id, ``budgets`` by service
-    and ``peers`` by name. ``reviewed_at`` is when calls were last reviewed,
+    of upstreams of each service at that time. ``store_restored_at`` is when an
+    answer showed that the store had been restored from a copy, and ``removed``
+    holds the upstreams that were dropped lately, by instance. ``calls`` are by
+    id, ``budgets`` by service and ``peers`` by name. ``reviewed_at`` is when calls were last reviewed,
     ``resumed_at`` when this VM last resumed after a pause.
     ``heartbeat_sent_at`` is when heartbeats were last sent to the peers,
     ``snapshot_requested_at`` when a peer was last asked for a snapshot of the
@@ -214,6 +224,7 @@
     listed: bool = False
     confirmed: bool = False
     behind_since: float | None = None
+    removed: dict[str, RemovedUpstream] = field(default_factory=dict)
     calls: dict[str, CallState] = field(default_factory=dict)
     waiting: WaitQueue = field(default_factory=WaitQueue)
     budgets: dict[str, SlidingRetryBudget] = field(default_factory=dict)
@@ -221,6 +232,7 @@
         default_factory=lambda: dict.fromkeys(StoreWatch, -1e9),
     )
     store_back_at: float = -1e9
+    store_restored_at: float = -1e9
     store_outage_s: float = 0.0
     counts_at_store_back: Counter[str] = field(default_factory=Counter)
     position: StorePosition = NO_POSITION
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -171,6 +171,15 @@
     created_ms: int = 0
     sequence: int = 0
 
+    def is_older_than(self, other: 'ListedUpstream') -> bool:
+        """Return whether this entry was written before ``other``.
+
+        Both are entries of one id. It is false if the entries do not tell.
+        """
+        if self.created_ms != other.created_ms:
+            return self.created_ms < other.created_ms
+        return 0 < self.sequence < other.sequence
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -149,6 +149,7 @@
     leaving: bool
     warmup_remaining_s: Duration
     created_ms: int
+    sequence: int = 0
 
 
 class StoreSnapshot(
--- a/tests/unit/test_routed_store_restores.py
+++ b/tests/unit/test_routed_store_restores.py
@@ -8,13 +8,19 @@
     SeedsConfigured,
     StoreReachReported,
     StoreWatch,
+    UpstreamChanged,
     UpstreamsListed,
 )
 from bilberryspoke._internal.models.routing_messages import (
     RoutingHeartbeat,
     SnapshotRequest,
 )
-from tests.lib.routedcore import RoutedCore, build_core, build_table
+from tests.lib.routedcore import (
+    RoutedCore,
+    build_core,
+    build_table,
+    build_upstream,
+)
 
 
 def answer_watches(core, *, now):
@@ -97,3 +103,48 @@
     core.handle(answered, now=0.4)
     receive_heartbeat(core, 1, now=0.4)
     assert list_snapshot_requests(core.handle(Tick(), now=0.55))
+
+
+def build_entry(sequence, **changes):
+    return build_upstream('app-0', service='app', sequence=sequence, **changes)
+
+
+def restore_upstreams(core, *entries, now):
+    """Let the store answer from a copy that holds the given entries."""
+    position = StorePosition(3, 90)
+    restored = StoreReachReported(True, StoreWatch.upstreams, position=position)
+    core.handle(restored, now=now)
+    core.handle(UpstreamsListed(entries, position), now=now)
+
+
+def test_leaving_upstream_that_the_copy_calls_ready_stays_leaving():
+    core = RoutedCore(engines=0, plain_upstreams=0)
+    answer_watches(core, now=0.0)
+    core.handle(UpstreamChanged('app-0', build_entry(7)), now=0.0)
+    leaving = build_entry(8, leaving=True)
+    core.handle(UpstreamChanged('app-0', leaving), now=0.1)
+    restore_upstreams(core, build_entry(7), now=0.2)
+    assert core.routing.upstreams['app-0'].listed.leaving
+
+
+def test_removed_upstream_is_listed_again_only_by_a_later_entry():
+    """The copy listed an upstream that had left, and calls were sent to it."""
+    core = RoutedCore(engines=0, plain_upstreams=0)
+    answer_watches(core, now=0.0)
+    core.handle(UpstreamChanged('app-0', build_entry(7)), now=0.0)
+    core.handle(UpstreamChanged('app-0', None), now=0.1)
+    restore_upstreams(core, build_entry(7), now=0.2)
+    assert 'app-0' not in core.routing.upstreams
+    core.handle(UpstreamChanged('app-0', build_entry(9)), now=0.3)
+    assert 'app-0' in core.routing.upstreams
+
+
+def test_upstream_that_the_copy_does_not_have_yet_is_kept_for_two_seconds():
+    core = RoutedCore(engines=0, plain_upstreams=0)
+    answer_watches(core, now=0.0)
+    core.handle(UpstreamChanged('app-0', build_entry(1)), now=0.0)
+    restore_upstreams(core, now=0.2)
+    core.handle(Tick(), now=2.1)
+    assert 'app-0' in core.routing.upstreams
+    core.handle(Tick(), now=2.3)
+    assert 'app-0' not in core.routing.upstreams
