--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -208,8 +208,9 @@
     of upstreams of each service at that time. ``store_restored_at`` is when an
     answer showed that the store had been restored from a copy, and ``removed``
     holds the upstreams that were dropped lately, by instance. ``calls`` are by
-    id, ``budgets`` by service and ``peers`` by name. ``reviewed_at`` is when calls were last reviewed,
-    ``resumed_at`` when this VM last resumed after a pause.
+    id, ``budgets`` by service and ``peers`` by name. ``reviewed_at`` is when
+    calls were last reviewed, ``resumed_at`` when this VM last resumed after a
+    pause.
     ``heartbeat_sent_at`` is when heartbeats were last sent to the peers,
     ``snapshot_requested_at`` when a peer was last asked for a snapshot of the
     store. A time of -1e9 means never. ``seeds`` are addresses of VMs whose
