--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -21,6 +21,10 @@
 from bilberryspoke._internal.models.routing_messages import ReportScope
 
 
+# Time of what has not happened yet, in seconds of the boot-time clock.
+_NEVER = -1e9
+
+
 class CallStage(StrEnum):
     """Whether an open call waits to be sent or is under way."""
 
@@ -230,7 +234,7 @@
     waiting: WaitQueue = field(default_factory=WaitQueue)
     budgets: dict[str, SlidingRetryBudget] = field(default_factory=dict)
     lost_watches: dict[StoreWatch, float] = field(
-        default_factory=lambda: dict.fromkeys(StoreWatch, -1e9),
+        default_factory=lambda: dict.fromkeys(StoreWatch, _NEVER),
     )
     store_back_at: float = -1e9
     store_restored_at: float = -1e9
