--- a/src/bilberryspoke/_internal/core/__init__.py
+++ b/src/bilberryspoke/_internal/core/__init__.py
@@ -14,7 +14,12 @@
 from bilberryspoke._internal.core.operations import handlers
 from bilberryspoke._internal.core.policies import immediate, queued
 from bilberryspoke._internal.core.reducer import Core
-from bilberryspoke._internal.core.routing import discovery, lifecycle, peers
+from bilberryspoke._internal.core.routing import (
+    discovery,
+    lifecycle,
+    peers,
+    ratelimits,
+)
 from bilberryspoke._internal.core.state import CoreSettings
 
 __all__ = (
@@ -31,4 +36,5 @@
     'peers',
     'queued',
     'maintenance',
+    'ratelimits',
 )
--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -231,7 +231,7 @@
     removed = state.routing.removed.get(listed.instance)
     if removed is not None and (
         listed.is_older_than(removed.listed)
-        or 0 < listed.sequence == removed.listed.sequence
+        or (listed.sequence and listed.sequence == removed.listed.sequence)
     ):
         state.emit(Count('upstream_entries_outdated'))
         return
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -141,6 +141,7 @@
             priority=min(9, max(0, call.priority)) if is_engine else None,
             upstream_deadline_at=call.deadline_at,
             last_event_id=call_state.last_event_id,
+            rate_limited=chosen.limit.per_s is not None,
         ),
     )
 
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -20,7 +20,6 @@
 from bilberryspoke._internal.models.routing_events import StoreWatch
 from bilberryspoke._internal.models.routing_messages import ReportScope
 
-
 # Time of what has not happened yet, in seconds of the boot-time clock.
 _NEVER = -1e9
 
@@ -123,6 +122,18 @@
         }
 
 
+@dataclass(slots=True)
+class RateLimit:
+    """Limit that an upstream names for the calls of all VMs together.
+
+    ``per_s`` is in calls per second, None without a limit, and ``stated_at``
+    when the upstream last said so.
+    """
+
+    per_s: float | None = None
+    stated_at: float = _NEVER
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """One incarnation of an upstream, and this VM's calls there.
@@ -132,7 +143,8 @@
     there. ``latency_ratio`` is the ratio of measured to expected times to the
     first event. ``last_heard_at`` is when bytes of any answer last arrived,
     -1e9 if never. ``drop_at`` is set if its entry is missing after a store
-    outage; it is dropped then unless it is listed again before.
+    outage; it is dropped then unless it is listed again before. ``limit`` is
+    what it said of the calls that it takes.
     """
 
     listed: ListedUpstream
@@ -142,6 +154,7 @@
     latency_ratio: float = 1.0
     last_heard_at: float = -1e9
     drop_at: float | None = None
+    limit: RateLimit = field(default_factory=RateLimit)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -20,6 +20,7 @@
     the boot-time clock.
     ``last_event_id``: id of the event after which the stream is resumed;
     ``None`` to start from the beginning.
+    ``rate_limited``: whether the upstream was known to limit calls.
     """
 
     call_id: str
@@ -29,6 +30,7 @@
     priority: int | None
     upstream_deadline_at: float
     last_event_id: int | None = None
+    rate_limited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -118,6 +118,18 @@
     last_event_id: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitStated:
+    """An upstream answered with a limit, or without one while it had one.
+
+    ``per_s``: calls per second that it takes from all VMs together; ``None``
+    if it named no limit.
+    """
+
+    instance: str
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class SendEnded:
     """A send to an upstream ended.
@@ -146,5 +158,6 @@
     | CallArrived
     | CallAbandoned
     | SendProgressed
+    | RateLimitStated
     | SendEnded
 )
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+import structlog
 from yarl import URL
 
 from bilberryspoke._internal.models.routing import RetrySafety, SendStatus
@@ -12,6 +13,7 @@
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
+    RateLimitStated,
     SendEnded,
     SendProgressed,
 )
@@ -33,6 +35,8 @@
 )
 from bilberryspoke._internal.utils.resending import forbid_resending
 
+logger = structlog.get_logger()
+
 _CONNECT_TIMEOUT_S = 0.4
 # Responses up to this size are relayed only once they are complete, so that the
 # call can be sent again if its connection breaks.
@@ -59,15 +63,16 @@
     """Sends calls over keep-alive connections and relays the responses."""
 
     def __init__(
-        self, report_progress: Callable[[SendProgressed], None]
+        self, submit: Callable[[SendProgressed | RateLimitStated], None]
     ) -> None:
         """Create the client sessions; must run inside the event loop.
 
-        ``report_progress`` is called with ``SendProgressed`` when a response
-        is complete and whenever events of a stream were relayed.
+        ``submit`` is called with ``SendProgressed`` when a response is
+        complete and whenever events of a stream were relayed, and with
+        ``RateLimitStated`` for a response with a limit.
         """
         self.connector = KeepAliveConnector()
-        self._report_progress = report_progress
+        self._submit = submit
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -153,6 +158,7 @@
             return _SendResult(
                 SendStatus.broken, 'response has the id of another call'
             )
+        self._report_rate_limit(effect, headers)
         if headers.not_run:
             detail = f'status {resp.status}, not run'
             await resp.read()
@@ -174,6 +180,26 @@
             return await self._relay_events(exchange, effect, body)
         return await self._relay_body(exchange, effect, body)
 
+    def _report_rate_limit(
+        self, effect: Send, headers: ResponseHeaders
+    ) -> None:
+        """Report a limit that the upstream names, or its end.
+
+        An answer without a limit ends it only if the limit was known when the
+        call was sent: another answer may overtake one from before the limit.
+        """
+        if headers.misdirected:
+            return
+        malformed = (
+            headers.names_rate_limit and headers.rate_limit_per_s is None
+        )
+        if malformed:
+            logger.warning('rate_limit_malformed', upstream=effect.instance)
+        elif headers.names_rate_limit or effect.rate_limited:
+            self._submit(
+                RateLimitStated(effect.instance, headers.rate_limit_per_s)
+            )
+
     async def _relay_body(
         self,
         exchange: Exchange,
@@ -205,9 +231,7 @@
         if exchange.started:
             await exchange.finish(response.body)
         else:
-            self._report_progress(
-                SendProgressed(effect.call_id, effect.attempt)
-            )
+            self._submit(SendProgressed(effect.call_id, effect.attempt))
             await exchange.send_response(response)
         return _SendResult(SendStatus.finished, f'status {status}')
 
@@ -232,7 +256,7 @@
             # Set after the write: a caller does not have these events if the
             # send is cancelled during the write.
             exchange.last_event_id = splitter.last_id
-            self._report_progress(
+            self._submit(
                 SendProgressed(
                     effect.call_id, effect.attempt, splitter.last_id
                 ),
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers between the platform's callers, the router and upstreams."""
 
+import math
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -27,6 +28,8 @@
 # Marks a response that an upstream wrote itself.
 _RESPONSE_SEAL = b'x-response-seal'
 _NOT_EXECUTED = b'x-not-executed'
+# Requests per second that the upstream takes from all VMs together.
+_RATE_LIMIT = b'server-limit'
 _AUTHORIZATION = b'authorization'
 _CONNECTION = b'connection'
 _KEEP_ALIVE = b'keep-alive'
@@ -131,7 +134,10 @@
     compressed. ``has_length`` is whether the end of the body is known from its
     length or its chunks, not only from the end of the connection.
     ``keep_alive_s`` is how long the upstream keeps the connection open while
-    idle, in seconds, or None if it does not say. ``closes_connection`` is
+    idle, in seconds, or None if it does not say. ``names_rate_limit`` is
+    whether the upstream limits the requests that it takes from all VMs
+    together; ``rate_limit_per_s`` is that limit, or None if it is not a
+    number of at least 0. ``closes_connection`` is
     whether it closes the connection after the response. ``forwarded`` are the
     headers that go on to the caller.
     """
@@ -143,6 +149,8 @@
     has_content_encoding: bool
     has_length: bool
     keep_alive_s: float | None
+    names_rate_limit: bool
+    rate_limit_per_s: float | None
     closes_connection: bool
     forwarded: RawHeaders
 
@@ -220,6 +228,8 @@
         has_length=b'content-length' in by_name
         or b'transfer-encoding' in by_name,
         keep_alive_s=_parse_keep_alive(by_name.get(_KEEP_ALIVE, b'')),
+        names_rate_limit=_RATE_LIMIT in by_name,
+        rate_limit_per_s=_parse_rate(by_name.get(_RATE_LIMIT)),
         closes_connection=b'close'
         in _split_list(by_name.get(_CONNECTION, b'')),
         forwarded=[pair for pair in pairs if pair[0] not in dropped],
@@ -233,6 +243,15 @@
     return int(raw)
 
 
+def _parse_rate(raw: bytes | None) -> float | None:
+    """Parse a finite number of at least 0; None if missing or malformed."""
+    try:
+        rate = float(raw or b'')
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _parse_remaining_time(raw: bytes | None) -> float | None:
     wait_ms = _parse_number(raw)
     return None if wait_ms is None else wait_ms / _MS_PER_S
