Break a stream whose event has no end before it fills the memory

The project's own interface collected such events too. test_event_without_end_breaks_the_stream_before_memory_runs_out failed before.

--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -16,6 +16,8 @@
     send_response,
 )
 
+# An upstream in trouble may send an event without end.
+MAX_EVENT_BYTES = 1_048_576
 _EVENT_END = b'\n\n'
 _DONE_EVENT = b'data: [DONE]\n\n'
 
@@ -65,6 +67,10 @@
             tail = b''
         else:
             raw_events, tail = split_events(raw_events)
+            if len(tail) > MAX_EVENT_BYTES:
+                return AttemptResult(
+                    AttemptStatus.broken, 'event too long in the stream'
+                )
             if not raw_events:
                 continue
         call.delivered += raw_events.count(_EVENT_END)
--- a/src/bilberryspoke/_internal/network/routing/eventstream.py
+++ b/src/bilberryspoke/_internal/network/routing/eventstream.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+from bilberryspoke._internal.network.relaying import MAX_EVENT_BYTES
+
 _EVENT_DELIMITER = b'\n\n'
 _EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
 
@@ -13,8 +15,8 @@
 
     Ids must increase by one from event to event. ``last_id`` is the id of the
     last complete event, or None before the first. ``broken`` is true once an
-    event was missing or repeated. ``remainder`` holds the bytes received after
-    the last complete event.
+    event was missing, repeated or too long. ``remainder`` holds the bytes
+    received after the last complete event.
     """
 
     last_id: int | None = None
@@ -24,12 +26,13 @@
     def feed(self, raw: bytes) -> bytes:
         """Add received bytes; return the complete events, if any.
 
-        Returns nothing if the events are out of order.
+        Returns nothing if the stream is broken.
         """
         joined = self.remainder + raw
         end = joined.rfind(_EVENT_DELIMITER)
         if end < 0:
             self.remainder = joined
+            self.broken = len(joined) > MAX_EVENT_BYTES
             return b''
         end += len(_EVENT_DELIMITER)
         self.remainder = joined[end:]
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -246,7 +246,8 @@
             complete_events = splitter.feed(chunk)
             if splitter.broken:
                 return _SendResult(
-                    SendStatus.broken, 'event missing or repeated in the stream'
+                    SendStatus.broken,
+                    'event missing, repeated or too long in the stream',
                 )
             if not complete_events:
                 continue
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -186,3 +186,15 @@
     for event_id in ids:
         splitter.feed(b'id: %d\n\n' % event_id)
     assert splitter.broken
+
+
+def test_event_without_end_breaks_the_stream_before_memory_runs_out():
+    """An event without a blank line was collected until the route's timeout."""
+    splitter = EventSplitter()
+    chunk = b'data: ' + b'x' * 65_530
+    collected = 0
+    while not splitter.broken and collected < 16 * 1_048_576:
+        assert not splitter.feed(chunk)
+        collected += len(chunk)
+    assert splitter.broken
+    assert collected <= 2 * 1_048_576
