--- a/tests/unit/test_routed_discovery.py
+++ b/tests/unit/test_routed_discovery.py
@@ -1,5 +1,7 @@
 """Upstreams that leave and return, outages of the store, route tables."""
 
+import pytest
+
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.events import PeerMessageReceived, Tick
 from bilberryspoke._internal.models.routing import SendStatus, StorePosition
@@ -148,3 +150,18 @@
     older = build_snapshot(1, 300, ['engine-0', 'engine-1'], era=1)
     core.handle(PeerMessageReceived('vm-3', 1, older), now=0.3)
     assert list(core.routing.upstreams) == ['engine-1']
+
+
+# Known failure, KNOWN-RED.txt entry 17: the upstreams that a peer's list left
+# are counted as all there were before the outage.
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 17', strict=False)
+def test_half_of_the_upstreams_stay_after_an_outage_with_a_peer_in_between():
+    core = RoutedCore(engines=8)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=0.0)
+    core.handle(StoreReachReported(False, StoreWatch.upstreams), now=1.0)
+    half = [f'engine-{number}' for number in range(4)]
+    snapshot = build_snapshot(1, 9, half)
+    core.handle(PeerMessageReceived('vm-2', 1, snapshot), now=8.9)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=9.0)
+    core.handle(UpstreamsListed((), StorePosition(0, 10)), now=9.0)
+    assert len(core.routing.list_accepting_upstreams('llm')) == 4
