List an upstream that restarts under a removed id by its first entry

Cause: an entry of a removed upstream was ignored if its `sequence` equalled that of the removed one, whatever their starts; an upstream that restarts under its id counts anew, so that it got no calls until its entry changed. test_upstream_restarted_under_a_removed_id_is_listed_with_its_first_entry failed before. Start and sequence are now compared together.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -229,10 +229,7 @@
 
 def _add_upstream(state: VmState, listed: ListedUpstream) -> None:
     removed = state.routing.removed.get(listed.instance)
-    if removed is not None and (
-        listed.is_older_than(removed.listed)
-        or (listed.sequence and listed.sequence == removed.listed.sequence)
-    ):
+    if removed is not None and not listed.may_follow(removed.listed):
         state.emit(Count('upstream_entries_outdated'))
         return
     state.routing.removed.pop(listed.instance, None)
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -180,6 +180,15 @@
             return self.created_ms < other.created_ms
         return 0 < self.sequence < other.sequence
 
+    def may_follow(self, removed: 'ListedUpstream') -> bool:
+        """Return whether this entry may be later than a removed one.
+
+        It is false for the same entry, and for an older one.
+        """
+        if self.created_ms != removed.created_ms:
+            return self.created_ms > removed.created_ms
+        return not self.sequence or self.sequence > removed.sequence
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/tests/unit/test_routed_store_restores.py
+++ b/tests/unit/test_routed_store_restores.py
@@ -148,3 +148,14 @@
     assert 'app-0' in core.routing.upstreams
     core.handle(Tick(), now=2.3)
     assert 'app-0' not in core.routing.upstreams
+
+
+def test_upstream_restarted_under_a_removed_id_is_listed_with_its_first_entry():
+    """Its sequence starts anew, and was compared with that of the one before."""
+    core = RoutedCore(engines=0, plain_upstreams=0)
+    answer_watches(core, now=0.0)
+    core.handle(UpstreamChanged('app-0', build_entry(1)), now=0.0)
+    core.handle(UpstreamChanged('app-0', None), now=0.1)
+    restarted = build_entry(1, created_ms=5)
+    core.handle(UpstreamChanged('app-0', restarted), now=0.2)
+    assert 'app-0' in core.routing.upstreams
