--- a/tests/unit/test_routed_store_restores.py
+++ b/tests/unit/test_routed_store_restores.py
@@ -151,7 +151,7 @@
 
 
 def test_upstream_restarted_under_a_removed_id_is_listed_with_its_first_entry():
-    """Its sequence starts anew, and was compared with that of the one before."""
+    """Its sequence starts anew, and was compared with that of before."""
     core = RoutedCore(engines=0, plain_upstreams=0)
     answer_watches(core, now=0.0)
     core.handle(UpstreamChanged('app-0', build_entry(1)), now=0.0)
