--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -129,6 +129,7 @@
                 'expected_first_event_s': round(placement.first_event_s, 3),
                 'version': table.version,
                 'limit_per_s': chosen.limit.per_s,
+                'parts': [part.name for part in call.parts[:-1]],
             },
             important=False,
         ),
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -22,7 +22,10 @@
     NOT_RUN_SEND_STATUSES,
     SendStatus,
 )
-from bilberryspoke._internal.models.routing_effects import CancelSend
+from bilberryspoke._internal.models.routing_effects import (
+    CancelSend,
+    LogDecision,
+)
 from bilberryspoke._internal.models.routing_events import (
     CallAbandoned,
     CallArrived,
@@ -117,6 +120,8 @@
     if event.status not in NOT_RECEIVED_SEND_STATUSES:
         call_state.sends += 1
     call_state.tried_instances.append(call_state.instance)
+    if event.status is SendStatus.broken:
+        _log_broken_send(state, call_state, event, now)
     if upstream is None:
         return
     # If the upstream restarted under its name meanwhile, this send belongs to
@@ -130,6 +135,29 @@
         upstream.health.record_outcome(now, succeeded=succeeded)
 
 
+def _log_broken_send(
+    state: VmState,
+    call_state: CallState,
+    event: SendEnded,
+    now: float,
+) -> None:
+    upstream = state.routing.upstreams.get(call_state.instance)
+    call = call_state.call
+    fields = {
+        'req_id': call.req_id,
+        'route': call.route.name,
+        'upstream': call_state.instance,
+        'attempt': call_state.attempt,
+        'sent_s': round(now - call_state.sent_at, 3),
+        'answer_began': call_state.last_progress_at is not None,
+        'calls': len(upstream.sends) if upstream is not None else 0,
+        'parts': [part.name for part in call.parts[:-1]],
+        'detail': event.detail,
+    }
+    state.emit(Count('sends_broken', call.service))
+    state.emit(LogDecision('send_broken', fields))
+
+
 def _acquire_retry(
     state: VmState,
     call_state: CallState,
