--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -121,8 +121,11 @@
     _reset_on_use: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, host: str = '127.0.0.1') -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+        """Listen on a free port, or on that of before if it was stopped."""
+        _, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port or 0)
+        )
         bound_address = self._server.sockets[0].getsockname()
         self.address = f'{bound_address[0]}:{bound_address[1]}'
 
@@ -134,9 +137,21 @@
         """Reset all connections and stop listening."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         for writer in list(self._writers):
             reset(writer)
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it does not listen."""
+        return self._server is None
+
+    async def run_script(
+        self, name: str, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a call by the script of a name."""
+        await _SCRIPTS[name](self, run, writer)
+
     def count_runs(self, req_id: str) -> int:
         """Return how often a call ran at this upstream."""
         return sum(run.req_id == req_id for run in self.runs)
@@ -183,7 +198,7 @@
             self.runs.append(run)
         try:
             run.limit = self.limit
-            await _SCRIPTS[name](self, run, writer)
+            await self.run_script(name, run, writer)
             await writer.drain()
         except asyncio.CancelledError:
             run.aborted = True
--- /dev/null
+++ b/tests/functional/test_routed_crashes.py
@@ -0,0 +1,55 @@
+"""Routing processes whose upstreams crash under certain calls."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.crashfleet import ALLOWED_LATE_ARRIVALS, run_crash_fleet
+
+DEADLY_PART = 'dead1'
+# Crashes under one part that the deployment allows.
+ALLOWED_PART_CRASHES = 5
+
+
+def send_stream(fleet, req_id, node, *shared_parts):
+    names = [*shared_parts, req_id.encode().hex()]
+    return fleet.call(
+        '/stream/',
+        req_id,
+        node=node,
+        method='POST',
+        body=req_id.encode(),
+        X_Model='m',
+        X_Token_Counts=f'{100 * len(names)},18',
+        X_Prompt_Prefix=','.join(f'{name}:100' for name in names),
+    )
+
+
+# Known failure, KNOWN-RED.txt entry 21.
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
+def test_calls_with_a_prompt_part_that_crashes_engines_stop_reaching_them():
+    """Each new call with the part crashed one engine, its retry another."""
+
+    def is_deadly(run):
+        return DEADLY_PART in run.headers.get('x-prompt-prefix', '')
+
+    async def run():
+        async with run_crash_fleet(
+            'llm', upstreams=6, healthy='stream', is_deadly=is_deadly
+        ) as crashes:
+            fleet = crashes.fleet
+            await crashes.send_calls(
+                8.0,
+                deadly=lambda number, node: send_stream(
+                    fleet, f'd{number}', node, 'aa1', DEADLY_PART, 'bb1'
+                ),
+                sound=lambda number, node: send_stream(
+                    fleet, f's{number}', node, 'aa1', 'bb1'
+                ),
+            )
+            late = crashes.count_late_arrivals(ALLOWED_PART_CRASHES)
+            assert late <= ALLOWED_LATE_ARRIVALS
+            sound = crashes.statuses['sound']
+            assert sound.count(200) >= len(sound) / 2
+
+    asyncio.run(run())
