Refuse calls with a prompt part that crashes engine after engine

Cause: nothing related a crash to what the lost calls had in common, so that each VM sent each new call with the part, and once more after its crash.

A crash is now told from a lost connection by one connection attempt; heartbeats carry the fingerprints of the calls whose answer had not begun, and what answers prove harmless. Three crashes, two of them in sequence, block a fingerprint at all VMs; one VM tries it again from time to time.

test_calls_with_a_prompt_part_that_crashes_engines_stop_reaching_them failed before (30 late calls, 3 allowed) and passes; its entry leaves KNOWN-RED.txt.

--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -1,9 +1,12 @@
 """End of a routed call: its final answer, counters and log lines."""
 
+from dataclasses import dataclass
+
 from bilberryspoke._internal.core.routing.backlog import (
     count_live_vms,
     measure_backlog,
 )
+from bilberryspoke._internal.core.routing.crashes import record_proof
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
 from bilberryspoke._internal.core.routing.state import CallStage, CallState
 from bilberryspoke._internal.core.routing.waitqueue import choose_retry_after_s
@@ -38,7 +41,8 @@
         state.emit(RelayFailure(call_state.call.call_id))
         close_call(state, call_state, 'upstream_failed', now)
         return
-    refuse_call(state, call_state, f'upstream_{event.status.value}', now, event)
+    refusal = Refusal(f'upstream_{event.status.value}', event)
+    refuse_call(state, call_state, refusal, now)
 
 
 def time_out_call(state: VmState, call_state: CallState, now: float) -> None:
@@ -46,53 +50,66 @@
     if call_state.stage is CallStage.sent:
         call_state.may_have_run = True
         state.emit(CancelSend(call_state.call.call_id, call_state.attempt))
-    refuse_call(state, call_state, 'timeout', now, timed_out=True)
+    refuse_call(state, call_state, Refusal('timeout', timed_out=True), now)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a call ends without an upstream's answer.
+
+    ``reason`` is the cause as one word, which is also the call's outcome.
+    ``event`` is the end of the last send, if that is the cause. The caller is
+    told to wait for at least ``retry_after_s``. ``blocked_by`` describes what
+    the call has in common with others that crash upstreams, if it is refused
+    for that.
+    """
+
+    reason: str
+    event: SendEnded | None = None
+    timed_out: bool = False
+    retry_after_s: float = 0
+    blocked_by: str = ''
 
 
 def refuse_call(
-    state: VmState,
-    call_state: CallState,
-    reason: str,
-    now: float,
-    event: SendEnded | None = None,
-    *,
-    timed_out: bool = False,
+    state: VmState, call_state: CallState, refusal: Refusal, now: float
 ) -> None:
     """Answer a call without an upstream's answer and log the refusal.
 
     The answer states that the call did not run, and when to retry, only if it
-    is certain that it did not run. ``reason`` is the cause as one word, which
-    is also the call's outcome. ``event`` is the end of the last send, if that
-    is the cause.
+    is certain that it did not run.
     """
     call = call_state.call
     not_run = not call_state.may_have_run
+    retry_after_s = max(refusal.retry_after_s, choose_retry_after_s(call))
     state.emit(
         RefuseCall(
             call.call_id,
-            reason,
+            refusal.reason,
             not_run=not_run,
-            timed_out=timed_out,
-            retry_after_s=choose_retry_after_s(call) if not_run else None,
+            timed_out=refusal.timed_out,
+            retry_after_s=retry_after_s if not_run else None,
         ),
     )
     fields: dict[str, object] = {
         'req_id': call.req_id,
         'route': call.route.name,
         'priority': call.priority,
-        'reason': reason,
+        'reason': refusal.reason,
         'not_run': not_run,
         'attempts': call_state.attempt,
         'upstream': call_state.instance,
         'age_s': round(now - call.arrived_at, 3),
         'last_event_id': call_state.last_event_id,
     }
-    if event is not None:
-        fields['detail'] = event.detail
+    if refusal.blocked_by:
+        fields['blocked_by'] = refusal.blocked_by
+    if refusal.event is not None:
+        fields['detail'] = refusal.event.detail
     if call_state.stage is CallStage.waiting:
         fields.update(_describe_capacity(state, call_state, now))
     state.emit(LogDecision('call_refused', fields))
-    close_call(state, call_state, reason, now)
+    close_call(state, call_state, refusal.reason, now)
 
 
 def close_call(
@@ -107,6 +124,8 @@
     part of the name of a counter.
     """
     call = call_state.call
+    if outcome == FINISHED:
+        record_proof(state, call_state, now)
     state.routing.calls.pop(call.call_id, None)
     state.routing.waiting.discard(call_state)
     upstream = state.routing.upstreams.get(call_state.instance)
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -0,0 +1,303 @@
+"""Calls that crash upstreams: evidence, its exchange, and blocked calls.
+
+Each VM records the fingerprints of its own calls whose answer had not begun at
+an upstream that crashed, and heartbeats pass them on. All VMs find the same
+culprits from them. Calls with such a fingerprint are refused, but for a trial
+from time to time by one VM. Times are in seconds of the boot-time clock.
+"""
+
+from bilberryspoke._internal.core.routing.crashledger import Block
+from bilberryspoke._internal.core.routing.state import CallState
+from bilberryspoke._internal.core.routing.suspicion import (
+    crashes_in_sequence,
+    find_culprits,
+    is_cleared,
+)
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing_effects import LogDecision
+from bilberryspoke._internal.utils.hashing import hash_parts, rank_members
+
+# An answer that has gone on for this long did not crash its upstream.
+_PROOF_DELAY_S = 0.25
+# Other VMs may still clear a fingerprint for this long after a crash: two
+# heartbeats, or five on the way through relays.
+_REVIEW_DELAY_S = 0.2
+_RELAYED_REVIEW_DELAY_S = 0.5
+# Time from a crash to the next trial, and its factor for each failed trial.
+_TRIAL_DELAY_S = 10.0
+_TRIAL_BACKOFF_FACTOR = 4
+_MAX_TRIAL_DELAY_S = 3600.0
+# If the VM that may try has no such call, the next one may after this time.
+_TRIAL_ROTATION_S = 10.0
+# Blocks that are kept at most; the ones with the oldest crash go first.
+_MAX_BLOCKS = 64
+_NEVER = -1e9
+
+
+def record_crash(state: VmState, call_state: CallState, now: float) -> None:
+    """Record that an upstream crashed under a call."""
+    call_state.crashes += 1
+    upstream = state.routing.upstreams.get(call_state.instance)
+    if (
+        upstream is not None
+        and upstream.listed.created_ms == call_state.created_ms
+        and not upstream.health.is_unresponsive(now)
+    ):
+        upstream.health.record_unreachable(now)
+    if call_state.proven:
+        return
+    suspects = dict.fromkeys(call_state.fingerprints, call_state.sent_at)
+    crash_id = hash_parts(call_state.instance, call_state.created_ms)
+    learn_suspects(
+        state, crash_id, suspects, crashed_at=now, now=now, source='own calls'
+    )
+
+
+def learn_suspects(
+    state: VmState,
+    crash_id: int,
+    suspects: dict[int, float],
+    *,
+    crashed_at: float,
+    now: float,
+    source: str,
+) -> None:
+    """Add suspects to a crash, and pass them on with what clears them.
+
+    ``source`` is the VM that reported them, for the log.
+    """
+    ledger = state.routing.crash_ledger
+    if crash_id not in ledger.crashes:
+        fields = {
+            'crash': _format(crash_id),
+            'suspects': len(suspects),
+            'source': source,
+            'age_s': round(now - crashed_at, 3),
+        }
+        state.emit(Count('upstream_crashes'))
+        state.emit(LogDecision('upstream_crashed', fields))
+    added = ledger.add_suspects(crash_id, suspects, crashed_at)
+    if not added:
+        return
+    crash = ledger.crashes[crash_id]
+    crash.changed_at = now
+    for fingerprint in added:
+        if fingerprint in ledger.proven_at:
+            ledger.shared_proofs[fingerprint] = now
+        block = ledger.blocks.get(fingerprint)
+        if block is not None:
+            _record_crash_under_block(block, crash.crashed_at)
+    state.routing.heartbeat_sent_at = _NEVER
+
+
+def record_progress_proof(
+    state: VmState, call_state: CallState, now: float
+) -> None:
+    """Record that an upstream outlived the begin of an answer, if it did."""
+    if call_state.began_at is None:
+        call_state.began_at = now
+    if now - call_state.began_at >= _PROOF_DELAY_S:
+        record_proof(state, call_state, now)
+
+
+def record_proof(state: VmState, call_state: CallState, now: float) -> None:
+    """Record that a call does not crash upstreams."""
+    if call_state.proven:
+        return
+    call_state.proven = True
+    for fingerprint in call_state.fingerprints:
+        learn_proof(state, fingerprint, proven_at=now, now=now)
+
+
+def learn_proof(
+    state: VmState, fingerprint: int, *, proven_at: float, now: float
+) -> None:
+    """Record a proof, and pass it on if it clears a suspect.
+
+    It ends a block whose last crash was before.
+    """
+    ledger = state.routing.crash_ledger
+    previously_at = ledger.proven_at.get(fingerprint)
+    if not ledger.record_proof(fingerprint, proven_at):
+        return
+    block = ledger.blocks.get(fingerprint)
+    if block is not None and proven_at > block.crashed_at:
+        _unblock(state, fingerprint, 'answered')
+    if any(
+        is_cleared(crash, proven_at) and not is_cleared(crash, previously_at)
+        for crash in ledger.list_crashes_under(fingerprint)
+    ):
+        ledger.shared_proofs[fingerprint] = now
+        ledger.unreviewed = True
+
+
+def may_retry_after_crash(state: VmState, call_state: CallState) -> bool:
+    """Return whether a call that lost its upstream may go to another one.
+
+    Most such calls are innocent, but not if upstreams crash one after the
+    other under the same call or fingerprint.
+    """
+    if call_state.proven:
+        return True
+    if call_state.crashes > 1:
+        return False
+    ledger = state.routing.crash_ledger
+    return not any(
+        crashes_in_sequence(_list_blaming(state, each), each)
+        for each in call_state.fingerprints
+        if each not in ledger.blocks
+    )
+
+
+def find_block(
+    state: VmState, call_state: CallState, now: float
+) -> tuple[int, Block] | None:
+    """Return the block that forbids to send a call, None if it may be sent.
+
+    A call that may be sent as a trial is recorded as such.
+    """
+    blocks = state.routing.crash_ledger.blocks
+    if not blocks:
+        return None
+    blocked = {
+        each: blocks[each] for each in call_state.fingerprints if each in blocks
+    }
+    for fingerprint, block in blocked.items():
+        if not _may_try(state, call_state, block, blocked, now):
+            return fingerprint, block
+    for block in blocked.values():
+        block.trial_call_id = call_state.call.call_id
+    return None
+
+
+def get_next_trial_at(block: Block) -> float:
+    """Return when a call may be sent to see whether a block still holds."""
+    delay_s = _TRIAL_DELAY_S * _TRIAL_BACKOFF_FACTOR**block.trials
+    return block.crashed_at + min(delay_s, _MAX_TRIAL_DELAY_S)
+
+
+def review_crashes(state: VmState, now: float) -> None:
+    """Block the culprits of crashes about which nothing more is expected."""
+    ledger = state.routing.crash_ledger
+    ledger.forget_crashes(now)
+    if not ledger.unreviewed:
+        return
+    delay_s = _REVIEW_DELAY_S
+    if state.routing.relays:
+        delay_s = _RELAYED_REVIEW_DELAY_S
+    settled = [
+        crash
+        for crash in ledger.crashes.values()
+        if now - crash.changed_at >= delay_s
+    ]
+    ledger.unreviewed = len(settled) < len(ledger.crashes)
+    groups = find_culprits(settled, ledger.proven_at)
+    for group in groups:
+        for fingerprint in group:
+            _block(state, fingerprint, group)
+    culprits = frozenset().union(*groups)
+    for fingerprint, block in list(ledger.blocks.items()):
+        if len(block.tied) > 1 and fingerprint not in culprits:
+            learn_proof(state, fingerprint, proven_at=now, now=now)
+
+
+def learn_block(
+    state: VmState, fingerprint: int, *, crashed_at: float, trials: int
+) -> None:
+    """Record a block that another VM reported, unless a proof ended it."""
+    ledger = state.routing.crash_ledger
+    if ledger.proven_at.get(fingerprint, _NEVER) > crashed_at:
+        return
+    block = ledger.blocks.get(fingerprint)
+    if block is None:
+        _add_block(state, fingerprint, Block(crashed_at, trials), 'peer')
+        return
+    block.crashed_at = max(block.crashed_at, crashed_at)
+    block.trials = max(block.trials, trials)
+
+
+def _block(state: VmState, fingerprint: int, group: frozenset[int]) -> None:
+    ledger = state.routing.crash_ledger
+    block = ledger.blocks.get(fingerprint)
+    if block is None:
+        crashes = _list_blaming(state, fingerprint)
+        crashed_at = max(each.crashed_at for each in crashes)
+        _add_block(state, fingerprint, Block(crashed_at, tied=group), 'crashes')
+        return
+    block.tied = group
+
+
+def _add_block(
+    state: VmState, fingerprint: int, block: Block, source: str
+) -> None:
+    blocks = state.routing.crash_ledger.blocks
+    blocks[fingerprint] = block
+    if len(blocks) > _MAX_BLOCKS:
+        blocks.pop(min(blocks, key=lambda each: blocks[each].crashed_at))
+    fields = {
+        'fingerprint': _format(fingerprint),
+        'crashes': len(_list_blaming(state, fingerprint)),
+        'tied': len(block.tied),
+        'source': source,
+    }
+    state.emit(Count('fingerprints_blocked'))
+    state.emit(LogDecision('calls_blocked', fields))
+
+
+def _unblock(state: VmState, fingerprint: int, reason: str) -> None:
+    state.routing.crash_ledger.blocks.pop(fingerprint)
+    fields = {'fingerprint': _format(fingerprint), 'reason': reason}
+    state.emit(LogDecision('calls_unblocked', fields))
+
+
+def _record_crash_under_block(block: Block, crashed_at: float) -> None:
+    """Record a crash under a blocked fingerprint.
+
+    Calls that were under way when it was blocked are no trials.
+    """
+    if crashed_at >= get_next_trial_at(block):
+        block.trials += 1
+    block.crashed_at = max(block.crashed_at, crashed_at)
+
+
+def _may_try(
+    state: VmState,
+    call_state: CallState,
+    block: Block,
+    blocked: dict[int, Block],
+    now: float,
+) -> bool:
+    """Return whether a call may be sent to find out whether a block holds.
+
+    ``blocked`` holds all blocked fingerprints of the call. If it has only some
+    of those that the crashes don't tell apart, its outcome does, so that it
+    may be sent at once.
+    """
+    other_trials = {block.trial_call_id} - {call_state.call.call_id}
+    if other_trials & state.routing.calls.keys():
+        return False
+    if block.tied - set(blocked):
+        return True
+    due_at = get_next_trial_at(block)
+    if now < due_at:
+        return False
+    names = rank_members(
+        f'trial {min(blocked)}', [state.vm, *state.routing.peers]
+    )
+    rotations = int((now - due_at) / _TRIAL_ROTATION_S)
+    return names[rotations % len(names)] == state.vm
+
+
+def _list_blaming(state: VmState, fingerprint: int) -> list:
+    ledger = state.routing.crash_ledger
+    proven_at = ledger.proven_at.get(fingerprint)
+    return [
+        crash
+        for crash in ledger.list_crashes_under(fingerprint)
+        if not is_cleared(crash, proven_at)
+    ]
+
+
+def _format(number: int) -> str:
+    return f'{number:016x}'
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/crashledger.py
@@ -0,0 +1,137 @@
+"""What a VM knows of the crashes of upstreams and of the calls under them.
+
+All times are in seconds of the boot-time clock.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+# Crashes that are kept at most, and fingerprints for each; the oldest go first.
+_MAX_CRASHES = 200
+_MAX_SUSPECTS = 256
+_CRASH_RETENTION_S = 600.0
+# An answer under a fingerprint is remembered for this long, unless there are
+# too many.
+_PROOF_RETENTION_S = 60.0
+_MAX_PROOFS = 8192
+
+
+@dataclass(slots=True)
+class Crash:
+    """The end of one incarnation of an upstream, as seen by all VMs.
+
+    ``suspects`` holds the fingerprints of the calls whose answer had not begun
+    there, and when the last such call was sent. ``changed_at`` is when this VM
+    last learned of one.
+    """
+
+    crashed_at: float
+    suspects: dict[int, float] = field(default_factory=dict)
+    changed_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Block:
+    """A fingerprint whose calls are refused, as they crash upstreams.
+
+    ``crashed_at`` is the last crash under it and ``trials`` the number of
+    calls that were sent to find out whether it still crashes them, and did.
+    ``tied`` holds the fingerprints blocked together with it because the
+    crashes don't tell them apart, itself included. ``trial_call_id`` is the
+    trial under way at this VM, empty if there is none.
+    """
+
+    crashed_at: float
+    trials: int = 0
+    tied: frozenset[int] = frozenset()
+    trial_call_id: str = ''
+
+
+@dataclass(slots=True)
+class CrashLedger:
+    """Crashes, fingerprints that are proven harmless, and blocked ones.
+
+    ``crashes`` is by id of the crash. ``proven_at`` is when an answer under a
+    fingerprint was last seen to go well, at any VM. ``shared_proofs`` holds the
+    proofs to pass on, and since when. ``unreviewed`` is whether crashes changed
+    since the last review.
+    """
+
+    crashes: dict[int, Crash] = field(default_factory=dict)
+    proven_at: dict[int, float] = field(default_factory=dict)
+    shared_proofs: dict[int, float] = field(default_factory=dict)
+    blocks: dict[int, Block] = field(default_factory=dict)
+    unreviewed: bool = False
+
+    def add_suspects(
+        self, crash_id: int, suspects: dict[int, float], crashed_at: float
+    ) -> dict[int, float]:
+        """Add fingerprints to a crash; return those that are new there.
+
+        ``suspects`` holds when the calls were sent. The crash is recorded if
+        it is not known yet.
+        """
+        crash = self.crashes.setdefault(crash_id, Crash(crashed_at))
+        crash.crashed_at = min(crash.crashed_at, crashed_at)
+        added = {
+            fingerprint: sent_at
+            for fingerprint, sent_at in suspects.items()
+            if fingerprint not in crash.suspects
+        }
+        room = _MAX_SUSPECTS - len(crash.suspects)
+        crash.suspects.update(list(added.items())[:room])
+        self.unreviewed = self.unreviewed or bool(added)
+        if len(self.crashes) > _MAX_CRASHES:
+            oldest = min(
+                self.crashes, key=lambda each: self.crashes[each].crashed_at
+            )
+            self.crashes.pop(oldest)
+        return added
+
+    def forget_crashes(self, now: float) -> None:
+        """Forget the crashes that are too old to count."""
+        since = now - _CRASH_RETENTION_S
+        if any(each.crashed_at < since for each in self.crashes.values()):
+            self.crashes = {
+                crash_id: crash
+                for crash_id, crash in self.crashes.items()
+                if crash.crashed_at >= since
+            }
+
+    def list_crashes_under(self, fingerprint: int) -> list[Crash]:
+        """Return the crashes in which a fingerprint is a suspect."""
+        return [
+            crash
+            for crash in self.crashes.values()
+            if fingerprint in crash.suspects
+        ]
+
+    def record_proof(self, fingerprint: int, proven_at: float) -> bool:
+        """Record when an answer went well; return whether that is newer."""
+        known_at = self.proven_at.get(fingerprint)
+        if known_at is not None and proven_at <= known_at:
+            return False
+        # Inserted anew, so that the oldest proofs stand first.
+        self.proven_at.pop(fingerprint, None)
+        self.proven_at[fingerprint] = proven_at
+        if len(self.proven_at) > _MAX_PROOFS:
+            self._forget_proofs(proven_at)
+        return True
+
+    def forget_shared_proofs(self, since: float) -> None:
+        """Forget which proofs to pass on if they were shared before a time."""
+        self.shared_proofs = {
+            fingerprint: shared_at
+            for fingerprint, shared_at in self.shared_proofs.items()
+            if shared_at >= since and fingerprint in self.proven_at
+        }
+
+    def _forget_proofs(self, now: float) -> None:
+        newest = list(self.proven_at.items())[-_MAX_PROOFS // 2 :]
+        self.proven_at = dict(_keep_since(newest, now - _PROOF_RETENTION_S))
+
+
+def _keep_since(
+    times: Iterable[tuple[int, float]], since: float
+) -> Iterable[tuple[int, float]]:
+    return ((key, at) for key, at in times if at >= since)
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -2,9 +2,15 @@
 
 from bilberryspoke._internal.core.routing.backlog import record_sent_parts
 from bilberryspoke._internal.core.routing.completion import (
+    Refusal,
     fail_call,
     refuse_call,
 )
+from bilberryspoke._internal.core.routing.crashes import (
+    find_block,
+    get_next_trial_at,
+)
+from bilberryspoke._internal.core.routing.crashledger import Block
 from bilberryspoke._internal.core.routing.groups import get_group_name
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
@@ -21,6 +27,7 @@
     sort_waiting,
 )
 from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing_effects import LogDecision, Send
 from bilberryspoke._internal.models.routing_events import SendEnded
 
@@ -44,6 +51,10 @@
     if call_state.stage is not CallStage.waiting:
         call_state.stage = CallStage.waiting
         call_state.queued_at = now
+    blocked = find_block(state, call_state, now)
+    if blocked is not None:
+        _refuse_blocked(state, call_state, *blocked, now)
+        return
     if not list_usable_upstreams(state.routing, call_state, now):
         _end_without_upstream(state, call_state, before, now)
         return
@@ -100,6 +111,9 @@
     call_state.instance = listed.instance
     call_state.sent_at = now
     call_state.last_progress_at = None
+    call_state.created_ms = listed.created_ms
+    call_state.began_at = None
+    call_state.proven = False
     call_state.prefill_tokens = placement.prefill_tokens
     call_state.expected_first_event_s = placement.first_event_s
     chosen.sends[call.call_id] = call_state
@@ -158,14 +172,31 @@
     if before is not None:
         fail_call(state, call_state, before, now)
         return
-    refuse_call(state, call_state, 'no_upstream', now)
+    refuse_call(state, call_state, Refusal('no_upstream'), now)
+
+
+def _refuse_blocked(
+    state: VmState,
+    call_state: CallState,
+    fingerprint: int,
+    block: Block,
+    now: float,
+) -> None:
+    """Refuse a call that would crash its upstream."""
+    state.emit(Count('calls_blocked', call_state.call.route.name))
+    refusal = Refusal(
+        'crashes_upstreams',
+        retry_after_s=max(0, get_next_trial_at(block) - now),
+        blocked_by=call_state.fingerprints[fingerprint],
+    )
+    refuse_call(state, call_state, refusal, now)
 
 
 def dispatch_waiting(state: VmState, now: float) -> None:
     """Send the waiting calls that have an upstream now; refuse overdue ones."""
     for call_state in sort_waiting(state.routing, now):
         if must_refuse(state.routing, call_state, now):
-            refuse_call(state, call_state, 'no_room', now)
+            refuse_call(state, call_state, Refusal('no_room'), now)
             continue
         state.routing.waiting.discard(call_state)
         dispatch_or_queue(state, call_state, now)
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/fingerprints.py
@@ -0,0 +1,20 @@
+"""Fingerprints: what a call has in common with others that may crash upstreams.
+
+A fingerprint is a hash, so that messages and logs do not hold what a prompt
+says.
+"""
+
+from bilberryspoke._internal.models.routing import RoutedCall
+from bilberryspoke._internal.utils.hashing import hash_parts
+
+
+def list_fingerprints(call: RoutedCall) -> dict[int, str]:
+    """Return the fingerprints of a call, with a description for the log.
+
+    There is one for each part of its prompt but the last, which no other call
+    has. They are those of one service: its upstreams run the same program.
+    """
+    return {
+        hash_parts('part', call.service, part.name): f'part {part.name}'
+        for part in call.parts[:-1]
+    }
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -7,11 +7,19 @@
     close_call,
     fail_call,
 )
+from bilberryspoke._internal.core.routing.crashes import (
+    may_retry_after_crash,
+    record_crash,
+    record_progress_proof,
+)
 from bilberryspoke._internal.core.routing.dispatch import (
     dispatch_or_queue,
     dispatch_waiting,
     ensure_budget,
 )
+from bilberryspoke._internal.core.routing.fingerprints import (
+    list_fingerprints,
+)
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.retries import may_retry
 from bilberryspoke._internal.core.routing.state import CallStage, CallState
@@ -39,7 +47,10 @@
     """Register a new call and send or queue it."""
     call = event.call
     call_state = CallState(
-        call, queued_at=now, last_event_id=call.last_event_id
+        call,
+        queued_at=now,
+        last_event_id=call.last_event_id,
+        fingerprints=list_fingerprints(call),
     )
     state.routing.calls[call.call_id] = call_state
     state.emit(Count('calls', call.route.name))
@@ -82,6 +93,7 @@
         gap_s = now - (call_state.last_progress_at or call_state.sent_at)
         call_state.longest_gap_s = max(call_state.longest_gap_s, gap_s)
     call_state.last_progress_at = now
+    record_progress_proof(state, call_state, now)
     call_state.first_event_at = call_state.first_event_at or now
     if event.last_event_id is not None:
         call_state.last_event_id = event.last_event_id
@@ -122,6 +134,8 @@
     call_state.tried_instances.append(call_state.instance)
     if event.status is SendStatus.broken:
         _log_broken_send(state, call_state, event, now)
+    if event.upstream_crashed:
+        record_crash(state, call_state, now)
     if upstream is None:
         return
     # If the upstream restarted under its name meanwhile, this send belongs to
@@ -150,8 +164,9 @@
         'attempt': call_state.attempt,
         'sent_s': round(now - call_state.sent_at, 3),
         'answer_began': call_state.last_progress_at is not None,
-        'calls': len(upstream.sends) if upstream is not None else 0,
+        'calls': 0 if upstream is None else len(upstream.sends),
         'parts': [part.name for part in call.parts[:-1]],
+        'crashed': event.upstream_crashed,
         'detail': event.detail,
     }
     state.emit(Count('sends_broken', call.service))
@@ -176,6 +191,9 @@
     if not may_retry(call_state, event, sends=call_state.sends):
         return False
     service = call_state.call.service
+    if event.upstream_crashed and not may_retry_after_crash(state, call_state):
+        state.emit(Count('retries_withheld', service))
+        return False
     if event.status is SendStatus.unsent:
         state.emit(Count('retries_outside_budget', service))
         return True
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -1,6 +1,7 @@
 """Periodic review of open calls: timeouts, stalls and waiting calls."""
 
 from bilberryspoke._internal.core.routing.completion import time_out_call
+from bilberryspoke._internal.core.routing.crashes import review_crashes
 from bilberryspoke._internal.core.routing.discovery import (
     drop_missing_upstreams,
 )
@@ -35,6 +36,7 @@
     """
     drop_missing_upstreams(state, now)
     review_limits(state, now)
+    review_crashes(state, now)
     record_review(state.routing, now)
     _retry_stalled_calls(state, now)
     for call_state in list(state.routing.calls.values()):
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from bilberryspoke._internal.core.routing.crashledger import CrashLedger
 from bilberryspoke._internal.core.routing.passivehealth import PassiveHealth
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.models.routetable import RouteTable
@@ -46,6 +47,10 @@
     ``last_event_id`` is the id of the last delivered event, after which a
     stream is resumed. ``may_have_run`` is set if an upstream may have run the
     call, so that a refusal must not promise that it did not run.
+    ``fingerprints`` are what it has in common with other calls, described for
+    the log. ``created_ms`` (that of the upstream), ``began_at`` (the first
+    event) and ``proven`` (the upstream outlived the begin of the answer) belong
+    to the current send; ``crashes`` counts the upstreams that crashed under it.
     """
 
     call: RoutedCall
@@ -64,6 +69,11 @@
     expected_first_event_s: float = 0.0
     may_have_run: bool = False
     tried_instances: list[str] = field(default_factory=list)
+    fingerprints: dict[int, str] = field(default_factory=dict)
+    created_ms: int = 0
+    began_at: float | None = None
+    proven: bool = False
+    crashes: int = 0
 
 
 @dataclass(slots=True)
@@ -250,7 +260,8 @@
     names are not known yet. ``members_digest`` is equal at VMs that know the
     same VMs. ``relays`` are the relays by data centre, empty in a small fleet,
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
-    whose reports this VM counts, by name.
+    whose reports this VM counts, by name. ``crash_ledger`` is what is known of
+    calls that crash upstreams.
     """
 
     table: RouteTable | None = None
@@ -286,6 +297,7 @@
     resumed_at: float = -1e9
     heartbeat_sent_at: float = -1e9
     snapshot_requested_at: float = -1e9
+    crash_ledger: CrashLedger = field(default_factory=CrashLedger)
 
     @property
     def ready(self) -> bool:
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -138,6 +138,8 @@
     ``detail``: cause for the log.
     ``delivered``: whether the caller already has a part of the answer.
     ``last_event_id``: id of the last event delivered to the caller, if any.
+    ``upstream_crashed``: whether the upstream closed the connection and no
+    longer listens.
     """
 
     call_id: str
@@ -146,6 +148,7 @@
     detail: str = ''
     delivered: bool = False
     last_event_id: int | None = None
+    upstream_crashed: bool = False
 
 
 RoutingEvent = (
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -52,6 +52,49 @@
     age_s: Duration
 
 
+class FingerprintTime(msgspec.Struct, array_like=True):
+    """A fingerprint of calls, and the seconds since something under it.
+
+    That is the send of a call in a ``CrashReport``, or an answer that proved
+    the fingerprint harmless.
+    """
+
+    fingerprint: int
+    age_s: Duration
+
+
+class CrashReport(msgspec.Struct, array_like=True):
+    """A crash of an upstream, and the calls whose answer had not begun there.
+
+    ``crash_id``: the same for one incarnation of the upstream at all VMs.
+    ``age_s``: seconds since the crash.
+    """
+
+    crash_id: int
+    age_s: Duration
+    suspects: list[FingerprintTime]
+
+
+class BlockReport(msgspec.Struct, array_like=True):
+    """A fingerprint whose calls are refused because they crash upstreams.
+
+    ``trials``: number of calls that were sent since then and crashed one too.
+    ``age_s``: seconds since the last crash.
+    """
+
+    fingerprint: int
+    trials: BoundedCount
+    age_s: Duration
+
+
+class CrashNews(msgspec.Struct, array_like=True):
+    """What the sender lately learned of crashes, and all blocks."""
+
+    crashes: list[CrashReport] = []
+    proofs: list[FingerprintTime] = []
+    blocks: list[BlockReport] = []
+
+
 class ReportScope(StrEnum):
     """Whose backlog and waiting calls a heartbeat reports.
 
@@ -91,6 +134,7 @@
     receiver's data centre.
     ``era``: era of the store to which ``revision`` belongs.
     ``limits``: limits that the sender knows of, and those that ended lately.
+    ``crash_news``: what it knows of crashes, None if there is nothing new.
     """
 
     address: str
@@ -108,6 +152,7 @@
     to_relay: bool = False
     era: int = 0
     limits: list[StatedLimit] = []
+    crash_news: CrashNews | None = None
 
 
 class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
--- a/src/bilberryspoke/_internal/network/routing/probes.py
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -45,8 +45,8 @@
     to peers that were dropped since the start, its part of the reserve of
     each retry budget, the version of its routes, the position of the store as
     of which it knows the upstreams, and the seconds since the store last
-    answered each watch, and the limits that upstreams name, with
-    its part of each.
+    answered each watch, the limits that upstreams name, with its part of
+    each, and how many fingerprints it blocks.
     """
     routing = runtime.core.state.routing
     now = read_boottime()
@@ -69,6 +69,7 @@
             for instance, upstream in routing.upstreams.items()
             if upstream.limit.per_s is not None
         },
+        'blocked_fingerprints': {'': len(routing.crash_ledger.blocks)},
         'routes_version': {'': routing.table.version if routing.table else 0},
         'store_era': {'': routing.position.era},
         'store_revision': {'': routing.position.revision},
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -27,6 +27,7 @@
     BufferedResponse,
     Exchange,
 )
+from bilberryspoke._internal.network.routing.listencheck import ListenCheck
 from bilberryspoke._internal.platform.headers import (
     ResponseHeaders,
     SendHeaders,
@@ -53,10 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _SendResult:
-    """How a send ended; the core gets it as part of ``SendEnded``."""
+    """How a send ended; the core gets it as part of ``SendEnded``.
+
+    ``connection_lost`` is whether the upstream closed the connection before
+    its answer was complete.
+    """
 
     status: SendStatus
     detail: str = ''
+    connection_lost: bool = False
 
 
 class CallSender:
@@ -73,6 +79,7 @@
         """
         self.connector = KeepAliveConnector()
         self._submit = submit
+        self._check = ListenCheck()
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -105,7 +112,12 @@
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
             self.connector.expire_connections(effect.address)
             detail = f'{type(exc).__name__}: {exc}'
-            result = _SendResult(SendStatus.broken, detail)
+            result = _SendResult(
+                SendStatus.broken, detail, connection_lost=True
+            )
+        crashed = result.connection_lost and await self._check.refuses(
+            effect.address
+        )
         return SendEnded(
             call_id=effect.call_id,
             attempt=effect.attempt,
@@ -113,6 +125,7 @@
             detail=result.detail,
             delivered=delivered or exchange.started,
             last_event_id=exchange.last_event_id,
+            upstream_crashed=crashed,
         )
 
     async def _send_request(
@@ -222,7 +235,9 @@
                 held.clear()
         if not body.is_complete():
             return _SendResult(
-                SendStatus.broken, 'response ended before it was complete'
+                SendStatus.broken,
+                'response ended before it was complete',
+                connection_lost=True,
             )
         response = BufferedResponse(status, body.headers.forwarded, bytes(held))
         if status >= 500 and not exchange.started:
@@ -264,7 +279,9 @@
             )
         if splitter.remainder or not body.is_complete():
             return _SendResult(
-                SendStatus.broken, 'stream ended before it was complete'
+                SendStatus.broken,
+                'stream ended before it was complete',
+                connection_lost=True,
             )
         if not exchange.started:
             await exchange.start(200, _drop_content_length(body.headers))
--- a/tests/functional/test_routed_crashes.py
+++ b/tests/functional/test_routed_crashes.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.lib.crashfleet import ALLOWED_LATE_ARRIVALS, run_crash_fleet
 
 DEADLY_PART = 'dead1'
@@ -25,8 +23,6 @@
     )
 
 
-# Known failure, KNOWN-RED.txt entry 21.
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
 def test_calls_with_a_prompt_part_that_crashes_engines_stop_reaching_them():
     """Each new call with the part crashed one engine, its retry another."""
 
--- /dev/null
+++ b/tests/unit/test_routed_crashes.py
@@ -0,0 +1,227 @@
+"""Calls that crash engines: who is blamed, who is blocked, and for how long."""
+
+import dataclasses
+
+import pytest
+
+from bilberryspoke._internal.core.routing.crashledger import Crash
+from bilberryspoke._internal.core.routing.suspicion import find_culprits
+from bilberryspoke._internal.models.events import Tick
+from bilberryspoke._internal.models.routing import PromptPart, SendStatus
+from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
+from tests.lib.crashcores import CrashCores
+from tests.lib.routedcore import DRAFT_ROUTE, RoutedCore, build_call
+
+WINDOW_S = 3.0
+ALLOWED_CRASHES = 5
+ALLOWED_LATE_SENDS = 3
+GUILTY, BESIDE, OTHER = 1, 2, 3
+
+
+def build_prompt_call(call_id, *names, now, route=DRAFT_ROUTE):
+    """Return a call whose prompt has shared parts of these names."""
+    call = build_call(call_id, route, now=now)
+    parts = [PromptPart(name, 1000) for name in (*names, f'own-{call_id}')]
+    return dataclasses.replace(call, parts=tuple(parts), prompt_tokens=2000)
+
+
+def has_part(name):
+    return lambda call: any(part.name == name for part in call.parts)
+
+
+def send_calls(fleet, seconds, *, per_s, **parts):
+    """Let calls of each kind arrive at the VMs in turn.
+
+    ``parts`` are the shared parts of each kind, ``per_s`` their rate.
+    """
+    names = sorted(fleet.cores)
+    until = fleet.now + seconds
+    number = sum(fleet.counts.arrived.values())
+    while fleet.now < until:
+        for kind, shared in parts.items():
+            number += 1
+            call = build_prompt_call(f'{kind}-{number}', *shared, now=fleet.now)
+            fleet.arrive(names[number % len(names)], call)
+        fleet.run_until(fleet.now + 1 / per_s)
+
+
+def count_late_sends(fleet):
+    """Return the deadly sends after the allowed crashes and a window."""
+    if len(fleet.crashed_at) < ALLOWED_CRASHES:
+        return 0
+    since = fleet.crashed_at[ALLOWED_CRASHES - 1] + WINDOW_S
+    return sum(each > since for each in fleet.counts.deadly_sent_at)
+
+
+@pytest.mark.parametrize(
+    ('vms', 'engines', 'per_s', 'seconds'),
+    [(8, 9, 4, 8.0), (60, 66, 10, 8.0), (370, 60, 10, 4.0)],
+)
+def test_deadly_prompt_part_is_blocked_in_fleets_of_every_size(
+    vms, engines, per_s, seconds
+):
+    fleet = CrashCores(
+        vms,
+        engines=engines,
+        is_deadly=has_part('dead'),
+        warm_up_s=seconds / 2,
+    )
+    send_calls(
+        fleet,
+        seconds,
+        per_s=per_s,
+        deadly=('system', 'dead', 'notes'),
+        sound=('system', 'notes'),
+    )
+    assert count_late_sends(fleet) <= ALLOWED_LATE_SENDS
+    finished = fleet.counts.finished['sound']
+    assert finished >= fleet.counts.arrived['sound'] / 2
+    assert not fleet.counts.finished['deadly']
+
+
+def test_two_deadly_parts_at_once_are_both_blocked():
+    def is_deadly(call):
+        return has_part('dead-1')(call) or has_part('dead-2')(call)
+
+    fleet = CrashCores(8, engines=12, is_deadly=is_deadly)
+    send_calls(
+        fleet,
+        8.0,
+        per_s=4,
+        deadly=('system', 'dead-1'),
+        other=('system', 'dead-2'),
+        sound=('system', 'notes'),
+    )
+    blocked_parts = [
+        len(core.state.routing.crash_ledger.blocks)
+        for core in fleet.cores.values()
+    ]
+    assert blocked_parts == [2] * 8
+
+
+def test_calls_with_a_blocked_part_are_told_that_they_did_not_run():
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=('system', 'dead'))
+    fleet.counts.refusals.clear()
+    send_calls(fleet, 2.0, per_s=4, deadly=('system', 'dead'))
+    refusals = [refusal for _, refusal in fleet.counts.refusals]
+    assert {each.reason for each in refusals} == {'crashes_upstreams'}
+    assert all(each.not_run and each.retry_after_s > 1 for each in refusals)
+
+
+def test_part_that_does_not_crash_engines_any_more_is_tried_by_one_vm():
+    """A later version of the engines reads it well."""
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=('system', 'dead'))
+    sent_before = len(fleet.counts.deadly_sent_at)
+    fleet.is_deadly = has_part('no part')
+    send_calls(fleet, 30.0, per_s=4, deadly=('system', 'dead'))
+    arrived_before = fleet.counts.arrived['deadly']
+    finished_before = fleet.counts.finished['deadly']
+    assert finished_before
+    send_calls(fleet, 2.0, per_s=4, deadly=('system', 'dead'))
+    fleet.run_until(fleet.now + 1)
+    arrived = fleet.counts.arrived['deadly'] - arrived_before
+    assert fleet.counts.finished['deadly'] - finished_before >= arrived
+    assert len(fleet.counts.deadly_sent_at) == sent_before
+    for core in fleet.cores.values():
+        assert not core.state.routing.crash_ledger.blocks
+
+
+def test_trials_of_a_part_that_stays_deadly_become_rare():
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 300.0, per_s=2, deadly=('system', 'dead'))
+    assert count_late_sends(fleet) <= ALLOWED_LATE_SENDS
+
+
+def test_process_that_restarts_learns_what_is_blocked():
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=('system', 'dead'))
+    sent_before = len(fleet.counts.deadly_sent_at)
+    for number in range(8):
+        name = f'vm-{number}'
+        fleet.kill(name)
+        fleet.start(name)
+        fleet.run_until(fleet.now + 0.3)
+        call = build_prompt_call(f'deadly-r{number}', 'dead', now=fleet.now)
+        fleet.arrive(name, call)
+    assert len(fleet.counts.deadly_sent_at) == sent_before
+
+
+def test_engines_that_are_lost_together_leave_their_calls_unblocked():
+    """Three engines of a rack lose power while all read the same part."""
+    fleet = CrashCores(8, engines=6, is_deadly=has_part('no part'))
+    for number in range(24):
+        call = build_prompt_call(f'sound-{number}', 'system', now=fleet.now)
+        fleet.arrive(f'vm-{number % 8}', call)
+    for number in range(3):
+        fleet.crash(f'engine-{number}')
+        fleet.run_until(fleet.now + 0.01)
+    fleet.run_until(fleet.now + 6)
+    for core in fleet.cores.values():
+        assert not core.state.routing.crash_ledger.blocks
+    assert fleet.counts.finished['sound'] >= 20
+
+
+def test_part_beside_a_deadly_one_is_not_blocked_if_answers_began_under_it():
+    crashes = [
+        Crash(float(at), {GUILTY: at - 0.2, BESIDE: at - 0.2})
+        for at in range(3)
+    ]
+    assert find_culprits(crashes, {}) == [frozenset((GUILTY, BESIDE))]
+    # Long before the crashes, so that it does not clear the part of them.
+    assert find_culprits(crashes, {BESIDE: -30.0}) == [frozenset((GUILTY,))]
+
+
+def test_crash_that_a_culprit_explains_counts_against_nobody_else():
+    crashes = [
+        Crash(float(at), {GUILTY: at - 0.2, OTHER: at - 0.2}) for at in range(3)
+    ]
+    crashes.append(Crash(3.0, {GUILTY: 2.8}))
+    assert find_culprits(crashes, {}) == [frozenset((GUILTY,))]
+
+
+def test_parts_that_crashes_do_not_tell_apart_are_told_apart_by_one_call():
+    """The deadly calls always have both; a sound one has one of them."""
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=('dead', 'beside'))
+    send_calls(fleet, 2.0, per_s=4, sound=('beside',))
+    fleet.run_until(fleet.now + 1)
+    finished = fleet.counts.finished['sound']
+    assert finished >= fleet.counts.arrived['sound'] / 2
+    fleet.counts.refusals.clear()
+    send_calls(fleet, 1.0, per_s=4, deadly=('dead', 'beside'))
+    reasons = {refusal.reason for _, refusal in fleet.counts.refusals}
+    assert reasons == {'crashes_upstreams'}
+
+
+def test_call_that_lost_two_upstreams_in_a_row_is_not_sent_to_a_third():
+    core = RoutedCore()
+    route = dataclasses.replace(DRAFT_ROUTE, max_attempts=5)
+    send = core.arrive(build_call('d', route), now=0.0)
+    effects = core.end(send, SendStatus.broken, now=0.2, upstream_crashed=True)
+    again = next(each for each in effects if isinstance(each, Send))
+    effects = core.end(again, SendStatus.broken, now=0.4, upstream_crashed=True)
+    refusal = next(each for each in effects if isinstance(each, RefuseCall))
+    assert not refusal.not_run
+
+
+def test_stream_resumes_though_its_upstream_crashed_after_it_began():
+    """An upstream that outlives the begin does not crash under that call."""
+    core = RoutedCore()
+    route = dataclasses.replace(DRAFT_ROUTE, max_attempts=5)
+    send = core.arrive(build_call('d', route), now=0.0)
+    for number in range(3):
+        now = 1.0 * number
+        core.progress(send, now=now + 0.1, event=2 * number + 1)
+        core.progress(send, now=now + 0.6, event=2 * number + 2)
+        effects = core.end(
+            send,
+            SendStatus.broken,
+            now=now + 0.7,
+            delivered=True,
+            upstream_crashed=True,
+        )
+        send = next(each for each in effects if isinstance(each, Send))
+    core.handle(Tick(), now=3.0)
+    assert not core.routing.crash_ledger.crashes
