--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -144,6 +144,7 @@
                 'version': table.version,
                 'limit_per_s': chosen.limit.per_s,
                 'parts': [part.name for part in call.parts[:-1]],
+                'content': f'{call.content_hash:016x}',
             },
             important=False,
         ),
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -166,6 +166,7 @@
         'answer_began': call_state.last_progress_at is not None,
         'calls': 0 if upstream is None else len(upstream.sends),
         'parts': [part.name for part in call.parts[:-1]],
+        'content': f'{call.content_hash:016x}',
         'crashed': event.upstream_crashed,
         'detail': event.detail,
     }
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -216,6 +216,7 @@
     ``parts``: parts of the prompt in order; empty if not stated.
     ``last_event_id``: id of the event after which the caller wants the stream
     to be resumed; ``None`` for a new stream.
+    ``content_hash``: hash of method, path, query and body; 0 if not known.
     """
 
     call_id: str
@@ -229,6 +230,7 @@
     prompt_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    content_hash: int = 0
 
     @property
     def rank(self) -> int:
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -40,6 +40,7 @@
     CallHeaders,
     parse_call_headers,
 )
+from bilberryspoke._internal.utils.hashing import hash_bytes
 
 logger = structlog.get_logger()
 
@@ -119,13 +120,20 @@
         if body_result.is_error():
             await self._refuse_at_ingress(send, 413, 'body_too_large')
             return
-        call = self._make_call(headers, match_result.ok, arrived_at)
         query = scope['query_string'].decode('latin-1')
+        request_target = f'{path}?{query}' if query else path
+        body = body_result.ok
+        content_hash = hash_bytes(
+            scope['method'].encode(), request_target.encode(), body
+        )
+        call = self._make_call(
+            headers, match_result.ok, arrived_at, content_hash
+        )
         exchange = Exchange(
             call=call,
             method=scope['method'],
-            request_target=f'{path}?{query}' if query else path,
-            body=body_result.ok,
+            request_target=request_target,
+            body=body,
             forwarded=headers.forwarded,
             send=send,
             close_connection=self.stopping,
@@ -149,6 +157,7 @@
         headers: CallHeaders,
         matched: RouteMatch,
         arrived_at: float,
+        content_hash: int,
     ) -> RoutedCall:
         route = matched.route
         number = next(self._call_numbers)
@@ -167,6 +176,7 @@
             prompt_tokens=headers.prompt_tokens,
             parts=headers.parts,
             last_event_id=headers.last_event_id,
+            content_hash=content_hash,
         )
 
     async def _serve(self, exchange: Exchange, receive: Any) -> None:
--- a/src/bilberryspoke/_internal/utils/hashing.py
+++ b/src/bilberryspoke/_internal/utils/hashing.py
@@ -19,6 +19,15 @@
     return int.from_bytes(raw, 'big')
 
 
+def hash_bytes(*parts: bytes) -> int:
+    """Return an unsigned 64-bit hash of byte strings, equal on every VM."""
+    digest = hashlib.blake2b(digest_size=_HASH_BYTES)
+    for part in parts:
+        digest.update(b'%d:' % len(part))
+        digest.update(part)
+    return int.from_bytes(digest.digest(), 'big')
+
+
 def rank_members(subject: str, members: Iterable[str]) -> list[str]:
     """Return the members in the order of rendezvous hashing for a subject.
 
