--- a/tests/functional/test_routed_crashes.py
+++ b/tests/functional/test_routed_crashes.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import pytest
+
 from tests.lib.crashfleet import ALLOWED_LATE_ARRIVALS, run_crash_fleet
 
 DEADLY_PART = 'dead1'
 # Crashes under one part that the deployment allows.
 ALLOWED_PART_CRASHES = 5
+# Crashes under one call that the deployment allows.
+ALLOWED_CALL_CRASHES = 3
 
 
 def send_stream(fleet, req_id, node, *shared_parts):
@@ -49,3 +53,33 @@
             assert sound.count(200) >= len(sound) / 2
 
     asyncio.run(run())
+
+
+# Known failure, KNOWN-RED.txt entry 21.
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
+def test_call_that_comes_again_and_crashes_upstreams_stops_reaching_them():
+    """Each repeat had a new request id, and crashed up to two upstreams."""
+
+    def is_deadly(run):
+        return run.body == b'deadly'
+
+    async def run():
+        async with run_crash_fleet(
+            'app', upstreams=6, healthy='whole', is_deadly=is_deadly
+        ) as crashes:
+            fleet = crashes.fleet
+            await crashes.send_calls(
+                8.0,
+                deadly=lambda number, node: fleet.call(
+                    '/safe/a', f'd{number}', node=node, body=b'deadly'
+                ),
+                sound=lambda number, node: fleet.call(
+                    '/safe/a', f's{number}', node=node, body=b'sound'
+                ),
+            )
+            late = crashes.count_late_arrivals(ALLOWED_CALL_CRASHES)
+            assert late <= ALLOWED_LATE_ARRIVALS
+            sound = crashes.statuses['sound']
+            assert sound.count(200) >= len(sound) / 2
+
+    asyncio.run(run())
