Refuse a call that comes again and crashes upstream after upstream

The whole call (caller, method, path, query, body) has a fingerprint now, beside the prompt parts, and the same evidence blocks it. Trials begin after 15 s, as the users allow three repeats and a deadly call usually comes again at once.

--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -25,7 +25,7 @@
 _REVIEW_DELAY_S = 0.2
 _RELAYED_REVIEW_DELAY_S = 0.5
 # Time from a crash to the next trial, and its factor for each failed trial.
-_TRIAL_DELAY_S = 10.0
+_TRIAL_DELAY_S = 15.0
 _TRIAL_BACKOFF_FACTOR = 4
 _MAX_TRIAL_DELAY_S = 3600.0
 # If the VM that may try has no such call, the next one may after this time.
--- a/src/bilberryspoke/_internal/core/routing/fingerprints.py
+++ b/src/bilberryspoke/_internal/core/routing/fingerprints.py
@@ -12,9 +12,17 @@
     """Return the fingerprints of a call, with a description for the log.
 
     There is one for each part of its prompt but the last, which no other call
-    has. They are those of one service: its upstreams run the same program.
+    has, and one for the whole call, which its caller may send again under
+    another request id. They are those of one service: its upstreams run the
+    same program.
     """
-    return {
+    fingerprints = {
         hash_parts('part', call.service, part.name): f'part {part.name}'
         for part in call.parts[:-1]
     }
+    if call.content_hash:
+        whole = hash_parts(
+            'call', call.service, call.workspace, call.content_hash
+        )
+        fingerprints[whole] = f'content {call.content_hash:016x}'
+    return fingerprints
--- a/tests/functional/test_routed_crashes.py
+++ b/tests/functional/test_routed_crashes.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from tests.lib.crashfleet import ALLOWED_LATE_ARRIVALS, run_crash_fleet
 
 DEADLY_PART = 'dead1'
@@ -55,8 +53,6 @@
     asyncio.run(run())
 
 
-# Known failure, KNOWN-RED.txt entry 21.
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
 def test_call_that_comes_again_and_crashes_upstreams_stops_reaching_them():
     """Each repeat had a new request id, and crashed up to two upstreams."""
 
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -45,6 +45,28 @@
         fleet.run_until(fleet.now + 1 / per_s)
 
 
+def has_content(content_hash):
+    return lambda call: call.content_hash == content_hash
+
+
+def send_contents(fleet, seconds, *, per_s, **contents):
+    """Let calls without prompt parts arrive at the VMs in turn."""
+    names = sorted(fleet.cores)
+    until = fleet.now + seconds
+    number = 0
+    while fleet.now < until:
+        for kind, content_hash in contents.items():
+            number += 1
+            call = build_call(
+                f'{kind}-{number}',
+                now=fleet.now,
+                parts=(),
+                content_hash=content_hash,
+            )
+            fleet.arrive(names[number % len(names)], call)
+        fleet.run_until(fleet.now + 1 / per_s)
+
+
 def count_late_sends(fleet):
     """Return the deadly sends after the allowed crashes and a window."""
     if len(fleet.crashed_at) < ALLOWED_CRASHES:
@@ -163,6 +185,31 @@
     assert fleet.counts.finished['sound'] >= 20
 
 
+@pytest.mark.parametrize(('vms', 'engines'), [(6, 6), (60, 66)])
+def test_call_that_comes_again_with_another_id_is_blocked(vms, engines):
+    """One caller's repeats go to all VMs; none sees three crashes alone."""
+    fleet = CrashCores(vms, engines=engines, is_deadly=has_content(13))
+    send_contents(fleet, 8.0, per_s=3, deadly=13, sound=14)
+    third_at = fleet.crashed_at[2]
+    late = sum(
+        each > third_at + WINDOW_S for each in fleet.counts.deadly_sent_at
+    )
+    assert late <= ALLOWED_LATE_SENDS
+    finished = fleet.counts.finished['sound']
+    assert finished >= fleet.counts.arrived['sound'] / 2
+
+
+def test_same_content_of_another_caller_is_not_blocked():
+    fleet = CrashCores(6, engines=9, is_deadly=has_content(13))
+    send_contents(fleet, 4.0, per_s=3, deadly=13)
+    fleet.is_deadly = has_content(0)
+    call = build_call('other-1', now=fleet.now, parts=(), content_hash=13)
+    call = dataclasses.replace(call, workspace='desk')
+    fleet.arrive('vm-0', call)
+    fleet.run_until(fleet.now + 1)
+    assert fleet.counts.finished['other']
+
+
 def test_part_beside_a_deadly_one_is_not_blocked_if_answers_began_under_it():
     crashes = [
         Crash(float(at), {GUILTY: at - 0.2, BESIDE: at - 0.2})
