--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -29,8 +29,8 @@
     """One execution of a call at the upstream.
 
     ``aborted`` means that the connection was lost before the answer ended.
-    ``arrived_at`` is in seconds of the monotonic clock. ``limit`` is the
-    limit that the answer names, if any.
+    ``arrived_at`` is in seconds of the monotonic clock. ``stated`` are headers
+    of the answer in which the upstream says something of itself.
     """
 
     method: str
@@ -40,7 +40,7 @@
     ended: bool = False
     aborted: bool = False
     arrived_at: float = field(default_factory=time.monotonic)
-    limit: str = ''
+    stated: Headers = field(default_factory=dict)
 
     @property
     def req_id(self) -> str:
@@ -103,8 +103,8 @@
     ``answers`` names the scripts of its next answers; when they are used up,
     the script named ``default`` answers. ``runs`` are the calls that ran,
     ``refusals`` counts those refused unexecuted. Setting ``release`` lets
-    scripts that wait for it go on. ``limit`` is the number of requests a
-    second that all of its answers name as its limit, none if it is empty.
+    scripts that wait for it go on. ``stated`` are headers that all of its
+    answers carry.
     """
 
     instance: str
@@ -114,7 +114,7 @@
     refusals: int = 0
     connections: int = 0
     address: str = ''
-    limit: str = ''
+    stated: Headers = field(default_factory=dict)
     release: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -197,7 +197,7 @@
         else:
             self.runs.append(run)
         try:
-            run.limit = self.limit
+            run.stated = dict(self.stated)
             await self.run_script(name, run, writer)
             await writer.drain()
         except asyncio.CancelledError:
@@ -233,9 +233,8 @@
     lines.append(f'X-Attempt-Id: {run.req_id}')
     if sealed:
         lines.append(f'X-Response-Seal: seal-of-{run.req_id}')
-    if run.limit:
-        lines.append(f'Server-Limit: {run.limit}')
-    lines += [f'{name}: {text}' for name, text in headers.items()]
+    stated = {**run.stated, **headers}
+    lines += [f'{name}: {text}' for name, text in stated.items()]
     writer.write('\r\n'.join([*lines, '', '']).encode())
 
 
--- a/tests/functional/test_routed_limits.py
+++ b/tests/functional/test_routed_limits.py
@@ -45,14 +45,14 @@
         async with run_routed_fleet(scripted_engines=0, nodes=3) as fleet:
             limited = fleet.upstreams['i-app0']
             other = fleet.upstreams['i-app1']
-            limited.limit = str(LIMIT_PER_S)
+            limited.stated['Server-Limit'] = str(LIMIT_PER_S)
             started_at = time.monotonic()
             answers = await send_calls(fleet, NOTICE_S + 2 * WINDOW_S)
             assert {answer.status for answer in answers} == {200}
             since = started_at + NOTICE_S
             allowed = ALLOWED_RATIO * LIMIT_PER_S * WINDOW_S + ALLOWED_EXTRA
             assert count_busiest_window(limited, since) <= allowed
-            limited.limit = ''
+            limited.stated.clear()
             runs_before = len(limited.runs)
             await send_calls(fleet, WINDOW_S)
             assert len(limited.runs) - runs_before > CALLS_PER_S
--- /dev/null
+++ b/tests/functional/test_routed_statements.py
@@ -0,0 +1,47 @@
+"""What upstreams say of themselves in their answers."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.routedfleet import run_routed_fleet
+
+# The deployment allows no call to an upstream later than this after it said
+# that it leaves.
+DRAIN_S = 2.0
+CALLS_PER_S = 30
+
+
+async def send_calls(fleet, seconds, prefix):
+    """Send calls to all processes in turn; return the statuses."""
+    tasks = []
+    for number in range(round(seconds * CALLS_PER_S)):
+        node = number % len(fleet.nodes)
+        call = fleet.call('/safe/', f'{prefix}{number}', node=node)
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(1 / CALLS_PER_S)
+    return [answer.status for answer in await asyncio.gather(*tasks)]
+
+
+# Known failure, KNOWN-RED.txt entry 21.
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
+@pytest.mark.parametrize('script', ['whole', 'busy', 'error'])
+def test_upstream_that_says_it_leaves_gets_nothing_new(script):
+    """Its entry in the store stayed ready, and it got its share of calls."""
+
+    async def run():
+        async with run_routed_fleet(scripted_engines=0, nodes=3) as fleet:
+            leaving = fleet.upstreams['i-app0']
+            leaving.default = script
+            leaving.stated['Server-Leaving'] = '1'
+            await send_calls(fleet, 1.0, 'a')
+            assert leaving.runs or leaving.refusals
+            await asyncio.sleep(DRAIN_S / 2)
+            calls_before = len(leaving.runs) + leaving.refusals
+            # The entry is written anew, as a heartbeat does.
+            fleet.write_upstream_entry('i-app0', 'app', sequence=2)
+            statuses = await send_calls(fleet, DRAIN_S, 'b')
+            assert len(leaving.runs) + leaving.refusals == calls_before
+            assert set(statuses) == {200}
+
+    asyncio.run(run())
