Send nothing new to an upstream that says it leaves

Cause: only the store's entry counted, which may say ready for long. The header is read in all answers, refusals and failures included, holds for the incarnation, and is passed on with heartbeats. test_upstream_that_says_it_leaves_gets_nothing_new failed before for three kinds of answers (its share of the calls went on) and passes; its entry leaves KNOWN-RED.txt.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -175,7 +175,7 @@
     routing.counts_at_store_back = Counter(
         upstream.listed.service
         for upstream in routing.upstreams.values()
-        if not upstream.listed.leaving
+        if not upstream.is_leaving
     )
 
 
@@ -246,7 +246,7 @@
     upstream = routing.upstreams.get(instance)
     if upstream is None or upstream.drop_at is not None:
         return
-    if _may_be_relisted(routing, upstream.listed, now):
+    if _may_be_relisted(routing, upstream, now):
         returned_at = max(routing.store_back_at, routing.store_restored_at)
         upstream.drop_at = returned_at + _RELIST_TIMEOUT_S
         state.emit(
@@ -273,7 +273,7 @@
 
 def _may_be_relisted(
     routing: RoutingState,
-    listed: ListedUpstream,
+    upstream: UpstreamState,
     now: float,
 ) -> bool:
     """Return whether a missing entry may have expired in a store outage.
@@ -284,7 +284,7 @@
     all entries expired, so that most upstreams of a service are missing. The
     upstream in question is not counted among the remaining ones.
     """
-    if listed.leaving:
+    if upstream.is_leaving:
         return False
     if now < routing.store_restored_at + _RELIST_TIMEOUT_S:
         return True
@@ -292,10 +292,11 @@
         return False
     if now >= routing.store_back_at + _RELIST_TIMEOUT_S:
         return False
-    remaining = len(routing.list_accepting_upstreams(listed.service)) - 1
+    service = upstream.listed.service
+    remaining = len(routing.list_accepting_upstreams(service)) - 1
     return (
         remaining
-        < routing.counts_at_store_back[listed.service] * _MIN_REMAINING_FRACTION
+        < routing.counts_at_store_back[service] * _MIN_REMAINING_FRACTION
     )
 
 
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -160,6 +160,7 @@
             upstream_deadline_at=call.deadline_at,
             last_event_id=call_state.last_event_id,
             rate_limited=chosen.limit.per_s is not None,
+            created_ms=listed.created_ms,
         ),
     )
 
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/leaving.py
@@ -0,0 +1,55 @@
+"""Upstreams that say in their answers that they leave.
+
+The store may call such an upstream ready for long. What it says itself holds
+for its incarnation, and other VMs are told.
+"""
+
+from bilberryspoke._internal.core.reducer import on_event
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing_effects import LogDecision
+from bilberryspoke._internal.models.routing_events import LeavingStated
+from bilberryspoke._internal.models.routing_messages import LeavingUpstream
+
+
+@on_event(LeavingStated)
+def record_leaving(state: VmState, event: LeavingStated, now: float) -> None:
+    """Record that an upstream said in an answer that it leaves."""
+    _record(state, event.instance, event.created_ms, 'answer')
+
+
+def list_leaving(routing: RoutingState) -> list[LeavingUpstream]:
+    """Return the upstreams that said so, to pass on."""
+    return [
+        LeavingUpstream(instance, upstream.listed.created_ms)
+        for instance, upstream in routing.upstreams.items()
+        if upstream.said_leaving
+    ]
+
+
+def apply_leaving(
+    state: VmState, sender: str, leaving: list[LeavingUpstream]
+) -> None:
+    """Record the upstreams that a peer knows to be leaving."""
+    for each in leaving:
+        _record(state, each.instance, each.created_ms, sender)
+
+
+def _record(
+    state: VmState, instance: str, created_ms: int, source: str
+) -> None:
+    upstream = state.routing.upstreams.get(instance)
+    if upstream is None or upstream.said_leaving:
+        return
+    if upstream.listed.created_ms != created_ms:
+        return
+    upstream.said_leaving = True
+    fields = {
+        'upstream': instance,
+        'service': upstream.listed.service,
+        'listed_as_leaving': upstream.listed.leaving,
+        'source': source,
+    }
+    state.emit(Count('upstreams_said_leaving'))
+    state.emit(LogDecision('upstream_said_leaving', fields))
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -6,6 +6,7 @@
 from bilberryspoke._internal.core.reducer import on_message
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.crashnews import apply_crash_news
+from bilberryspoke._internal.core.routing.leaving import apply_leaving
 from bilberryspoke._internal.core.routing.members import (
     SEED_PREFIX,
     forget_expired_peers,
@@ -58,6 +59,7 @@
     peer.vms = message.vms
     peer.store_reader = message.store_reader or sender
     apply_stated_limits(state, sender, message.limits, now)
+    apply_leaving(state, sender, message.leaving)
     if message.crash_news is not None:
         apply_crash_news(state, sender, message.crash_news, now)
     if counts_report(state, peer):
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -4,6 +4,7 @@
 
 from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
 from bilberryspoke._internal.core.routing.crashnews import make_crash_news
+from bilberryspoke._internal.core.routing.leaving import list_leaving
 from bilberryspoke._internal.core.routing.ratelimits import (
     list_stated_limits,
 )
@@ -52,6 +53,7 @@
         era=reader.position.era,
         limits=list_stated_limits(routing, now),
         crash_news=make_crash_news(routing, now),
+        leaving=list_leaving(routing),
     )
 
 
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -168,7 +168,8 @@
     first event. ``last_heard_at`` is when bytes of any answer last arrived,
     -1e9 if never. ``drop_at`` is set if its entry is missing after a store
     outage; it is dropped then unless it is listed again before. ``limit`` is
-    what it said of the calls that it takes.
+    what it said of the calls that it takes. ``said_leaving`` is whether it
+    said itself that it leaves.
     """
 
     listed: ListedUpstream
@@ -179,6 +180,12 @@
     last_heard_at: float = -1e9
     drop_at: float | None = None
     limit: RateLimit = field(default_factory=RateLimit)
+    said_leaving: bool = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it must get no new calls, by its entry or its answers."""
+        return self.listed.leaving or self.said_leaving
 
 
 @dataclass(frozen=True, slots=True)
@@ -314,6 +321,5 @@
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.listed.service == service
-            and not upstream.listed.leaving
+            if upstream.listed.service == service and not upstream.is_leaving
         ]
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -21,6 +21,7 @@
     ``last_event_id``: id of the event after which the stream is resumed;
     ``None`` to start from the beginning.
     ``rate_limited``: whether the upstream was known to limit calls.
+    ``created_ms``: names the incarnation, as in ``ListedUpstream``.
     """
 
     call_id: str
@@ -31,6 +32,7 @@
     upstream_deadline_at: float
     last_event_id: int | None = None
     rate_limited: bool = False
+    created_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -130,6 +130,17 @@
     per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingStated:
+    """An upstream answered that it is leaving.
+
+    ``created_ms``: names its incarnation, as in ``ListedUpstream``.
+    """
+
+    instance: str
+    created_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendEnded:
     """A send to an upstream ended.
@@ -162,5 +173,6 @@
     | CallAbandoned
     | SendProgressed
     | RateLimitStated
+    | LeavingStated
     | SendEnded
 )
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -52,6 +52,16 @@
     age_s: Duration
 
 
+class LeavingUpstream(msgspec.Struct, array_like=True):
+    """An upstream that said in an answer that it is leaving.
+
+    ``created_ms``: names its incarnation, as in ``ListedUpstream``.
+    """
+
+    instance: str
+    created_ms: int
+
+
 class FingerprintTime(msgspec.Struct, array_like=True):
     """A fingerprint of calls, and the seconds since something under it.
 
@@ -135,6 +145,7 @@
     ``era``: era of the store to which ``revision`` belongs.
     ``limits``: limits that the sender knows of, and those that ended lately.
     ``crash_news``: what it knows of crashes, None if there is nothing new.
+    ``leaving``: listed upstreams that said in an answer that they leave.
     """
 
     address: str
@@ -153,6 +164,7 @@
     era: int = 0
     limits: list[StatedLimit] = []
     crash_news: CrashNews | None = None
+    leaving: list[LeavingUpstream] = []
 
 
 class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -13,6 +13,7 @@
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
+    LeavingStated,
     RateLimitStated,
     SendEnded,
     SendProgressed,
@@ -69,13 +70,16 @@
     """Sends calls over keep-alive connections and relays the responses."""
 
     def __init__(
-        self, submit: Callable[[SendProgressed | RateLimitStated], None]
+        self,
+        submit: Callable[
+            [SendProgressed | RateLimitStated | LeavingStated], None
+        ],
     ) -> None:
         """Create the client sessions; must run inside the event loop.
 
         ``submit`` is called with ``SendProgressed`` when a response is
         complete and whenever events of a stream were relayed, and with
-        ``RateLimitStated`` for a response with a limit.
+        what the upstream says of itself in a response.
         """
         self.connector = KeepAliveConnector()
         self._submit = submit
@@ -171,7 +175,7 @@
             return _SendResult(
                 SendStatus.broken, 'response has the id of another call'
             )
-        self._report_rate_limit(effect, headers)
+        self._report_statements(effect, headers)
         if headers.not_run:
             detail = f'status {resp.status}, not run'
             await resp.read()
@@ -193,6 +197,16 @@
             return await self._relay_events(exchange, effect, body)
         return await self._relay_body(exchange, effect, body)
 
+    def _report_statements(
+        self, effect: Send, headers: ResponseHeaders
+    ) -> None:
+        """Report what the upstream says of itself in an answer."""
+        if headers.misdirected:
+            return
+        if headers.is_leaving:
+            self._submit(LeavingStated(effect.instance, effect.created_ms))
+        self._report_rate_limit(effect, headers)
+
     def _report_rate_limit(
         self, effect: Send, headers: ResponseHeaders
     ) -> None:
@@ -201,8 +215,6 @@
         An answer without a limit ends it only if the limit was known when the
         call was sent: another answer may overtake one from before the limit.
         """
-        if headers.misdirected:
-            return
         malformed = (
             headers.names_rate_limit and headers.rate_limit_per_s is None
         )
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -30,6 +30,8 @@
 _NOT_EXECUTED = b'x-not-executed'
 # Requests per second that the upstream takes from all VMs together.
 _RATE_LIMIT = b'server-limit'
+# Says that the upstream is leaving, in each of its answers.
+_LEAVING = b'server-leaving'
 _AUTHORIZATION = b'authorization'
 _CONNECTION = b'connection'
 _KEEP_ALIVE = b'keep-alive'
@@ -138,7 +140,8 @@
     idle, in seconds, or None if it does not say. ``names_rate_limit`` is
     whether the upstream limits the requests that it takes from all VMs
     together; ``rate_limit_per_s`` is that limit, or None if it is not a
-    number of at least 0. ``closes_connection`` is
+    number of at least 0. ``is_leaving`` is whether the upstream says that it
+    leaves. ``closes_connection`` is
     whether it closes the connection after the response. ``forwarded`` are the
     headers that go on to the caller.
     """
@@ -152,6 +155,7 @@
     keep_alive_s: float | None
     names_rate_limit: bool
     rate_limit_per_s: float | None
+    is_leaving: bool
     closes_connection: bool
     forwarded: RawHeaders
 
@@ -231,6 +235,7 @@
         keep_alive_s=_parse_keep_alive(by_name.get(_KEEP_ALIVE, b'')),
         names_rate_limit=_RATE_LIMIT in by_name,
         rate_limit_per_s=_parse_rate(by_name.get(_RATE_LIMIT)),
+        is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
         closes_connection=b'close'
         in _split_list(by_name.get(_CONNECTION, b'')),
         forwarded=[pair for pair in pairs if pair[0] not in dropped],
--- a/tests/functional/test_routed_statements.py
+++ b/tests/functional/test_routed_statements.py
@@ -23,8 +23,6 @@
     return [answer.status for answer in await asyncio.gather(*tasks)]
 
 
-# Known failure, KNOWN-RED.txt entry 21.
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
 @pytest.mark.parametrize('script', ['whole', 'busy', 'error'])
 def test_upstream_that_says_it_leaves_gets_nothing_new(script):
     """Its entry in the store stayed ready, and it got its share of calls."""
--- /dev/null
+++ b/tests/unit/test_routed_statements.py
@@ -0,0 +1,69 @@
+"""What upstreams say of themselves in their answers, and who believes it."""
+
+from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing_effects import RefuseCall
+from bilberryspoke._internal.models.routing_events import (
+    LeavingStated,
+    UpstreamChanged,
+)
+from bilberryspoke._internal.platform.headers import parse_response_headers
+from tests.lib.corefleet import CoreFleet
+from tests.lib.routedcore import (
+    READ_ROUTE,
+    RoutedCore,
+    build_call,
+    build_upstream,
+)
+
+
+def send_reads(core, count, *, now=0.0):
+    """Submit calls that end at once; return where they were sent."""
+    instances = set()
+    for number in range(count):
+        send = core.arrive(build_call(f'r{number}', READ_ROUTE), now=now)
+        instances.add(send.instance)
+        core.end(send, SendStatus.finished, now=now)
+    return instances
+
+
+def test_leaving_upstream_that_is_listed_as_ready_again_stays_leaving():
+    core = RoutedCore()
+    core.handle(LeavingStated('app-0', 0), now=0.0)
+    listed = build_upstream('app-0', service='app', slots=6, sequence=9)
+    core.handle(UpstreamChanged('app-0', listed), now=1.0)
+    assert send_reads(core, 20, now=1.0) == {'app-1'}
+
+
+def test_new_incarnation_of_a_leaving_upstream_gets_calls():
+    core = RoutedCore()
+    core.handle(LeavingStated('app-0', 0), now=0.0)
+    listed = build_upstream('app-0', service='app', slots=6, created_ms=5)
+    core.handle(UpstreamChanged('app-0', listed), now=1.0)
+    # What it said before, passed on late.
+    core.handle(LeavingStated('app-0', 0), now=1.1)
+    assert 'app-0' in send_reads(core, 20, now=1.2)
+
+
+def test_vms_of_a_large_fleet_learn_that_an_upstream_leaves():
+    fleet = CoreFleet(60)
+    fleet.run_until(8.0)
+    fleet.handle('vm-7', LeavingStated('app-0', 0))
+    fleet.run_until(9.0)
+    for core in fleet.cores.values():
+        assert core.state.routing.upstreams['app-0'].is_leaving
+
+
+def test_call_is_told_that_it_did_not_run_if_all_upstreams_leave():
+    core = RoutedCore()
+    for number in range(2):
+        core.handle(LeavingStated(f'app-{number}', 0), now=0.0)
+    refusal = core.arrive(build_call('r', READ_ROUTE), now=0.0)
+    assert isinstance(refusal, RefuseCall)
+    assert refusal.not_run
+
+
+def test_other_values_of_the_leaving_header_are_ignored():
+    for text in (b'0', b'', b'true', b'11'):
+        headers = parse_response_headers(200, [(b'Server-Leaving', text)])
+        assert not headers.is_leaving
+    assert parse_response_headers(200, [(b'server-leaving', b' 1 ')]).is_leaving
