Send nothing to an upstream for the time that its refusal names

The delay holds for the VM that was refused. Calls go elsewhere or wait; if all upstreams of a service want none, a caller is told when the first does.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -198,7 +198,20 @@
     """Send the waiting calls that have an upstream now; refuse overdue ones."""
     for call_state in sort_waiting(state.routing, now):
         if must_refuse(state.routing, call_state, now):
-            refuse_call(state, call_state, Refusal('no_room'), now)
+            refusal = Refusal(
+                'no_room',
+                retry_after_s=_get_shortest_pause_s(state, call_state, now),
+            )
+            refuse_call(state, call_state, refusal, now)
             continue
         state.routing.waiting.discard(call_state)
         dispatch_or_queue(state, call_state, now)
+
+
+def _get_shortest_pause_s(
+    state: VmState, call_state: CallState, now: float
+) -> float:
+    """Return the seconds until an upstream wants calls of this VM again."""
+    usable = list_usable_upstreams(state.routing, call_state, now)
+    paused_until = min((each.paused_until for each in usable), default=now)
+    return max(0, paused_until - now)
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -6,7 +6,6 @@
 from bilberryspoke._internal.core.reducer import on_message
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.crashnews import apply_crash_news
-from bilberryspoke._internal.core.routing.leaving import apply_leaving
 from bilberryspoke._internal.core.routing.members import (
     SEED_PREFIX,
     forget_expired_peers,
@@ -27,6 +26,7 @@
     view_own_state,
 )
 from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
+from bilberryspoke._internal.core.routing.withdrawal import apply_leaving
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.routing_messages import (
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -91,11 +91,10 @@
     own_group = _list_open(own_group, call_state, now)
     other_group = _list_open(other_group, call_state, now)
     if not own_group:
-        # All engines of the group were tried, are unresponsive, or have a
-        # limit that allows no call now.
-        own_group = other_group or list_usable_upstreams(
-            routing, call_state, now
-        )
+        # All engines of the group were tried, are unresponsive, or want no call
+        # now.
+        accepting = routing.list_accepting_upstreams(service)
+        own_group = other_group or _list_open(accepting, call_state, now)
         other_group = []
     first = _choose_within_target(routing, own_group, call_state, now)
     if first is not None or has_prefix_affinity(call_state.call, now):
@@ -143,9 +142,9 @@
     call_state: CallState,
     now: float,
 ) -> list[UpstreamState]:
-    """Return those among usable upstreams whose limits allow a call now."""
+    """Return those among usable upstreams that want a call now."""
     usable = _exclude_tried_and_ejected(accepting, call_state, now)
-    return [upstream for upstream in usable if upstream.limit.allows_call]
+    return [upstream for upstream in usable if upstream.is_open(now)]
 
 
 def _choose_within_target(
@@ -211,14 +210,12 @@
 
 
 def _has_capacity(placement: Placement) -> bool:
-    """Return whether an engine may get a call, by its limit and load.
+    """Return whether an engine may get a call, by its load.
 
     It needs a free slot and room in its backlog.
 
     An engine without a prefill backlog accepts a prompt of any length.
     """
-    if not placement.upstream.limit.allows_call:
-        return False
     if placement.backlog.calls >= placement.upstream.listed.slots:
         return False
     waiting = placement.backlog.prefill_tokens
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -169,7 +169,8 @@
     -1e9 if never. ``drop_at`` is set if its entry is missing after a store
     outage; it is dropped then unless it is listed again before. ``limit`` is
     what it said of the calls that it takes. ``said_leaving`` is whether it
-    said itself that it leaves.
+    said itself that it leaves. It asked for no calls of this VM until
+    ``paused_until``, -1e9 if it never did.
     """
 
     listed: ListedUpstream
@@ -181,12 +182,20 @@
     drop_at: float | None = None
     limit: RateLimit = field(default_factory=RateLimit)
     said_leaving: bool = False
+    paused_until: float = _NEVER
 
     @property
     def is_leaving(self) -> bool:
         """Whether it must get no new calls, by its entry or its answers."""
         return self.listed.leaving or self.said_leaving
 
+    def is_open(self, now: float) -> bool:
+        """Return whether it wants a call of this VM now.
+
+        Otherwise calls wait until it does, or go to others.
+        """
+        return self.limit.allows_call and now >= self.paused_until
+
 
 @dataclass(frozen=True, slots=True)
 class RemovedUpstream:
--- a/src/bilberryspoke/_internal/core/routing/leaving.py
+++ b/src/bilberryspoke/_internal/core/routing/withdrawal.py
@@ -1,7 +1,8 @@
-"""Upstreams that say in their answers that they leave.
+"""Upstreams that ask in their answers for no more calls.
 
-The store may call such an upstream ready for long. What it says itself holds
-for its incarnation, and other VMs are told.
+One that says that it leaves gets none from any VM, although the store may call
+it ready for long; this holds for its incarnation. One that refuses a call and
+names a delay gets none from this VM until then.
 """
 
 from bilberryspoke._internal.core.reducer import on_event
@@ -9,7 +10,10 @@
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing_effects import LogDecision
-from bilberryspoke._internal.models.routing_events import LeavingStated
+from bilberryspoke._internal.models.routing_events import (
+    LeavingStated,
+    PauseRequested,
+)
 from bilberryspoke._internal.models.routing_messages import LeavingUpstream
 
 
@@ -19,6 +23,22 @@
     _record(state, event.instance, event.created_ms, 'answer')
 
 
+@on_event(PauseRequested)
+def pause_upstream(state: VmState, event: PauseRequested, now: float) -> None:
+    """Send no calls to an upstream for the time that it named."""
+    upstream = state.routing.upstreams.get(event.instance)
+    if upstream is None or upstream.listed.created_ms != event.created_ms:
+        return
+    upstream.paused_until = max(upstream.paused_until, now + event.delay_s)
+    fields = {
+        'upstream': event.instance,
+        'service': upstream.listed.service,
+        'delay_s': round(event.delay_s, 3),
+    }
+    state.emit(Count('upstream_pauses'))
+    state.emit(LogDecision('upstream_paused', fields))
+
+
 def list_leaving(routing: RoutingState) -> list[LeavingUpstream]:
     """Return the upstreams that said so, to pass on."""
     return [
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -141,6 +141,19 @@
     created_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class PauseRequested:
+    """An upstream refused a call and asked this VM for none for a while.
+
+    ``created_ms``: names its incarnation, as in ``ListedUpstream``.
+    ``delay_s``: how long, in seconds.
+    """
+
+    instance: str
+    created_ms: int
+    delay_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class SendEnded:
     """A send to an upstream ended.
@@ -174,5 +187,6 @@
     | SendProgressed
     | RateLimitStated
     | LeavingStated
+    | PauseRequested
     | SendEnded
 )
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -14,6 +14,7 @@
 )
 from bilberryspoke._internal.models.routing_events import (
     LeavingStated,
+    PauseRequested,
     RateLimitStated,
     SendEnded,
     SendProgressed,
@@ -72,7 +73,8 @@
     def __init__(
         self,
         submit: Callable[
-            [SendProgressed | RateLimitStated | LeavingStated], None
+            [SendProgressed | RateLimitStated | LeavingStated | PauseRequested],
+            None,
         ],
     ) -> None:
         """Create the client sessions; must run inside the event loop.
@@ -205,6 +207,12 @@
             return
         if headers.is_leaving:
             self._submit(LeavingStated(effect.instance, effect.created_ms))
+        if headers.pause_s is not None:
+            self._submit(
+                PauseRequested(
+                    effect.instance, effect.created_ms, headers.pause_s
+                )
+            )
         self._report_rate_limit(effect, headers)
 
     def _report_rate_limit(
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -32,6 +32,8 @@
 _RATE_LIMIT = b'server-limit'
 # Says that the upstream is leaving, in each of its answers.
 _LEAVING = b'server-leaving'
+# Seconds for which the upstream wants no calls from the VM that it refused.
+_RETRY_AFTER = b'retry-after'
 _AUTHORIZATION = b'authorization'
 _CONNECTION = b'connection'
 _KEEP_ALIVE = b'keep-alive'
@@ -39,8 +41,10 @@
 
 _BEARER = b'bearer '
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
 _MS_PER_S = 1000
 _MAX_RATE_PER_S = 1e6
+_MAX_PAUSE_S = 3600.0
 
 # These concern a single connection and are not forwarded.
 _HOP_BY_HOP = frozenset(
@@ -141,7 +145,8 @@
     whether the upstream limits the requests that it takes from all VMs
     together; ``rate_limit_per_s`` is that limit, or None if it is not a
     number of at least 0. ``is_leaving`` is whether the upstream says that it
-    leaves. ``closes_connection`` is
+    leaves. ``pause_s`` is how long it wants no calls from this VM after a
+    refusal, in seconds, or None if it does not say. ``closes_connection`` is
     whether it closes the connection after the response. ``forwarded`` are the
     headers that go on to the caller.
     """
@@ -156,6 +161,7 @@
     names_rate_limit: bool
     rate_limit_per_s: float | None
     is_leaving: bool
+    pause_s: float | None
     closes_connection: bool
     forwarded: RawHeaders
 
@@ -234,7 +240,10 @@
         or b'transfer-encoding' in by_name,
         keep_alive_s=_parse_keep_alive(by_name.get(_KEEP_ALIVE, b'')),
         names_rate_limit=_RATE_LIMIT in by_name,
-        rate_limit_per_s=_parse_rate(by_name.get(_RATE_LIMIT)),
+        rate_limit_per_s=_parse_decimal(
+            by_name.get(_RATE_LIMIT), _MAX_RATE_PER_S
+        ),
+        pause_s=_parse_pause(status, by_name.get(_RETRY_AFTER)),
         is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
         closes_connection=b'close'
         in _split_list(by_name.get(_CONNECTION, b'')),
@@ -249,18 +258,29 @@
     return int(raw)
 
 
-def _parse_rate(raw: bytes | None) -> float | None:
+def _parse_decimal(raw: bytes | None, most: float) -> float | None:
     """Parse a number from 0 up; None if missing or malformed.
 
-    Any number above ``_MAX_RATE_PER_S`` is no limit in practice.
+    Any number above ``most`` counts as ``most``.
     """
     try:
-        rate = float(raw or b'')
+        number = float(raw or b'')
     except ValueError:
         return None
-    if math.isnan(rate) or rate < 0:
+    if math.isnan(number) or number < 0:
         return None
-    return min(rate, _MAX_RATE_PER_S)
+    return min(number, most)
+
+
+def _parse_pause(status: int, raw: bytes | None) -> float | None:
+    """Parse the delay that a refusal names, in seconds.
+
+    None if the status is no refusal, or if the delay is missing, negative or
+    not a number, as a date is not.
+    """
+    if status != _STATUS_UNAVAILABLE:
+        return None
+    return _parse_decimal(raw, _MAX_PAUSE_S)
 
 
 def _parse_remaining_time(raw: bytes | None) -> float | None:
--- a/tests/functional/test_routed_statements.py
+++ b/tests/functional/test_routed_statements.py
@@ -50,8 +50,6 @@
     asyncio.run(run())
 
 
-# Known failure, KNOWN-RED.txt entry 21.
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 21', strict=False)
 def test_upstream_that_asks_a_vm_to_wait_gets_nothing_from_it_meanwhile():
     """It was tried again as after any other failure."""
 
--- a/tests/unit/test_routed_statements.py
+++ b/tests/unit/test_routed_statements.py
@@ -1,9 +1,11 @@
 """What upstreams say of themselves in their answers, and who believes it."""
 
+from bilberryspoke._internal.models.events import Tick
 from bilberryspoke._internal.models.routing import SendStatus
-from bilberryspoke._internal.models.routing_effects import RefuseCall
+from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
 from bilberryspoke._internal.models.routing_events import (
     LeavingStated,
+    PauseRequested,
     UpstreamChanged,
 )
 from bilberryspoke._internal.platform.headers import parse_response_headers
@@ -13,6 +15,7 @@
     RoutedCore,
     build_call,
     build_upstream,
+    find_decision,
 )
 
 
@@ -67,3 +70,51 @@
         headers = parse_response_headers(200, [(b'Server-Leaving', text)])
         assert not headers.is_leaving
     assert parse_response_headers(200, [(b'server-leaving', b' 1 ')]).is_leaving
+
+
+def test_paused_upstream_is_left_alone_until_the_time_that_it_named():
+    core = RoutedCore()
+    core.handle(PauseRequested('app-0', 0, 2.0), now=0.0)
+    core.handle(PauseRequested('app-0', 0, 0.1), now=0.1)
+    assert send_reads(core, 20, now=1.9) == {'app-1'}
+    assert send_reads(core, 20, now=2.1) == {'app-0', 'app-1'}
+
+
+def test_calls_wait_while_all_upstreams_want_none():
+    """They are sent as soon as one wants calls again."""
+    core = RoutedCore()
+    for number in range(2):
+        core.handle(PauseRequested(f'app-{number}', 0, 0.2), now=0.0)
+    assert core.arrive(build_call('r', READ_ROUTE), now=0.0) is None
+    assert isinstance(find_decision(core.handle(Tick(), now=0.21)), Send)
+
+
+def test_caller_is_told_when_upstreams_want_calls_again():
+    core = RoutedCore()
+    for number in range(2):
+        core.handle(PauseRequested(f'app-{number}', 0, 9.0), now=0.0)
+    core.arrive(build_call('r', READ_ROUTE), now=0.0)
+    refusal = find_decision(core.handle(Tick(), now=3.0))
+    assert refusal.not_run
+    assert refusal.retry_after_s == 6.0
+
+
+def test_engines_that_want_no_calls_get_none_whatever_their_load():
+    core = RoutedCore(engines=3)
+    for number in range(3):
+        core.handle(PauseRequested(f'engine-{number}', 0, 1.0), now=0.0)
+    assert core.arrive(build_call('d'), now=0.0) is None
+    assert find_decision(core.handle(Tick(), now=0.5)) is None
+
+
+def test_delay_of_a_refusal_is_read_in_seconds_only():
+    def parse(status, text):
+        raw = [(b'Retry-After', text)]
+        return parse_response_headers(status, raw).pause_s
+
+    assert parse(503, b'1.5') == 1.5
+    assert parse(503, b'0') == 0
+    assert parse(503, b'1e99') == 3600
+    assert parse(429, b'1') is None
+    for text in (b'', b'-1', b'nan', b'soon', b'Fri, 04 Dec 2026 12:00:00 GMT'):
+        assert parse(503, text) is None
