--- a/fakes/scripts.py
+++ b/fakes/scripts.py
@@ -208,3 +208,55 @@
     for number in range(4, STREAM_EVENT_COUNT + 1):
         write_chunk(writer, make_event(run, number))
     writer.write(b'0\r\n\r\n')
+
+
+@register_script('stream_unframed')
+async def answer_stream_unframed(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with a stream that ends with its connection."""
+    await _write_unframed_events(run, writer, b'')
+    writer.close()
+
+
+@register_script('stream_unframed_cut')
+async def answer_stream_unframed_cut(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Close the connection within the fourth event of such a stream."""
+    rest = make_event(run, 4)[:-1]
+    await _write_unframed_events(run, writer, rest, last_number=3)
+    writer.close()
+
+
+@register_script('stream_unframed_reset')
+async def answer_stream_unframed_reset(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Reset the connection after the third event of such a stream."""
+    await _write_unframed_events(run, writer, b'', last_number=3)
+    reset(writer)
+
+
+async def _write_unframed_events(
+    run: Run,
+    writer: asyncio.StreamWriter,
+    rest: bytes,
+    *,
+    last_number: int = STREAM_EVENT_COUNT,
+) -> None:
+    write_head(writer, run, 200, {'Content-Type': 'text/event-stream'})
+    first_number = int(run.headers.get('last-event-id', 0)) + 1
+    for number in range(first_number, last_number + 1):
+        writer.write(make_event(run, number))
+        await writer.drain()
+        await asyncio.sleep(_PAUSE_S)
+    writer.write(rest)
+    await writer.drain()
+    await asyncio.sleep(_PAUSE_S)
