Hear peers sooner after a start, and ask the first with newer routes at once

test_new_process_asks_the_first_peer_that_has_newer_routes_at_once failed before. The functional test now also starts the process after a downtime, as the reconnect delay grew with it.

--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -45,7 +45,6 @@
     if (
         review_version_lag(routing, now) or lacks_store
     ) and now - routing.snapshot_requested_at >= _SNAPSHOT_REQUEST_INTERVAL_S:
-        routing.snapshot_requested_at = now
         _request_snapshot(state, now)
 
 
@@ -128,6 +127,7 @@
     position = routing.position
     request = SnapshotRequest(version, position.revision, position.era)
     for peer in live_peers[:1]:
+        routing.snapshot_requested_at = now
         reader = routing.peers.get(peer.store_reader, peer)
         send_to_peer(state, reader, request)
 
--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -10,7 +10,7 @@
 from bilberryspoke._internal.models.messages import Envelope, PeerMessage
 
 _MIN_RECONNECT_INTERVAL_MS = 50
-_MAX_RECONNECT_INTERVAL_MS = 500
+_MAX_RECONNECT_INTERVAL_MS = 100
 # For each socket.
 _MAX_QUEUED_ENVELOPES = 10_000
 _CLOSE_LINGER_MS = 200
--- a/tests/functional/test_routed_store_restores.py
+++ b/tests/functional/test_routed_store_restores.py
@@ -71,8 +71,14 @@
     asyncio.run(run())
 
 
-def test_process_started_from_an_older_copy_serves_the_version_of_its_peer():
-    """It reached the store, took the copy for the present and asked no peer."""
+@pytest.mark.parametrize('downtime_s', [0, 1.5])
+def test_process_started_from_an_older_copy_serves_the_version_of_its_peer(
+    downtime_s,
+):
+    """It reached the store, took the copy for the present and asked no peer.
+
+    After a downtime its peer tried seldom to reconnect.
+    """
 
     async def run():
         async with run_routed_fleet(scripted_engines=0, nodes=2) as fleet:
@@ -82,6 +88,7 @@
             await wait_until(lambda: 7 in list_adopted_versions(peer))
             await restarted.stop()
             restarted.log_lines.clear()
+            await asyncio.sleep(downtime_s)
             fleet.store.restore(copy)
             await restarted.start()
             await fleet.wait_ready()
--- a/tests/unit/test_routed_store_restores.py
+++ b/tests/unit/test_routed_store_restores.py
@@ -65,6 +65,14 @@
     assert core.state.routing.ready
 
 
+def test_new_process_asks_the_first_peer_that_has_newer_routes_at_once():
+    """A request for which there was no peer yet put off the next one."""
+    core = build_core()
+    core.handle(Tick(), now=0.0)
+    receive_heartbeat(core, 7, now=0.2)
+    assert list_snapshot_requests(core.handle(Tick(), now=0.2))
+
+
 def test_new_process_is_ready_once_all_peers_have_no_confirmed_routes_either():
     """After a restart of the whole fleet nobody knows better than the store."""
     core = start_core_with_seed()
