Test that new processes take no part of a limit before they know the others

The new test fails so without the wait and passes with it; the earlier one let new processes hear the others at once.

--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -35,7 +35,8 @@
 
     As with the real transport, a message is lost if the connection to its
     receiver is not open yet, and the sender notices the end of a VM whose
-    connection was open. ``now`` is in seconds. ``sent_messages`` counts the
+    connection was open. ``now`` and ``connect_delay_s``, which a connection
+    takes to open, are in seconds. ``sent_messages`` counts the
     messages by sender.
     """
 
@@ -49,6 +50,7 @@
     ) -> None:
         """Start the VMs within ``START_SPREAD_S``."""
         self.now = 0.0
+        self.connect_delay_s = CONNECT_DELAY_S
         self.sent_messages: Counter[str] = Counter()
         self.cores: dict[str, Core] = {}
         self.data_centre_of = {
@@ -156,7 +158,7 @@
         link = (name, effect.peer)
         if self._address_of.get(link) != effect.address:
             self._address_of[link] = effect.address
-            self._open_at[link] = self.now + CONNECT_DELAY_S
+            self._open_at[link] = self.now + self.connect_delay_s
 
     def _send(self, name: str, effect: SendPeerMessage) -> None:
         link = (name, effect.peer)
@@ -164,7 +166,7 @@
         if receiver not in self.cores or self._is_cut(name, receiver):
             return
         if self.now < self._open_at.setdefault(
-            link, self.now + CONNECT_DELAY_S
+            link, self.now + self.connect_delay_s
         ):
             return
         self.sent_messages[name] += 1
--- a/tests/unit/test_routed_limits.py
+++ b/tests/unit/test_routed_limits.py
@@ -25,7 +25,9 @@
 class LimitedFleet:
     """A fleet in which one of four upstreams names a limit in its answers.
 
-    ``sent_at`` holds when calls were sent to it, in seconds.
+    ``sent_at`` holds when calls were sent to it, in seconds, and
+    ``sent_knowing_at`` those of VMs that had an answer with the limit for
+    ``NOTICE_S`` by then.
     """
 
     def __init__(self, vms: int, limit_per_s: float | None) -> None:
@@ -34,6 +36,8 @@
         self.fleet.run_until(7.0)
         self.limit_per_s = limit_per_s
         self.sent_at: list[float] = []
+        self.sent_knowing_at: list[float] = []
+        self._answered_at: dict[str, float] = {}
         self._calls = 0
 
     def send_calls(self, seconds: float, *, calls_per_s: float) -> None:
@@ -46,22 +50,27 @@
                 self._send_call(names[self._calls % len(names)])
             self.fleet.run_until(self.fleet.now + STEP_S)
 
+    def restart(self, name: str) -> None:
+        """Start a VM as a new process, which had no answer yet."""
+        self.fleet.kill(name)
+        self.fleet.start(name)
+        self._answered_at.pop(name, None)
+
     def count_busiest_window(self, since: float) -> int:
         """Return the most calls in one window after ``since``."""
-        times = [each for each in self.sent_at if each >= since]
-        return max(
-            (
-                sum(start <= each < start + WINDOW_S for each in times)
-                for start in times
-            ),
-            default=0,
-        )
+        return count_busiest(each for each in self.sent_at if each >= since)
+
+    def _record_send(self, name: str) -> None:
+        now = self.fleet.now
+        self.sent_at.append(now)
+        if now - self._answered_at.setdefault(name, now) >= NOTICE_S:
+            self.sent_knowing_at.append(now)
 
     def _send_call(self, name: str) -> None:
         call = build_call(f'c{self._calls}', READ_ROUTE, now=self.fleet.now)
         for send in list_sends(self.fleet.handle(name, CallArrived(call))):
             if send.instance == LIMITED:
-                self.sent_at.append(self.fleet.now)
+                self._record_send(name)
                 if self.limit_per_s is not None or send.rate_limited:
                     stated = RateLimitStated(LIMITED, self.limit_per_s)
                     self.fleet.handle(name, stated)
@@ -69,6 +78,18 @@
             self.fleet.handle(name, ended)
 
 
+def count_busiest(times):
+    """Return the most of the given times in one window."""
+    times = list(times)
+    return max(
+        (
+            sum(start <= each < start + WINDOW_S for each in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
 def get_allowed(limit_per_s):
     return 1.5 * limit_per_s * WINDOW_S + 5
 
@@ -92,12 +113,23 @@
     fleet.send_calls(2.0, calls_per_s=200)
     since = fleet.fleet.now
     for number in range(30):
-        fleet.fleet.kill(f'vm-{number}')
-        fleet.fleet.start(f'vm-{number}')
+        fleet.restart(f'vm-{number}')
     fleet.send_calls(12.0, calls_per_s=100)
     assert fleet.count_busiest_window(since + NOTICE_S) <= get_allowed(1.0)
 
 
+def test_new_processes_that_know_nobody_yet_take_no_part_of_a_limit():
+    """Each took a part as large as if it were one of few VMs."""
+    fleet = LimitedFleet(60, 1.0)
+    fleet.send_calls(2.0, calls_per_s=200)
+    fleet.fleet.connect_delay_s = 1.5
+    fleet.sent_knowing_at.clear()
+    for number in range(30):
+        fleet.restart(f'vm-{number}')
+    fleet.send_calls(12.0, calls_per_s=200)
+    assert count_busiest(fleet.sent_knowing_at) <= get_allowed(1.0)
+
+
 def test_calls_return_after_the_upstream_names_no_limit_any_more():
     fleet = LimitedFleet(6, 1.0)
     fleet.send_calls(4.0, calls_per_s=200)
