--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,15 +1,22 @@
 """Starts and stops the processes of a fleet."""
 
+import itertools
 import os
 import signal
 import socket
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 _STOP_TIMEOUT_S = 150.0
+# Linux takes ports from 32768 on for outgoing connections.
+_FIRST_PORT = 10_240
+_PORT_COUNT = 22_000
+# Runs at the same time begin at different ports.
+_port_offsets = itertools.count(os.getpid() * 64)
 
 
 @dataclass
@@ -67,17 +74,26 @@
         ]
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return free ports of localhost.
+def find_free_ports(
+    count: int, ips: Sequence[str] = ('127.0.0.1',)
+) -> list[int]:
+    """Return ports that are free at all given addresses, in ascending order.
 
-    Another process may take one before it is used.
+    The system gives them to no outgoing connection before they are bound, and
+    no other call returns them.
     """
-    sockets = []
-    for _ in range(count):
-        bound = socket.socket()
-        bound.bind(('127.0.0.1', 0))
-        sockets.append(bound)
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _FIRST_PORT + next(_port_offsets) % _PORT_COUNT
+        if all(_is_free(ip, port) for ip in ips):
+            ports.append(port)
+    return sorted(ports)
+
+
+def _is_free(ip: str, port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Callable
@@ -15,6 +14,7 @@
 import aiohttp
 from yarl import URL
 
+from demo.processes import find_free_ports
 from fakes import scripts as scripts  # Registers the scripted answers.
 from fakes.modelengine import ModelEngine
 from fakes.store import StoreStandIn
@@ -275,7 +275,7 @@
     **bounds: float,
 ) -> list[RouterProcess]:
     ips = [f'127.0.1.{number + 1}' for number in range(count)]
-    ports = [find_free_port(ips) for _ in range(5)]
+    ports = find_free_ports(5, ips)
     nodes = []
     for number, ip in enumerate(ips):
         boot = build_boot_settings(
@@ -292,20 +292,5 @@
     return nodes
 
 
-def find_free_port(ips: list[str]) -> int:
-    """Return a port that is free at all given addresses."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((ips[0], 0))
-            port = first.getsockname()[1]
-            try:
-                for ip in ips[1:]:
-                    stack.enter_context(socket.socket()).bind((ip, port))
-            except OSError:
-                continue
-            return port
-
-
 TERM = signal.SIGTERM
 HUP = signal.SIGHUP
