Pass on only what is new of a crash, once for each round of heartbeats

Suspects that this VM proved harmless in the last second are not recorded at all; suspects are passed on for 0.35 s after they were learned; only the VM of the call and relays send at once.

--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -7,8 +7,10 @@
 """
 
 from bilberryspoke._internal.core.routing.crashledger import Block
+from bilberryspoke._internal.core.routing.relays import is_relay
 from bilberryspoke._internal.core.routing.state import CallState
 from bilberryspoke._internal.core.routing.suspicion import (
+    PROOF_LOOKBACK_S,
     crashes_in_sequence,
     find_culprits,
     is_cleared,
@@ -33,6 +35,7 @@
 # Blocks that are kept at most; the ones with the oldest crash go first.
 _MAX_BLOCKS = 64
 _NEVER = -1e9
+_OWN_CALLS = 'own calls'
 
 
 def record_crash(state: VmState, call_state: CallState, now: float) -> None:
@@ -47,10 +50,16 @@
         upstream.health.record_unreachable(now)
     if call_state.proven:
         return
-    suspects = dict.fromkeys(call_state.fingerprints, call_state.sent_at)
+    proven_since = now - PROOF_LOOKBACK_S
+    proven_at = state.routing.crash_ledger.proven_at
+    suspects = {
+        fingerprint: call_state.sent_at
+        for fingerprint in call_state.fingerprints
+        if proven_at.get(fingerprint, _NEVER) < proven_since
+    }
     crash_id = hash_parts(call_state.instance, call_state.created_ms)
     learn_suspects(
-        state, crash_id, suspects, crashed_at=now, now=now, source='own calls'
+        state, crash_id, suspects, crashed_at=now, now=now, source=_OWN_CALLS
     )
 
 
@@ -77,18 +86,20 @@
         }
         state.emit(Count('upstream_crashes'))
         state.emit(LogDecision('upstream_crashed', fields))
-    added = ledger.add_suspects(crash_id, suspects, crashed_at)
+    added = ledger.add_suspects(
+        crash_id, suspects, crashed_at=crashed_at, now=now
+    )
     if not added:
         return
     crash = ledger.crashes[crash_id]
-    crash.changed_at = now
     for fingerprint in added:
         if fingerprint in ledger.proven_at:
             ledger.shared_proofs[fingerprint] = now
         block = ledger.blocks.get(fingerprint)
         if block is not None:
             _record_crash_under_block(block, crash.crashed_at)
-    state.routing.heartbeat_sent_at = _NEVER
+    if source == _OWN_CALLS or is_relay(state):
+        state.routing.heartbeat_sent_at = _NEVER
 
 
 def record_progress_proof(
--- a/src/bilberryspoke/_internal/core/routing/crashledger.py
+++ b/src/bilberryspoke/_internal/core/routing/crashledger.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from bilberryspoke._internal.models.routing_messages import CrashNews
+
 # Crashes that are kept at most, and fingerprints for each; the oldest go first.
 _MAX_CRASHES = 200
 _MAX_SUSPECTS = 256
@@ -21,14 +23,23 @@
     """The end of one incarnation of an upstream, as seen by all VMs.
 
     ``suspects`` holds the fingerprints of the calls whose answer had not begun
-    there, and when the last such call was sent. ``changed_at`` is when this VM
-    last learned of one.
+    there, and when the last such call was sent. ``learned_at`` is when this VM
+    learned of each, and ``changed_at`` of the last one.
     """
 
     crashed_at: float
     suspects: dict[int, float] = field(default_factory=dict)
+    learned_at: dict[int, float] = field(default_factory=dict)
     changed_at: float = 0.0
 
+    def list_learned_since(self, since: float) -> dict[int, float]:
+        """Return the suspects that this VM learned of after a time."""
+        return {
+            fingerprint: self.suspects[fingerprint]
+            for fingerprint, learned_at in self.learned_at.items()
+            if learned_at >= since
+        }
+
 
 @dataclass(slots=True)
 class Block:
@@ -54,7 +65,8 @@
     ``crashes`` is by id of the crash. ``proven_at`` is when an answer under a
     fingerprint was last seen to go well, at any VM. ``shared_proofs`` holds the
     proofs to pass on, and since when. ``unreviewed`` is whether crashes changed
-    since the last review.
+    since the last review. ``news`` is what was last passed on, made at
+    ``news_made_at``.
     """
 
     crashes: dict[int, Crash] = field(default_factory=dict)
@@ -62,10 +74,17 @@
     shared_proofs: dict[int, float] = field(default_factory=dict)
     blocks: dict[int, Block] = field(default_factory=dict)
     unreviewed: bool = False
+    news: CrashNews | None = None
+    news_made_at: float | None = None
 
     def add_suspects(
-        self, crash_id: int, suspects: dict[int, float], crashed_at: float
-    ) -> dict[int, float]:
+        self,
+        crash_id: int,
+        suspects: dict[int, float],
+        *,
+        crashed_at: float,
+        now: float,
+    ) -> list[int]:
         """Add fingerprints to a crash; return those that are new there.
 
         ``suspects`` holds when the calls were sent. The crash is recorded if
@@ -73,14 +92,13 @@
         """
         crash = self.crashes.setdefault(crash_id, Crash(crashed_at))
         crash.crashed_at = min(crash.crashed_at, crashed_at)
-        added = {
-            fingerprint: sent_at
-            for fingerprint, sent_at in suspects.items()
-            if fingerprint not in crash.suspects
-        }
         room = _MAX_SUSPECTS - len(crash.suspects)
-        crash.suspects.update(list(added.items())[:room])
-        self.unreviewed = self.unreviewed or bool(added)
+        added = [each for each in suspects if each not in crash.suspects][:room]
+        for fingerprint in added:
+            crash.suspects[fingerprint] = suspects[fingerprint]
+            crash.learned_at[fingerprint] = now
+            crash.changed_at = now
+            self.unreviewed = True
         if len(self.crashes) > _MAX_CRASHES:
             oldest = min(
                 self.crashes, key=lambda each: self.crashes[each].crashed_at
--- a/src/bilberryspoke/_internal/core/routing/crashnews.py
+++ b/src/bilberryspoke/_internal/core/routing/crashnews.py
@@ -8,6 +8,7 @@
     learn_proof,
     learn_suspects,
 )
+from bilberryspoke._internal.core.routing.crashledger import CrashLedger
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing_messages import (
@@ -18,22 +19,30 @@
 )
 
 # News are repeated for this long, as a message may be lost.
-_REPEAT_S = 1.0
+_REPEAT_S = 0.35
 
 
 def make_crash_news(routing: RoutingState, now: float) -> CrashNews | None:
     """Return what to pass on, None if there is nothing.
 
-    All blocks are, so that a new process learns them.
+    All blocks are, so that a new process learns them. The heartbeats of one
+    round, which a relay sends to many VMs, share the news.
     """
     ledger = routing.crash_ledger
+    if ledger.news_made_at != now:
+        ledger.news_made_at = now
+        ledger.news = _collect_news(ledger, now)
+    return ledger.news
+
+
+def _collect_news(ledger: CrashLedger, now: float) -> CrashNews | None:
     since = now - _REPEAT_S
     ledger.forget_shared_proofs(since)
     crashes = [
         CrashReport(
             crash_id,
             _get_age(now, crash.crashed_at),
-            _make_times(crash.suspects, now),
+            _make_times(crash.list_learned_since(since), now),
         )
         for crash_id, crash in ledger.crashes.items()
         if crash.changed_at >= since
--- a/src/bilberryspoke/_internal/core/routing/suspicion.py
+++ b/src/bilberryspoke/_internal/core/routing/suspicion.py
@@ -18,7 +18,7 @@
 # after the one before.
 _MIN_SEQUENCE = 2
 # An answer up to this long before a crash clears its fingerprints too.
-_PROOF_LOOKBACK_S = 1.0
+PROOF_LOOKBACK_S = 1.0
 _NEVER = -1e9
 
 
@@ -26,7 +26,7 @@
     """Return whether a proof clears a fingerprint of a crash."""
     if proven_at is None:
         return False
-    return proven_at >= crash.crashed_at - _PROOF_LOOKBACK_S
+    return proven_at >= crash.crashed_at - PROOF_LOOKBACK_S
 
 
 def count_sequence(crashes: Iterable[Crash], fingerprint: int) -> int:
