Keep a daemon of the own interface unready until it knows its peers' revision

A daemon that started beside a configuration service with an older manifest was ready with it until a peer's first heartbeat, as it counted nobody missing before the list of VMs was read. It now waits for the list, and for a configuration as new as that of a live peer, for 1.5 s at most.

--- a/src/bilberryspoke/_internal/core/membership.py
+++ b/src/bilberryspoke/_internal/core/membership.py
@@ -50,7 +50,8 @@
     newest one seen are dropped: incarnations of a VM grow with its start
     time. ``members`` holds the other VMs by name. A fleet of up to
     ``max_full_mesh_peers`` peers exchanges heartbeats all with all; in a
-    larger one each VM has ``large_fleet_neighbours`` neighbours.
+    larger one each VM has ``large_fleet_neighbours`` neighbours. ``listed`` is
+    whether a list of VMs was read.
     """
 
     own_name: str
@@ -60,6 +61,7 @@
     members: dict[str, Member] = field(default_factory=dict)
     ring: tuple[str, ...] = ()
     neighbours: frozenset[str] = frozenset()
+    listed: bool = False
 
     @property
     def interval_factor(self) -> float:
@@ -85,6 +87,7 @@
 
     def clear_listed(self) -> None:
         """Mark all members as not listed, before a newer list is applied."""
+        self.listed = True
         for member in self.members.values():
             member.listed = False
 
@@ -131,6 +134,13 @@
         if beat.peer_address:
             member.peer_address = beat.peer_address
 
+    def find_newest_revision(self, now: float) -> int:
+        """Return the newest revision of a live peer, 0 if there is none."""
+        return max(
+            (self.members[name].revision for name in self.list_alive(now)),
+            default=0,
+        )
+
     def mark_lost(self, name: str) -> None:
         """Count a VM as dead until its next heartbeat: its connection broke."""
         member = self.members.get(name)
--- a/src/bilberryspoke/_internal/network/health.py
+++ b/src/bilberryspoke/_internal/network/health.py
@@ -7,11 +7,12 @@
 from starlette.responses import JSONResponse, PlainTextResponse
 from starlette.routing import Route
 
+from bilberryspoke._internal.core.membership import Membership
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
 
-# Time after the start for which a VM is not ready while peers are missing;
-# afterwards it serves without them.
+# Time after the start for which a VM is not ready while peers are missing or
+# have a newer configuration; afterwards it serves without them.
 _JOIN_TIMEOUT_S = 1.5
 
 
@@ -52,14 +53,17 @@
         return 'stopping'
     if state.catalog is None:
         return 'no configuration'
-    if _is_joining(runtime):
+    now = read_boottime()
+    if now - runtime.started_at > _JOIN_TIMEOUT_S:
+        return ''
+    if _is_joining(state.membership, now):
         return 'joining'
+    if state.membership.find_newest_revision(now) > state.catalog.revision:
+        return 'a peer has a newer configuration'
     return ''
 
 
-def _is_joining(runtime: Runtime) -> bool:
-    if read_boottime() - runtime.started_at > _JOIN_TIMEOUT_S:
-        return False
-    membership = runtime.core.state.membership
-    alive = membership.list_alive(read_boottime())
-    return len(alive) < len(membership.members)
+def _is_joining(membership: Membership, now: float) -> bool:
+    if not membership.listed:
+        return True
+    return len(membership.list_alive(now)) < len(membership.members)
