--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -0,0 +1,118 @@
+"""State of the calls that this VM serves.
+
+Times are in seconds of the boot-time clock.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from bilberryspoke._internal.models.routing import RoutedCall
+
+
+class CallStage(StrEnum):
+    """Whether an open call waits to be sent or is under way."""
+
+    waiting = 'waiting'
+    sent = 'sent'
+
+
+@dataclass(slots=True)
+class CallState:
+    """A call from its arrival to its final answer.
+
+    ``attempt`` numbers the sends, ``sends`` is the number of ended ones that
+    reached an upstream, and ``tried_instances`` lists the upstreams of all
+    ended ones. ``queued_at`` is when the call began to wait for its next send,
+    ``waited_s`` the total of such waits. ``instance``, ``sent_at``,
+    ``last_progress_at``, ``prefill_tokens`` (prompt tokens that the engine has
+    to read) and ``expected_first_event_s`` (seconds from the send to the first
+    event) belong to the current send. ``first_event_at`` is when the first part
+    of an answer arrived, ``longest_gap_s`` the longest pause after it.
+    ``last_event_id`` is the id of the last delivered event, after which a
+    stream is resumed. ``may_have_run`` is set if an upstream may have run the
+    call, so that a refusal must not promise that it did not run.
+    ``fingerprints`` are what it has in common with other calls, described for
+    the log. ``created_ms`` (that of the upstream), ``began_at`` (the first
+    event) and ``proven`` (the upstream outlived the begin of the answer) belong
+    to the current send; ``crashes`` counts the upstreams that crashed under it.
+    """
+
+    call: RoutedCall
+    stage: CallStage = CallStage.waiting
+    attempt: int = 0
+    sends: int = 0
+    instance: str = ''
+    queued_at: float = 0.0
+    waited_s: float = 0.0
+    sent_at: float = 0.0
+    last_progress_at: float | None = None
+    first_event_at: float | None = None
+    longest_gap_s: float = 0.0
+    last_event_id: int | None = None
+    prefill_tokens: int = 0
+    expected_first_event_s: float = 0.0
+    may_have_run: bool = False
+    tried_instances: list[str] = field(default_factory=list)
+    fingerprints: dict[int, str] = field(default_factory=dict)
+    created_ms: int = 0
+    began_at: float | None = None
+    proven: bool = False
+    crashes: int = 0
+
+
+@dataclass(slots=True)
+class WaitQueue:
+    """Calls that wait for capacity at an upstream, in order of arrival.
+
+    A call that could be sent elsewhere but waits for the engine that caches its
+    prompt does not hold up less urgent calls; its rank is not counted.
+    """
+
+    _calls: dict[str, CallState] = field(default_factory=dict)
+    _rank_counts: dict[str, Counter[int]] = field(default_factory=dict)
+    _groups: dict[str, str] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return len(self._calls)
+
+    def __iter__(self) -> Iterator[CallState]:
+        """Return the calls that wait."""
+        return iter(self._calls.values())
+
+    def add(self, call_state: CallState, group: str | None) -> None:
+        """Add a call that waits for capacity in a group of engines.
+
+        ``group`` is None for a call whose rank does not count, because it
+        waits for the engine that caches its prompt.
+        """
+        self.discard(call_state)
+        call = call_state.call
+        self._calls[call.call_id] = call_state
+        if group is None:
+            return
+        self._groups[call.call_id] = group
+        counts = self._rank_counts.setdefault(group, Counter())
+        counts[call.rank] += 1
+
+    def discard(self, call_state: CallState) -> None:
+        """Remove a call if it waits."""
+        call = call_state.call
+        self._calls.pop(call.call_id, None)
+        group = self._groups.pop(call.call_id, None)
+        if group is None:
+            return
+        counts = self._rank_counts[group]
+        counts[call.rank] -= 1
+        if not counts[call.rank]:
+            counts.pop(call.rank)
+        if not counts:
+            self._rank_counts.pop(group)
+
+    def get_most_urgent_ranks(self) -> dict[str, int]:
+        """Return the most urgent (lowest) rank that waits, by group."""
+        return {
+            group: min(counts) for group, counts in self._rank_counts.items()
+        }
--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -6,9 +6,11 @@
 from time to time by one VM. Times are in seconds of the boot-time clock.
 """
 
+from bilberryspoke._internal.core.routing.callstate import (
+    CallState,
+)
 from bilberryspoke._internal.core.routing.crashledger import Block
 from bilberryspoke._internal.core.routing.relays import is_relay
-from bilberryspoke._internal.core.routing.state import CallState
 from bilberryspoke._internal.core.routing.suspicion import (
     PROOF_LOOKBACK_S,
     crashes_in_sequence,
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -1,6 +1,10 @@
 """Dispatch of a call: send it, queue it, or end it without an upstream."""
 
 from bilberryspoke._internal.core.routing.backlog import record_sent_parts
+from bilberryspoke._internal.core.routing.callstate import (
+    CallStage,
+    CallState,
+)
 from bilberryspoke._internal.core.routing.completion import (
     Refusal,
     fail_call,
@@ -20,7 +24,6 @@
     has_prefix_affinity,
     list_usable_upstreams,
 )
-from bilberryspoke._internal.core.routing.state import CallStage, CallState
 from bilberryspoke._internal.core.routing.waitqueue import (
     must_refuse,
     must_yield,
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -2,6 +2,10 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.backlog import update_latency_ratio
+from bilberryspoke._internal.core.routing.callstate import (
+    CallStage,
+    CallState,
+)
 from bilberryspoke._internal.core.routing.completion import (
     FINISHED,
     close_call,
@@ -22,7 +26,6 @@
 )
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.retries import may_retry
-from bilberryspoke._internal.core.routing.state import CallStage, CallState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing import (
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -12,6 +12,10 @@
     record_sender,
     send_to_peer,
 )
+from bilberryspoke._internal.core.routing.peerstate import (
+    PeerBacklog,
+    PeerView,
+)
 from bilberryspoke._internal.core.routing.ratelimits import (
     apply_stated_limits,
 )
@@ -25,7 +29,6 @@
     make_report,
     view_own_state,
 )
-from bilberryspoke._internal.core.routing.state import PeerBacklog, PeerView
 from bilberryspoke._internal.core.routing.withdrawal import apply_leaving
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
--- a/src/bilberryspoke/_internal/core/routing/ratelimits.py
+++ b/src/bilberryspoke/_internal/core/routing/ratelimits.py
@@ -9,8 +9,10 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.state import (
-    RateLimit,
     RoutingState,
+)
+from bilberryspoke._internal.core.routing.upstreamstate import (
+    RateLimit,
     UpstreamState,
 )
 from bilberryspoke._internal.core.state import VmState
--- a/src/bilberryspoke/_internal/core/routing/stalls.py
+++ b/src/bilberryspoke/_internal/core/routing/stalls.py
@@ -3,9 +3,13 @@
 Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.state import (
+from bilberryspoke._internal.core.routing.callstate import (
     CallState,
+)
+from bilberryspoke._internal.core.routing.state import (
     RoutingState,
+)
+from bilberryspoke._internal.core.routing.upstreamstate import (
     UpstreamState,
 )
 
