--- a/src/bilberryspoke/_internal/core/routing/backlog.py
+++ b/src/bilberryspoke/_internal/core/routing/backlog.py
@@ -7,19 +7,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerBacklog,
-    PeerView,
-)
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
-from bilberryspoke._internal.core.routing.upstreamstate import (
-    UpstreamState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
+from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.models.routing import RoutedCall
 
 # Prompt tokens that an engine reads per second while it also generates tokens
--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -36,7 +36,8 @@
     ``fingerprints`` are what it has in common with other calls, described for
     the log. ``created_ms`` (that of the upstream), ``began_at`` (the first
     event) and ``proven`` (the upstream outlived the begin of the answer) belong
-    to the current send; ``crashes`` counts the upstreams that crashed under it.
+    to the current send; ``crashes`` counts the upstreams that crashed under the
+    call before they outlived that.
     """
 
     call: RoutedCall
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -6,10 +6,7 @@
     count_live_vms,
     measure_backlog,
 )
-from bilberryspoke._internal.core.routing.callstate import (
-    CallStage,
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.crashes import record_proof
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
 from bilberryspoke._internal.core.routing.waitqueue import choose_retry_after_s
--- a/src/bilberryspoke/_internal/core/routing/confirmation.py
+++ b/src/bilberryspoke/_internal/core/routing/confirmation.py
@@ -8,12 +8,8 @@
 from collections.abc import Iterable
 
 from bilberryspoke._internal.core.routing.backlog import PEER_TIMEOUT_S
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerView,
-)
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.peerstate import PeerView
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing_effects import LogDecision
 
--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -6,9 +6,7 @@
 from time to time by one VM. Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.crashledger import Block
 from bilberryspoke._internal.core.routing.relays import is_relay
 from bilberryspoke._internal.core.routing.suspicion import (
@@ -42,7 +40,6 @@
 
 def record_crash(state: VmState, call_state: CallState, now: float) -> None:
     """Record that an upstream crashed under a call."""
-    call_state.crashes += 1
     upstream = state.routing.upstreams.get(call_state.instance)
     if (
         upstream is not None
@@ -52,6 +49,7 @@
         upstream.health.record_unreachable(now)
     if call_state.proven:
         return
+    call_state.crashes += 1
     proven_since = now - PROOF_LOOKBACK_S
     proven_at = state.routing.crash_ledger.proven_at
     suspects = {
--- a/src/bilberryspoke/_internal/core/routing/crashnews.py
+++ b/src/bilberryspoke/_internal/core/routing/crashnews.py
@@ -9,9 +9,7 @@
     learn_suspects,
 )
 from bilberryspoke._internal.core.routing.crashledger import CrashLedger
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing_messages import (
     BlockReport,
--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -8,9 +8,7 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.confirmation import confirm_routes
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import (
     RemovedUpstream,
     UpstreamState,
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -1,10 +1,7 @@
 """Dispatch of a call: send it, queue it, or end it without an upstream."""
 
 from bilberryspoke._internal.core.routing.backlog import record_sent_parts
-from bilberryspoke._internal.core.routing.callstate import (
-    CallStage,
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
     Refusal,
     fail_call,
--- a/src/bilberryspoke/_internal/core/routing/groups.py
+++ b/src/bilberryspoke/_internal/core/routing/groups.py
@@ -7,15 +7,9 @@
 backlog is almost empty. Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
-from bilberryspoke._internal.core.routing.upstreamstate import (
-    UpstreamState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.models.routing import Route, RoutedCall
 from bilberryspoke._internal.utils.hashing import hash_member
 
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -2,10 +2,7 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.backlog import update_latency_ratio
-from bilberryspoke._internal.core.routing.callstate import (
-    CallStage,
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
     FINISHED,
     close_call,
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -1,8 +1,6 @@
 """Periodic review of open calls: timeouts, stalls and waiting calls."""
 
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.completion import time_out_call
 from bilberryspoke._internal.core.routing.crashes import review_crashes
 from bilberryspoke._internal.core.routing.discovery import (
@@ -22,9 +20,7 @@
     is_stalled,
     record_review,
 )
-from bilberryspoke._internal.core.routing.upstreamstate import (
-    UpstreamState,
-)
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_effects import (
--- a/src/bilberryspoke/_internal/core/routing/members.py
+++ b/src/bilberryspoke/_internal/core/routing/members.py
@@ -7,9 +7,7 @@
 """
 
 from bilberryspoke._internal.core.reducer import on_event, on_message
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerView,
-)
+from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.messages import PeerMessage
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -12,10 +12,7 @@
     record_sender,
     send_to_peer,
 )
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerBacklog,
-    PeerView,
-)
+from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
 from bilberryspoke._internal.core.routing.ratelimits import (
     apply_stated_limits,
 )
--- a/src/bilberryspoke/_internal/core/routing/ratelimits.py
+++ b/src/bilberryspoke/_internal/core/routing/ratelimits.py
@@ -8,9 +8,7 @@
 """
 
 from bilberryspoke._internal.core.reducer import on_event
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import (
     RateLimit,
     UpstreamState,
--- a/src/bilberryspoke/_internal/core/routing/relays.py
+++ b/src/bilberryspoke/_internal/core/routing/relays.py
@@ -13,12 +13,8 @@
 
 from collections import defaultdict
 
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerView,
-)
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.peerstate import PeerView
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing_messages import ReportScope
 from bilberryspoke._internal.utils.hashing import rank_members
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -4,10 +4,7 @@
 
 from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
 from bilberryspoke._internal.core.routing.crashnews import make_crash_news
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerBacklog,
-    PeerView,
-)
+from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
 from bilberryspoke._internal.core.routing.ratelimits import (
     list_stated_limits,
 )
--- a/src/bilberryspoke/_internal/core/routing/retries.py
+++ b/src/bilberryspoke/_internal/core/routing/retries.py
@@ -1,8 +1,6 @@
 """Rules on whether a call may be retried after a send failed."""
 
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.models.routing import (
     NOT_RUN_SEND_STATUSES,
     RetrySafety,
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -14,16 +14,10 @@
     estimate_first_event_s,
     measure_backlog,
 )
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.groups import split_into_groups
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
-from bilberryspoke._internal.core.routing.upstreamstate import (
-    UpstreamState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.models.routing import RoutedCall
 from bilberryspoke._internal.utils.hashing import (
     hash_parts,
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -11,9 +11,7 @@
 )
 from bilberryspoke._internal.core.routing.discovery import replace_upstreams
 from bilberryspoke._internal.core.routing.members import send_to_peer
-from bilberryspoke._internal.core.routing.peerstate import (
-    PeerView,
-)
+from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.routing import ListedUpstream
--- a/src/bilberryspoke/_internal/core/routing/stalls.py
+++ b/src/bilberryspoke/_internal/core/routing/stalls.py
@@ -3,15 +3,9 @@
 Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
-from bilberryspoke._internal.core.routing.upstreamstate import (
-    UpstreamState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 
 # An upstream is silent after this time without a response, in addition to a
 # multiple of the longest expected time to a first event.
--- a/src/bilberryspoke/_internal/core/routing/waitqueue.py
+++ b/src/bilberryspoke/_internal/core/routing/waitqueue.py
@@ -6,16 +6,12 @@
 import math
 
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
-from bilberryspoke._internal.core.routing.callstate import (
-    CallState,
-)
+from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.groups import (
     get_group_name,
     get_tight_group_name,
 )
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.models.routing import Route, RoutedCall
 from bilberryspoke._internal.utils.hashing import hash_parts
 
--- a/src/bilberryspoke/_internal/core/routing/withdrawal.py
+++ b/src/bilberryspoke/_internal/core/routing/withdrawal.py
@@ -6,9 +6,7 @@
 """
 
 from bilberryspoke._internal.core.reducer import on_event
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing_effects import LogDecision
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -15,9 +15,7 @@
 from bilberryspoke._internal.core.poolqueue import OwnedPool
 from bilberryspoke._internal.core.requeststate import RequestState
 from bilberryspoke._internal.core.retrybudget import RetryBudget
-from bilberryspoke._internal.core.routing.state import (
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.upstreamload import UpstreamLoad
 from bilberryspoke._internal.models.catalog import Catalog, Upstream
 from bilberryspoke._internal.models.effects import Effect
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -253,6 +253,23 @@
     assert not refusal.not_run
 
 
+def test_crash_after_the_answer_began_does_not_count_against_a_call():
+    core = RoutedCore()
+    route = dataclasses.replace(DRAFT_ROUTE, max_attempts=5)
+    send = core.arrive(build_call('d', route), now=0.0)
+    core.progress(send, now=0.1, event=1)
+    core.progress(send, now=0.6, event=2)
+    for now in (0.7, 0.9):
+        effects = core.end(
+            send,
+            SendStatus.broken,
+            now=now,
+            delivered=True,
+            upstream_crashed=True,
+        )
+        send = next(each for each in effects if isinstance(each, Send))
+
+
 def test_stream_resumes_though_its_upstream_crashed_after_it_began():
     """An upstream that outlives the begin does not crash under that call."""
     core = RoutedCore()
