Pass the news of a round of heartbeats on as a value

It was kept in the routing state with the time at which it was made, so that each report could find it again; a change at the same time would have been missed. One call collects it for a round and hands it to each report. Behaviour is the same; tests of peers, limits, statements and crashes pass.

--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -23,6 +23,8 @@
     is_relay,
 )
 from bilberryspoke._internal.core.routing.reports import (
+    HeartbeatNews,
+    collect_news,
     make_report,
     view_own_state,
 )
@@ -137,13 +139,14 @@
     routing = state.routing
     own = view_own_state(state)
     relays_here = is_relay(state)
+    news = collect_news(routing, now)
     own_report = make_report(
-        state, [own], now, to_relay=bool(routing.relays) and not relays_here
+        state, [own], news, to_relay=bool(routing.relays) and not relays_here
     )
     for address in sorted(routing.seeds):
         state.emit(SendPeerMessage(SEED_PREFIX + address, own_report))
     if relays_here:
-        _send_totals(state, own, now)
+        _send_totals(state, own, news, now)
         return
     receivers = routing.peers.values()
     if routing.relays:
@@ -152,7 +155,9 @@
         send_to_peer(state, receiver, own_report)
 
 
-def _send_totals(state: VmState, own: PeerView, now: float) -> None:
+def _send_totals(
+    state: VmState, own: PeerView, news: HeartbeatNews, now: float
+) -> None:
     """Send the totals that a relay passes on.
 
     The other relays get that of its data centre, and each VM of its data centre
@@ -163,20 +168,21 @@
     live_peers = list_live_peers(routing, now)
     members = [peer for peer in live_peers if peer.data_centre == data_centre]
     data_centre_total = make_report(
-        state, [own, *members], now, ReportScope.data_centre, to_relay=True
+        state, [own, *members], news, ReportScope.data_centre, to_relay=True
     )
     for relay in find_expected_relays(state).values():
         send_to_peer(state, relay, data_centre_total)
     for receiver in routing.peers.values():
         if receiver.data_centre == data_centre:
             others = [peer for peer in live_peers if peer is not receiver]
-            total = make_report(state, [own, *others], now, ReportScope.others)
+            total = make_report(state, [own, *others], news, ReportScope.others)
             send_to_peer(state, receiver, total)
 
 
 def _answer_as_no_relay(state: VmState, peer: PeerView, now: float) -> None:
     """Tell a peer that took this VM for a relay which VM is the relay."""
-    send_to_peer(state, peer, make_report(state, [view_own_state(state)], now))
+    news = collect_news(state.routing, now)
+    send_to_peer(state, peer, make_report(state, [view_own_state(state)], news))
 
 
 def _note_relay_of(state: VmState, message: RoutingHeartbeat) -> None:
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -1,6 +1,7 @@
 """Reports of the backlog and waiting calls of one or more VMs."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
 from bilberryspoke._internal.core.routing.crashnews import make_crash_news
@@ -8,36 +9,53 @@
 from bilberryspoke._internal.core.routing.ratelimits import (
     list_stated_limits,
 )
-from bilberryspoke._internal.core.routing.state import (
-    HeartbeatNews,
-    RoutingState,
-)
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.withdrawal import list_leaving
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing import StorePosition
 from bilberryspoke._internal.models.routing_messages import (
+    CrashNews,
+    LeavingUpstream,
     ReportScope,
     RoutingHeartbeat,
+    StatedLimit,
     UpstreamBacklog,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatNews:
+    """What all heartbeats of one round pass on; a relay sends many of them."""
+
+    limits: list[StatedLimit]
+    leaving: list[LeavingUpstream]
+    crashes: CrashNews | None
+
+
+def collect_news(routing: RoutingState, now: float) -> HeartbeatNews:
+    """Return what the heartbeats of a round pass on."""
+    return HeartbeatNews(
+        list_stated_limits(routing, now),
+        list_leaving(routing),
+        make_crash_news(routing, now),
+    )
+
+
 def make_report(
     state: VmState,
     views: list[PeerView],
-    now: float,
+    news: HeartbeatNews,
     scope: ReportScope = ReportScope.vm,
     *,
     to_relay: bool = False,
 ) -> RoutingHeartbeat:
-    """Make a heartbeat that reports the calls of ``views``.
+    """Make a heartbeat that reports the calls of ``views`` and passes on news.
 
     One of them is this VM's own, see ``view_own_state``. The version and
     position are the newest of those VMs that reach the store.
     """
     routing = state.routing
     reader = max(views, key=_get_store_position)
-    news = _collect_news(routing, now)
     return RoutingHeartbeat(
         address=state.settings.peer_address,
         version=reader.version,
@@ -62,20 +80,6 @@
     )
 
 
-def _collect_news(routing: RoutingState, now: float) -> HeartbeatNews:
-    """Return what the heartbeats of this round pass on."""
-    news = routing.news
-    if news is None or news.made_at != now:
-        news = HeartbeatNews(
-            now,
-            list_stated_limits(routing, now),
-            list_leaving(routing),
-            make_crash_news(routing, now),
-        )
-        routing.news = news
-    return news
-
-
 def view_own_state(state: VmState) -> PeerView:
     """Return this VM as other VMs see it."""
     routing = state.routing
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -20,26 +20,11 @@
     StorePosition,
 )
 from bilberryspoke._internal.models.routing_events import StoreWatch
-from bilberryspoke._internal.models.routing_messages import (
-    CrashNews,
-    LeavingUpstream,
-    StatedLimit,
-)
 
 # Time of what has not happened yet, in seconds of the boot-time clock.
 _NEVER = -1e9
 
 
-@dataclass(frozen=True, slots=True)
-class HeartbeatNews:
-    """What all heartbeats of one round pass on; a relay sends many of them."""
-
-    made_at: float
-    limits: list[StatedLimit]
-    leaving: list[LeavingUpstream]
-    crashes: CrashNews | None
-
-
 @dataclass(slots=True)
 class RoutingState:
     """State of one VM for routed calls.
@@ -68,8 +53,7 @@
     same VMs. ``relays`` are the relays by data centre, empty in a small fleet,
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
-    calls that crash upstreams. ``news`` is what the last round of heartbeats
-    passed on.
+    calls that crash upstreams.
     """
 
     table: RouteTable | None = None
@@ -106,7 +90,6 @@
     heartbeat_sent_at: float = -1e9
     snapshot_requested_at: float = -1e9
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
-    news: HeartbeatNews | None = None
 
     @property
     def ready(self) -> bool:
