Ask one place whether a proof clears a crash, and eject crashed upstreams with the others

record_crash compared proofs with a bound of its own beside is_cleared, and compared incarnations to eject the upstream, which _record_send_end already does for each send. Crash.is_cleared_by and CrashLedger.list_crashes_blaming serve all; the ejection stands beside that of sends that were not received. A generator of one use is gone. Behaviour is the same; the routed unit tests pass.

--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -7,13 +7,11 @@
 """
 
 from bilberryspoke._internal.core.routing.callstate import CallState
-from bilberryspoke._internal.core.routing.crashledger import Block
+from bilberryspoke._internal.core.routing.crashledger import Block, Crash
 from bilberryspoke._internal.core.routing.relays import is_relay
 from bilberryspoke._internal.core.routing.suspicion import (
-    PROOF_LOOKBACK_S,
     crashes_in_sequence,
     find_culprits,
-    is_cleared,
 )
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
@@ -39,23 +37,16 @@
 
 
 def record_crash(state: VmState, call_state: CallState, now: float) -> None:
-    """Record that an upstream crashed under a call."""
-    upstream = state.routing.upstreams.get(call_state.instance)
-    if (
-        upstream is not None
-        and upstream.listed.created_ms == call_state.created_ms
-        and not upstream.health.is_unresponsive(now)
-    ):
-        upstream.health.record_unreachable(now)
+    """Record which fingerprints of a call may explain the upstream's crash."""
     if call_state.proven:
         return
     call_state.crashes += 1
-    proven_since = now - PROOF_LOOKBACK_S
+    crash = Crash(now)
     proven_at = state.routing.crash_ledger.proven_at
     suspects = {
         fingerprint: call_state.sent_at
         for fingerprint in call_state.fingerprints
-        if proven_at.get(fingerprint, _NEVER) < proven_since
+        if not crash.is_cleared_by(proven_at.get(fingerprint))
     }
     crash_id = hash_parts(call_state.instance, call_state.created_ms)
     learn_suspects(
@@ -136,7 +127,8 @@
     if block is not None and proven_at > block.crashed_at:
         _unblock(state, fingerprint, 'answered')
     if any(
-        is_cleared(crash, proven_at) and not is_cleared(crash, previously_at)
+        crash.is_cleared_by(proven_at)
+        and not crash.is_cleared_by(previously_at)
         for crash in ledger.list_crashes_under(fingerprint)
     ):
         ledger.shared_proofs[fingerprint] = now
@@ -155,7 +147,7 @@
         return False
     ledger = state.routing.crash_ledger
     return not any(
-        crashes_in_sequence(_list_blaming(state, each), each)
+        crashes_in_sequence(ledger.list_crashes_blaming(each), each)
         for each in call_state.fingerprints
         if each not in ledger.blocks
     )
@@ -232,7 +224,7 @@
     ledger = state.routing.crash_ledger
     block = ledger.blocks.get(fingerprint)
     if block is None:
-        crashes = _list_blaming(state, fingerprint)
+        crashes = ledger.list_crashes_blaming(fingerprint)
         crashed_at = max(each.crashed_at for each in crashes)
         _add_block(state, fingerprint, Block(crashed_at, tied=group), 'crashes')
         return
@@ -242,13 +234,14 @@
 def _add_block(
     state: VmState, fingerprint: int, block: Block, source: str
 ) -> None:
-    blocks = state.routing.crash_ledger.blocks
+    ledger = state.routing.crash_ledger
+    blocks = ledger.blocks
     blocks[fingerprint] = block
     if len(blocks) > _MAX_BLOCKS:
         blocks.pop(min(blocks, key=lambda each: blocks[each].crashed_at))
     fields = {
         'fingerprint': _format(fingerprint),
-        'crashes': len(_list_blaming(state, fingerprint)),
+        'crashes': len(ledger.list_crashes_blaming(fingerprint)),
         'tied': len(block.tied),
         'source': source,
     }
@@ -300,15 +293,5 @@
     return names[rotations % len(names)] == state.vm
 
 
-def _list_blaming(state: VmState, fingerprint: int) -> list:
-    ledger = state.routing.crash_ledger
-    proven_at = ledger.proven_at.get(fingerprint)
-    return [
-        crash
-        for crash in ledger.list_crashes_under(fingerprint)
-        if not is_cleared(crash, proven_at)
-    ]
-
-
 def _format(number: int) -> str:
     return f'{number:016x}'
--- a/src/bilberryspoke/_internal/core/routing/crashledger.py
+++ b/src/bilberryspoke/_internal/core/routing/crashledger.py
@@ -3,13 +3,14 @@
 All times are in seconds of the boot-time clock.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 # Crashes that are kept at most, and fingerprints for each; the oldest go first.
 _MAX_CRASHES = 200
 _MAX_SUSPECTS = 256
 _CRASH_RETENTION_S = 600.0
+# An answer up to this long before a crash clears its fingerprints too.
+_PROOF_LOOKBACK_S = 1.0
 # An answer under a fingerprint is remembered for this long, unless there are
 # too many.
 _PROOF_RETENTION_S = 60.0
@@ -30,6 +31,12 @@
     learned_at: dict[int, float] = field(default_factory=dict)
     changed_at: float = 0.0
 
+    def is_cleared_by(self, proven_at: float | None) -> bool:
+        """Return whether a proof, if there is one, clears a fingerprint."""
+        if proven_at is None:
+            return False
+        return proven_at >= self.crashed_at - _PROOF_LOOKBACK_S
+
     def list_learned_since(self, since: float) -> dict[int, float]:
         """Return the suspects that this VM learned of after a time."""
         return {
@@ -119,6 +126,15 @@
             if fingerprint in crash.suspects
         ]
 
+    def list_crashes_blaming(self, fingerprint: int) -> list[Crash]:
+        """Return the crashes of which no proof clears a fingerprint."""
+        proven_at = self.proven_at.get(fingerprint)
+        return [
+            crash
+            for crash in self.list_crashes_under(fingerprint)
+            if not crash.is_cleared_by(proven_at)
+        ]
+
     def record_proof(self, fingerprint: int, proven_at: float) -> bool:
         """Record when an answer went well; return whether that is newer."""
         known_at = self.proven_at.get(fingerprint)
@@ -140,11 +156,10 @@
         }
 
     def _forget_proofs(self, now: float) -> None:
+        since = now - _PROOF_RETENTION_S
         newest = list(self.proven_at.items())[-_MAX_PROOFS // 2 :]
-        self.proven_at = dict(_keep_since(newest, now - _PROOF_RETENTION_S))
-
-
-def _keep_since(
-    times: Iterable[tuple[int, float]], since: float
-) -> Iterable[tuple[int, float]]:
-    return ((key, at) for key, at in times if at >= since)
+        self.proven_at = {
+            fingerprint: proven_at
+            for fingerprint, proven_at in newest
+            if proven_at >= since
+        }
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -142,6 +142,8 @@
     # its previous incarnation.
     if upstream.sends.pop(call_state.call.call_id, None) is None:
         return
+    if event.upstream_crashed and not upstream.health.is_unresponsive(now):
+        upstream.health.record_unreachable(now)
     if event.status in NOT_RECEIVED_SEND_STATUSES:
         upstream.health.record_unreachable(now)
     elif event.status is not SendStatus.cancelled:
--- a/src/bilberryspoke/_internal/core/routing/suspicion.py
+++ b/src/bilberryspoke/_internal/core/routing/suspicion.py
@@ -17,18 +17,9 @@
 # How many of them must follow one another, each under a call that was sent
 # after the one before.
 _MIN_SEQUENCE = 2
-# An answer up to this long before a crash clears its fingerprints too.
-PROOF_LOOKBACK_S = 1.0
 _NEVER = -1e9
 
 
-def is_cleared(crash: Crash, proven_at: float | None) -> bool:
-    """Return whether a proof clears a fingerprint of a crash."""
-    if proven_at is None:
-        return False
-    return proven_at >= crash.crashed_at - PROOF_LOOKBACK_S
-
-
 def count_sequence(crashes: Iterable[Crash], fingerprint: int) -> int:
     """Count the crashes under a fingerprint that follow one another.
 
@@ -73,7 +64,7 @@
     by_fingerprint: dict[int, list[Crash]] = {}
     for crash in crashes:
         for suspect in crash.suspects:
-            if not is_cleared(crash, proven_at.get(suspect)):
+            if not crash.is_cleared_by(proven_at.get(suspect)):
                 by_fingerprint.setdefault(suspect, []).append(crash)
     return by_fingerprint
 
