Name the shared parts of a prompt, and an upstream's incarnation, in one place

The log fields that both call_placed and send_broken carry come from describe_content, and RoutingState.find_incarnation serves both statements in withdrawal.py.

--- a/src/bilberryspoke/_internal/core/routing/backlog.py
+++ b/src/bilberryspoke/_internal/core/routing/backlog.py
@@ -117,7 +117,7 @@
     """
     if not call.parts:
         return call.prompt_tokens
-    shared_parts = call.parts[:-1]
+    shared_parts = call.shared_parts
     uncached_tokens = max(
         0, call.prompt_tokens - sum(part.tokens for part in shared_parts)
     )
@@ -135,7 +135,7 @@
     upstream: UpstreamState, call_state: CallState, now: float
 ) -> None:
     """Record when the shared parts of a prompt were sent to an engine."""
-    for part in call_state.call.parts[:-1]:
+    for part in call_state.call.shared_parts:
         upstream.parts_sent_at[part.name] = now
     if len(upstream.parts_sent_at) > _PARTS_CLEANUP_THRESHOLD:
         upstream.parts_sent_at = {
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -12,6 +12,7 @@
     get_next_trial_at,
 )
 from bilberryspoke._internal.core.routing.crashledger import Block
+from bilberryspoke._internal.core.routing.fingerprints import describe_content
 from bilberryspoke._internal.core.routing.groups import get_group_name
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
@@ -143,8 +144,7 @@
                 'expected_first_event_s': round(placement.first_event_s, 3),
                 'version': table.version,
                 'limit_per_s': chosen.limit.per_s,
-                'parts': [part.name for part in call.parts[:-1]],
-                'content': f'{call.content_hash:016x}',
+                **describe_content(call),
             },
             important=False,
         ),
--- a/src/bilberryspoke/_internal/core/routing/fingerprints.py
+++ b/src/bilberryspoke/_internal/core/routing/fingerprints.py
@@ -18,7 +18,7 @@
     """
     fingerprints = {
         hash_parts('part', call.service, part.name): f'part {part.name}'
-        for part in call.parts[:-1]
+        for part in call.shared_parts
     }
     if call.content_hash:
         whole = hash_parts(
@@ -26,3 +26,11 @@
         )
         fingerprints[whole] = f'content {call.content_hash:016x}'
     return fingerprints
+
+
+def describe_content(call: RoutedCall) -> dict[str, object]:
+    """Return log fields by which calls with the same content are recognized."""
+    return {
+        'parts': [part.name for part in call.shared_parts],
+        'content': f'{call.content_hash:016x}',
+    }
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -19,6 +19,7 @@
     ensure_budget,
 )
 from bilberryspoke._internal.core.routing.fingerprints import (
+    describe_content,
     list_fingerprints,
 )
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
@@ -167,8 +168,7 @@
         'sent_s': round(now - call_state.sent_at, 3),
         'answer_began': call_state.last_progress_at is not None,
         'calls': 0 if upstream is None else len(upstream.sends),
-        'parts': [part.name for part in call.parts[:-1]],
-        'content': f'{call.content_hash:016x}',
+        **describe_content(call),
         'crashed': event.upstream_crashed,
         'detail': event.detail,
     }
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -109,7 +109,7 @@
 
 def has_prefix_affinity(call: RoutedCall, now: float) -> bool:
     """Return whether a call waits for the engine that caches its prompt."""
-    shared_tokens = sum(part.tokens for part in call.parts[:-1])
+    shared_tokens = sum(part.tokens for part in call.shared_parts)
     if shared_tokens < _MIN_AFFINITY_TOKENS:
         return False
     return (
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -101,6 +101,15 @@
         """Whether the store answers about upstreams."""
         return StoreWatch.upstreams not in self.lost_watches
 
+    def find_incarnation(
+        self, instance: str, created_ms: int
+    ) -> UpstreamState | None:
+        """Return the upstream unless it is unknown or another incarnation."""
+        upstream = self.upstreams.get(instance)
+        if upstream is None or upstream.listed.created_ms != created_ms:
+            return None
+        return upstream
+
     def list_accepting_upstreams(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service that accept new calls."""
         return [
--- a/src/bilberryspoke/_internal/core/routing/withdrawal.py
+++ b/src/bilberryspoke/_internal/core/routing/withdrawal.py
@@ -20,14 +20,14 @@
 @on_event(LeavingStated)
 def record_leaving(state: VmState, event: LeavingStated, now: float) -> None:
     """Record that an upstream said in an answer that it leaves."""
-    _record(state, event.instance, event.created_ms, 'answer')
+    _learn_leaving(state, event.instance, event.created_ms, 'answer')
 
 
 @on_event(PauseRequested)
 def pause_upstream(state: VmState, event: PauseRequested, now: float) -> None:
     """Send no calls to an upstream for the time that it named."""
-    upstream = state.routing.upstreams.get(event.instance)
-    if upstream is None or upstream.listed.created_ms != event.created_ms:
+    upstream = state.routing.find_incarnation(event.instance, event.created_ms)
+    if upstream is None:
         return
     upstream.paused_until = max(upstream.paused_until, now + event.delay_s)
     fields = {
@@ -53,17 +53,15 @@
 ) -> None:
     """Record the upstreams that a peer knows to be leaving."""
     for each in leaving:
-        _record(state, each.instance, each.created_ms, sender)
+        _learn_leaving(state, each.instance, each.created_ms, sender)
 
 
-def _record(
+def _learn_leaving(
     state: VmState, instance: str, created_ms: int, source: str
 ) -> None:
-    upstream = state.routing.upstreams.get(instance)
+    upstream = state.routing.find_incarnation(instance, created_ms)
     if upstream is None or upstream.said_leaving:
         return
-    if upstream.listed.created_ms != created_ms:
-        return
     upstream.said_leaving = True
     fields = {
         'upstream': instance,
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -243,6 +243,11 @@
             _ROUTE_PRIORITY_LEVELS - 1, self.route.priority
         )
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts of the prompt but the last; other calls may have them too."""
+        return self.parts[:-1]
+
     @property
     def allows_retry_after_run(self) -> bool:
         """Whether the call may be retried after it may have run.
