Let tests send calls and count windows in one place, and drop a header field that nobody reads

test_routed_limits and test_routed_statements each sent calls to all processes in turn, and two files counted the busiest window; RoutedFleet.send_calls and tests/lib/windows.py serve both. The two tests of crashes check the same in check_calls. Assertions and bounds are as they were. ResponseHeaders.closes_connection was parsed and read nowhere.

--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -146,8 +146,7 @@
     together; ``rate_limit_per_s`` is that limit, or None if it is not a
     number of at least 0. ``is_leaving`` is whether the upstream says that it
     leaves. ``pause_s`` is how long it wants no calls from this VM after a
-    refusal, in seconds, or None if it does not say. ``closes_connection`` is
-    whether it closes the connection after the response. ``forwarded`` are the
+    refusal, in seconds, or None if it does not say. ``forwarded`` are the
     headers that go on to the caller.
     """
 
@@ -162,7 +161,6 @@
     rate_limit_per_s: float | None
     is_leaving: bool
     pause_s: float | None
-    closes_connection: bool
     forwarded: RawHeaders
 
 
@@ -245,8 +243,6 @@
         ),
         pause_s=_parse_pause(status, by_name.get(_RETRY_AFTER)),
         is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
-        closes_connection=b'close'
-        in _split_list(by_name.get(_CONNECTION, b'')),
         forwarded=[pair for pair in pairs if pair[0] not in dropped],
     )
 
--- a/tests/functional/test_routed_crashes.py
+++ b/tests/functional/test_routed_crashes.py
@@ -25,6 +25,14 @@
     )
 
 
+def check_calls(crashes, allowed_crashes):
+    """Check that deadly calls were stopped and that sound ones were served."""
+    late = crashes.count_late_arrivals(allowed_crashes)
+    assert late <= ALLOWED_LATE_ARRIVALS
+    sound = crashes.statuses['sound']
+    assert sound.count(200) >= len(sound) / 2
+
+
 def test_calls_with_a_prompt_part_that_crashes_engines_stop_reaching_them():
     """Each new call with the part crashed one engine, its retry another."""
 
@@ -45,10 +53,7 @@
                     fleet, f's{number}', node, 'aa1', 'bb1'
                 ),
             )
-            late = crashes.count_late_arrivals(ALLOWED_PART_CRASHES)
-            assert late <= ALLOWED_LATE_ARRIVALS
-            sound = crashes.statuses['sound']
-            assert sound.count(200) >= len(sound) / 2
+            check_calls(crashes, ALLOWED_PART_CRASHES)
 
     asyncio.run(run())
 
@@ -73,9 +78,6 @@
                     '/safe/a', f's{number}', node=node, body=b'sound'
                 ),
             )
-            late = crashes.count_late_arrivals(ALLOWED_CALL_CRASHES)
-            assert late <= ALLOWED_LATE_ARRIVALS
-            sound = crashes.statuses['sound']
-            assert sound.count(200) >= len(sound) / 2
+            check_calls(crashes, ALLOWED_CALL_CRASHES)
 
     asyncio.run(run())
--- a/tests/functional/test_routed_limits.py
+++ b/tests/functional/test_routed_limits.py
@@ -4,6 +4,7 @@
 import time
 
 from tests.lib.routedfleet import run_routed_fleet
+from tests.lib.windows import count_busiest
 
 LIMIT_PER_S = 1.0
 WINDOW_S = 4.0
@@ -15,29 +16,6 @@
 CALLS_PER_S = 40
 
 
-async def send_calls(fleet, seconds):
-    """Send calls to all processes in turn, and wait for their answers."""
-    calls = []
-    for number in range(round(seconds * CALLS_PER_S)):
-        node = number % len(fleet.nodes)
-        call = fleet.call('/safe/', f'c{number}', node=node)
-        calls.append(asyncio.create_task(call))
-        await asyncio.sleep(1 / CALLS_PER_S)
-    return await asyncio.gather(*calls)
-
-
-def count_busiest_window(upstream, since):
-    """Return the most runs that began in one window after ``since``."""
-    times = [run.arrived_at for run in upstream.runs if run.arrived_at >= since]
-    return max(
-        (
-            sum(start <= each < start + WINDOW_S for each in times)
-            for start in times
-        ),
-        default=0,
-    )
-
-
 def test_limit_that_an_upstream_names_holds_for_all_vms_together():
     """No VM read the limit, and each went on sending its share of the calls."""
 
@@ -47,14 +25,21 @@
             other = fleet.upstreams['i-app1']
             limited.stated['Server-Limit'] = str(LIMIT_PER_S)
             started_at = time.monotonic()
-            answers = await send_calls(fleet, NOTICE_S + 2 * WINDOW_S)
+            answers = await fleet.send_calls(
+                NOTICE_S + 2 * WINDOW_S, per_s=CALLS_PER_S, prefix='a'
+            )
             assert {answer.status for answer in answers} == {200}
             since = started_at + NOTICE_S
             allowed = ALLOWED_RATIO * LIMIT_PER_S * WINDOW_S + ALLOWED_EXTRA
-            assert count_busiest_window(limited, since) <= allowed
+            late = [
+                run.arrived_at
+                for run in limited.runs
+                if run.arrived_at >= since
+            ]
+            assert count_busiest(late, WINDOW_S) <= allowed
             limited.stated.clear()
             runs_before = len(limited.runs)
-            await send_calls(fleet, WINDOW_S)
+            await fleet.send_calls(WINDOW_S, per_s=CALLS_PER_S, prefix='b')
             assert len(limited.runs) - runs_before > CALLS_PER_S
             assert other.runs
 
--- a/tests/functional/test_routed_statements.py
+++ b/tests/functional/test_routed_statements.py
@@ -19,13 +19,8 @@
 
 async def send_calls(fleet, seconds, prefix):
     """Send calls to all processes in turn; return the statuses."""
-    tasks = []
-    for number in range(round(seconds * CALLS_PER_S)):
-        node = number % len(fleet.nodes)
-        call = fleet.call('/safe/', f'{prefix}{number}', node=node)
-        tasks.append(asyncio.create_task(call))
-        await asyncio.sleep(1 / CALLS_PER_S)
-    return [answer.status for answer in await asyncio.gather(*tasks)]
+    answers = await fleet.send_calls(seconds, per_s=CALLS_PER_S, prefix=prefix)
+    return [answer.status for answer in answers]
 
 
 @pytest.mark.parametrize('script', ['whole', 'busy', 'error'])
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -179,6 +179,21 @@
                 )
             return CallerResponse(resp.status, resp_headers, bytes(received))
 
+    async def send_calls(
+        self, seconds: float, *, per_s: int, prefix: str
+    ) -> list[CallerResponse]:
+        """Send safe calls to all processes in turn; return their responses.
+
+        ``prefix`` begins their request ids.
+        """
+        tasks = []
+        for number in range(round(seconds * per_s)):
+            node = number % len(self.nodes)
+            call = self.call('/safe/', f'{prefix}{number}', node=node)
+            tasks.append(asyncio.create_task(call))
+            await asyncio.sleep(1 / per_s)
+        return await asyncio.gather(*tasks)
+
     def count_runs(self, req_id: str) -> int:
         """Return how often a call ran, over all upstreams."""
         upstreams = self.upstreams.values()
--- a/tests/unit/test_routed_limits.py
+++ b/tests/unit/test_routed_limits.py
@@ -15,6 +15,7 @@
     build_call,
     list_sends,
 )
+from tests.lib.windows import count_busiest
 
 LIMITED = 'app-0'
 WINDOW_S = 4.0
@@ -58,7 +59,8 @@
 
     def count_busiest_window(self, since: float) -> int:
         """Return the most calls in one window after ``since``."""
-        return count_busiest(each for each in self.sent_at if each >= since)
+        late = [each for each in self.sent_at if each >= since]
+        return count_busiest(late, WINDOW_S)
 
     def _record_send(self, name: str) -> None:
         now = self.fleet.now
@@ -78,18 +80,6 @@
             self.fleet.handle(name, ended)
 
 
-def count_busiest(times):
-    """Return the most of the given times in one window."""
-    times = list(times)
-    return max(
-        (
-            sum(start <= each < start + WINDOW_S for each in times)
-            for start in times
-        ),
-        default=0,
-    )
-
-
 def get_allowed(limit_per_s):
     return 1.5 * limit_per_s * WINDOW_S + 5
 
@@ -127,7 +117,7 @@
     for number in range(30):
         fleet.restart(f'vm-{number}')
     fleet.send_calls(12.0, calls_per_s=200)
-    assert count_busiest(fleet.sent_knowing_at) <= get_allowed(1.0)
+    assert count_busiest(fleet.sent_knowing_at, WINDOW_S) <= get_allowed(1.0)
 
 
 def test_calls_return_after_the_upstream_names_no_limit_any_more():
