Log the software version of upstreams, and which stream a call resumes

Nothing told whether a stream went on at the version that began it, nor whether the router or its caller resumed it. No decision uses it yet.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -322,4 +322,5 @@
         'address': listed.address,
         'created_ms': listed.created_ms,
         'sequence': listed.sequence,
+        'software_version': listed.software_version,
     }
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -123,6 +123,8 @@
     publish_backlog_change(
         state, listed.instance, placement.prefill_tokens, now, calls=1
     )
+    if call_state.last_event_id is not None:
+        state.emit(Count('streams_resumed', call.service))
     if call_state.attempt == 1:
         ensure_budget(state, call.service, now).record_first_send(now)
     table = state.routing.table
@@ -143,6 +145,9 @@
                 'waited_s': round(call_state.waited_s, 3),
                 'expected_first_event_s': round(placement.first_event_s, 3),
                 'version': table.version,
+                'software_version': listed.software_version,
+                'last_event_id': call_state.last_event_id,
+                'resumed_req_id': call.resumed_req_id,
                 'limit_per_s': chosen.limit.per_s,
                 **describe_content(call),
             },
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -148,6 +148,7 @@
         warmup_remaining_s=max(0, listed.warmup_remaining_s),
         created_ms=listed.created_ms,
         sequence=listed.sequence,
+        software_version=listed.software_version,
     )
 
 
@@ -162,4 +163,5 @@
         warmup_remaining_s=snapshot_upstream.warmup_remaining_s,
         created_ms=snapshot_upstream.created_ms,
         sequence=snapshot_upstream.sequence,
+        software_version=snapshot_upstream.software_version,
     )
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -159,6 +159,8 @@
     under the same id means another incarnation.
     ``sequence``: number of the entry within the incarnation; a higher one was
     written later. 0 if the entry does not say.
+    ``software_version``: names the version of its software, without an order;
+    a stream can be resumed only at upstreams of the same one.
     """
 
     instance: str
@@ -170,6 +172,7 @@
     warmup_remaining_s: float = 0.0
     created_ms: int = 0
     sequence: int = 0
+    software_version: str = ''
 
     def is_older_than(self, other: 'ListedUpstream') -> bool:
         """Return whether this entry was written before ``other``.
@@ -216,6 +219,8 @@
     ``parts``: parts of the prompt in order; empty if not stated.
     ``last_event_id``: id of the event after which the caller wants the stream
     to be resumed; ``None`` for a new stream.
+    ``resumed_req_id``: ``req_id`` of the call that brought the first event of
+    the stream to be resumed; empty if the caller does not say.
     ``content_hash``: hash of method, path, query and body; 0 if not known.
     """
 
@@ -230,6 +235,7 @@
     prompt_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    resumed_req_id: str = ''
     content_hash: int = 0
 
     @property
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -225,6 +225,7 @@
     warmup_remaining_s: Duration
     created_ms: int
     sequence: int = 0
+    software_version: str = ''
 
 
 class StoreSnapshot(
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -176,6 +176,7 @@
             prompt_tokens=headers.prompt_tokens,
             parts=headers.parts,
             last_event_id=headers.last_event_id,
+            resumed_req_id=headers.resumed_req_id,
             content_hash=content_hash,
         )
 
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -15,6 +15,8 @@
 # Remaining time in milliseconds, not a point in time.
 _DEADLINE = b'x-deadline-ms'
 _LAST_EVENT_ID = b'last-event-id'
+# Request id of the call that brought the first event of the resumed stream.
+_RESUMES = b'resumes'
 _MODEL = b'x-model'
 # Number of prompt tokens and maximum number of output tokens, separated by a
 # comma.
@@ -92,11 +94,12 @@
     ``req_id``, ``host`` and ``model`` are empty if missing. ``wait_s`` is the
     time that the caller still waits, in seconds. ``key`` is the bearer token,
     which is the caller's API key. ``last_event_id`` is the id of the event
-    after which the caller resumes a stream. These three are None if missing
-    or malformed. ``prompt_tokens`` is the length of the prompt and
-    ``output_tokens`` the maximum length of the answer, both 0 if missing or
-    malformed. ``forwarded`` are the headers that go on to the upstream
-    unchanged.
+    after which the caller resumes a stream. These three are None if missing or
+    malformed. ``resumed_req_id`` is the request id of the call that brought the
+    first event of that stream, empty if missing. ``prompt_tokens`` is the
+    length of the prompt and ``output_tokens`` the maximum length of the answer,
+    both 0 if missing or malformed. ``forwarded`` are the headers that go on to
+    the upstream unchanged.
     """
 
     req_id: str
@@ -104,6 +107,7 @@
     wait_s: float | None
     key: str | None
     last_event_id: int | None
+    resumed_req_id: str
     model: str
     prompt_tokens: int
     output_tokens: int
@@ -189,6 +193,7 @@
         wait_s=_parse_remaining_time(by_name.get(_DEADLINE)),
         key=_parse_bearer_token(by_name.get(_AUTHORIZATION)),
         last_event_id=_parse_number(by_name.get(_LAST_EVENT_ID)),
+        resumed_req_id=by_name.get(_RESUMES, b'').decode('latin-1'),
         model=by_name.get(_MODEL, b'').decode('latin-1'),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -114,6 +114,7 @@
     ``cold_remaining_ms``: time for which it is still slow after its start.
     ``born``: Unix time of its creation, in milliseconds.
     ``sequence``: counts what it has written since its start.
+    ``version``: that of its software, not of the weights that it serves.
     """
 
     service: str
@@ -121,6 +122,7 @@
     zone: str
     slots: int
     state: str
+    version: str
     cold_remaining_ms: float = 0
     born: int = 0
     sequence: int = 0
@@ -182,6 +184,7 @@
             warmup_remaining_s=server.cold_remaining_ms / _MS_PER_S,
             created_ms=server.born,
             sequence=server.sequence,
+            software_version=server.version,
         ),
     )
 
