--- a/fakes/scripts.py
+++ b/fakes/scripts.py
@@ -184,6 +184,17 @@
     reset(writer)
 
 
+@register_script('stream_cut_once')
+async def answer_stream_cut_once(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Cut a new stream as ``stream_cut`` does, and complete a resumed one."""
+    name = 'stream' if 'last-event-id' in run.headers else 'stream_cut'
+    await upstream.run_script(name, run, writer)
+
+
 @register_script('stream_gap')
 async def answer_stream_gap(
     upstream: UpstreamStandIn,
--- /dev/null
+++ b/tests/functional/test_routed_versions.py
@@ -0,0 +1,140 @@
+"""Streams of routing processes whose engines run two software versions."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from fakes.upstream import UpstreamStandIn, make_stream
+from tests.lib.routedfleet import run_routed_fleet
+
+pytestmark = pytest.mark.xfail(reason='KNOWN-RED.txt, 22', strict=False)
+
+VERSIONS = ('v1', 'v2')
+ENGINES_PER_VERSION = 2
+STREAMS = 16
+# Time for a change of the store or of a process to be known.
+NOTICE_S = 0.5
+# The id of the last whole event of a stream that was broken off.
+LAST_EVENT_ID = 3
+
+
+@contextlib.asynccontextmanager
+async def run_fleet_of_two_versions(**settings):
+    """Run processes before engines of two software versions."""
+    async with run_routed_fleet(
+        app_upstreams=0, scripted_engines=0, **settings
+    ) as fleet:
+        for version in VERSIONS:
+            for number in range(ENGINES_PER_VERSION):
+                engine = UpstreamStandIn(f'i-{version}-{number}', 'stream')
+                await fleet.add_upstream(engine, 'llm', version=version)
+        await asyncio.sleep(NOTICE_S)
+        try:
+            yield fleet
+        finally:
+            for engine in fleet.upstreams.values():
+                await engine.stop()
+
+
+def find_versions(fleet, *req_ids):
+    """Return the software versions at which the calls ran."""
+    return {
+        instance.split('-')[1]
+        for instance, upstream in fleet.upstreams.items()
+        if any(upstream.count_runs(each) for each in req_ids)
+    }
+
+
+def set_answers(fleet, script):
+    for upstream in fleet.upstreams.values():
+        upstream.default = script
+
+
+async def open_streams(fleet, count, node=0):
+    """Send streaming calls that engines hold after three events."""
+    set_answers(fleet, 'stream_hold')
+    tasks = []
+    for number in range(count):
+        call = fleet.call('/stream/', f's{number}', node=node, method='POST')
+        tasks.append(asyncio.create_task(call))
+    await asyncio.sleep(NOTICE_S)
+    set_answers(fleet, 'stream')
+    return tasks
+
+
+def test_broken_streams_go_on_at_the_software_version_that_began_them():
+    """They went on at any engine, in the same answer."""
+
+    async def run():
+        async with run_fleet_of_two_versions() as fleet:
+            set_answers(fleet, 'stream_cut_once')
+            for number in range(STREAMS):
+                req_id = f's{number}'
+                answer = await fleet.call('/stream/', req_id, method='POST')
+                assert len(find_versions(fleet, req_id)) == 1
+                assert answer.whole
+                assert answer.body == make_stream(req_id)
+
+    asyncio.run(run())
+
+
+def test_streams_taken_up_at_another_process_go_on_at_their_software_version():
+    """Only the process that had begun a stream knew its version."""
+
+    async def run():
+        async with run_fleet_of_two_versions(nodes=3) as fleet:
+            tasks = await open_streams(fleet, STREAMS)
+            fleet.nodes[0].signal(9)
+            begun = await asyncio.gather(*tasks)
+            assert not any(answer.whole for answer in begun)
+            began_at = set()
+            for number in range(STREAMS):
+                req_id = f'r{number}'
+                answer = await fleet.call(
+                    '/stream/',
+                    req_id,
+                    node=1 + number % 2,
+                    method='POST',
+                    Last_Event_Id=str(LAST_EVENT_ID),
+                    Resumes=f's{number}',
+                )
+                versions = find_versions(fleet, f's{number}', req_id)
+                assert len(versions) == 1
+                began_at |= versions
+                rest = make_stream(req_id, LAST_EVENT_ID + 1)
+                assert answer.status == 200
+                assert answer.body == rest
+            assert began_at == set(VERSIONS)
+
+    asyncio.run(run())
+
+
+def test_stream_whose_software_version_is_gone_is_refused_as_not_run():
+    """It went on at the version that was left."""
+
+    async def run():
+        async with run_fleet_of_two_versions(nodes=2) as fleet:
+            tasks = await open_streams(fleet, STREAMS)
+            for instance, upstream in fleet.upstreams.items():
+                if '-v1-' in instance:
+                    fleet.store.delete(f'servers/{instance}')
+                    await upstream.stop()
+            fleet.nodes[0].signal(9)
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(NOTICE_S)
+            for number in range(STREAMS):
+                began_at = find_versions(fleet, f's{number}')
+                req_id = f'r{number}'
+                answer = await fleet.call(
+                    '/stream/',
+                    req_id,
+                    node=1,
+                    method='POST',
+                    Last_Event_Id=str(LAST_EVENT_ID),
+                    Resumes=f's{number}',
+                )
+                assert answer.status == (503 if 'v1' in began_at else 200)
+                assert find_versions(fleet, f's{number}', req_id) == began_at
+
+    asyncio.run(run())
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from bilberryspoke._internal.core import Core, CoreSettings
 from bilberryspoke._internal.models.effects import SendPeerMessage
@@ -47,8 +47,12 @@
         data_centres: int = 4,
         engines: int = 8,
         plain_upstreams: int = 4,
+        software_versions: Sequence[str] = ('v1',),
     ) -> None:
-        """Start the VMs within ``START_SPREAD_S``."""
+        """Start the VMs within ``START_SPREAD_S``.
+
+        The engines run the ``software_versions`` in turn.
+        """
         self.now = 0.0
         self.connect_delay_s = CONNECT_DELAY_S
         self.sent_messages: Counter[str] = Counter()
@@ -58,7 +62,15 @@
             for number in range(vms)
         }
         self._upstreams = (
-            *(build_upstream(f'engine-{number}') for number in range(engines)),
+            *(
+                build_upstream(
+                    f'engine-{number}',
+                    software_version=software_versions[
+                        number % len(software_versions)
+                    ],
+                )
+                for number in range(engines)
+            ),
             *(
                 build_upstream(f'app-{number}', service='app', slots=6)
                 for number in range(plain_upstreams)
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -119,11 +119,15 @@
         self,
         upstream: UpstreamStandIn,
         service: str,
+        **changes: str,
     ) -> None:
-        """Start an upstream and write its store entry."""
+        """Start an upstream and write its store entry.
+
+        ``changes`` replace fields of the entry.
+        """
         await upstream.start()
         self.upstreams[upstream.instance] = upstream
-        self.write_upstream_entry(upstream.instance, service)
+        self.write_upstream_entry(upstream.instance, service, **changes)
 
     def write_upstream_entry(
         self, instance: str, service: str, **changes
