Resume streams only at the software version that began them

Who knew which upstream had begun a stream was one VM only, mostly the one that had ended.

A stream is now bound to the version of its first event. The VM that delivers it tells three others, found by hashing, which any VM can ask. Where nobody knows and several versions served, the call is refused as not run. A stream that is taken up again also stays with the service that a split of its route chose for the first call.

No unit test of 370 VMs was run in this change's last form.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -8,12 +8,20 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from bilberryspoke._internal.models.routing import RoutedCall
+from bilberryspoke._internal.core.routing.originledger import StreamOrigin
+from bilberryspoke._internal.models.routing import (
+    ListedUpstream,
+    RoutedCall,
+)
 
 
 class CallStage(StrEnum):
-    """Whether an open call waits to be sent or is under way."""
+    """Whether an open call waits to be sent or is under way.
 
+    ``resolving``: other VMs are asked for the origin of its stream.
+    """
+
+    resolving = 'resolving'
     waiting = 'waiting'
     sent = 'sent'
 
@@ -37,7 +45,9 @@
     the log. ``created_ms`` (that of the upstream), ``began_at`` (the first
     event) and ``proven`` (the upstream outlived the begin of the answer) belong
     to the current send; ``crashes`` counts the upstreams that crashed under the
-    call before they outlived that.
+    call before they outlived that. ``sent_version`` is the software version of
+    the upstream of the current send, None if not certain, and ``origin`` that
+    of the begin of its stream, None before.
     """
 
     call: RoutedCall
@@ -61,6 +71,18 @@
     began_at: float | None = None
     proven: bool = False
     crashes: int = 0
+    sent_version: str | None = None
+    origin: StreamOrigin | None = None
+
+    def may_use(self, listed: ListedUpstream) -> bool:
+        """Return whether an upstream can serve the call, by its software.
+
+        What two versions write of one stream does not fit together.
+        """
+        return (
+            self.origin is None
+            or self.origin.software_version == listed.software_version
+        )
 
 
 @dataclass(slots=True)
--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -8,6 +8,7 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.confirmation import confirm_routes
+from bilberryspoke._internal.core.routing.origins import doubt_origins
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import (
     RemovedUpstream,
@@ -137,7 +138,7 @@
         if instance not in listed:
             _apply_entry_removal(state, instance, now)
     for upstream in listed.values():
-        _put_upstream(state, upstream)
+        _put_upstream(state, upstream, now)
 
 
 @on_event(UpstreamChanged)
@@ -148,7 +149,7 @@
     if event.listed is None:
         _apply_entry_removal(state, event.instance, now)
     else:
-        _put_upstream(state, event.listed)
+        _put_upstream(state, event.listed, now)
 
 
 def drop_missing_upstreams(state: VmState, now: float) -> None:
@@ -216,7 +217,7 @@
         state.emit(LogDecision('store_restored', fields))
 
 
-def _put_upstream(state: VmState, listed: ListedUpstream) -> None:
+def _put_upstream(state: VmState, listed: ListedUpstream, now: float) -> None:
     """Record an entry, unless a later one of the upstream is known.
 
     A store that was restored from a copy returns earlier entries.
@@ -224,6 +225,8 @@
     routing = state.routing
     known = routing.upstreams.get(listed.instance)
     if known is None or known.listed.created_ms < listed.created_ms:
+        if known is not None:
+            _withdraw_version(state, known, listed.software_version, now)
         _add_upstream(state, listed)
         return
     if listed.is_older_than(known.listed):
@@ -231,10 +234,26 @@
         return
     if listed.leaving and not known.listed.leaving:
         state.emit(LogDecision('upstream_leaving', _describe_upstream(listed)))
+    _withdraw_version(state, known, listed.software_version, now)
     known.listed = listed
     known.drop_at = None
 
 
+def _withdraw_version(
+    state: VmState, upstream: UpstreamState, successor: str, now: float
+) -> None:
+    """Note that an upstream no longer runs a software version.
+
+    ``successor`` is the version that it runs now.
+    """
+    listed = upstream.listed
+    if listed.software_version == successor:
+        return
+    versions = state.routing.origins.withdrawn_versions
+    versions[listed.service, listed.software_version] = now
+    doubt_origins(state, list(upstream.sends.values()), now)
+
+
 def _add_upstream(state: VmState, listed: ListedUpstream) -> None:
     removed = state.routing.removed.get(listed.instance)
     if removed is not None and not listed.may_follow(removed.listed):
@@ -275,6 +294,8 @@
         if each.removed_at >= now - _REMOVED_RETENTION_S
     }
     routing.removed[instance] = RemovedUpstream(dropped.listed, now)
+    version = dropped.listed.software_version
+    routing.origins.withdrawn_versions[dropped.listed.service, version] = now
     fields = {'upstream': instance, 'reason': reason}
     state.emit(LogDecision('upstream_dropped', fields))
 
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -115,6 +115,7 @@
     call_state.created_ms = listed.created_ms
     call_state.began_at = None
     call_state.proven = False
+    call_state.sent_version = listed.software_version
     call_state.prefill_tokens = placement.prefill_tokens
     call_state.expected_first_event_s = placement.first_event_s
     chosen.sends[call.call_id] = call_state
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -22,7 +22,9 @@
     describe_content,
     list_fingerprints,
 )
+from bilberryspoke._internal.core.routing.origins import record_stream_begin
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
+from bilberryspoke._internal.core.routing.resumption import resume_stream
 from bilberryspoke._internal.core.routing.retries import may_retry
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
@@ -55,7 +57,10 @@
     )
     state.routing.calls[call.call_id] = call_state
     state.emit(Count('calls', call.route.name))
-    dispatch_or_queue(state, call_state, now)
+    if call.last_event_id is None:
+        dispatch_or_queue(state, call_state, now)
+    else:
+        resume_stream(state, call_state, now)
 
 
 @on_event(CallAbandoned)
@@ -96,6 +101,8 @@
     call_state.last_progress_at = now
     record_progress_proof(state, call_state, now)
     call_state.first_event_at = call_state.first_event_at or now
+    if is_first:
+        record_stream_begin(state, call_state, now)
     if event.last_event_id is not None:
         call_state.last_event_id = event.last_event_id
     if is_first and state.routing.waiting:
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -11,7 +11,9 @@
     ensure_budget,
 )
 from bilberryspoke._internal.core.routing.lifecycle import finish_or_retry_call
+from bilberryspoke._internal.core.routing.origins import review_keepers
 from bilberryspoke._internal.core.routing.ratelimits import review_limits
+from bilberryspoke._internal.core.routing.resumption import review_lookups
 from bilberryspoke._internal.core.routing.retries import may_retry
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
 from bilberryspoke._internal.core.routing.stalls import (
@@ -39,6 +41,8 @@
     review_limits(state, now)
     review_crashes(state, now)
     record_review(state.routing, now)
+    review_keepers(state, now)
+    review_lookups(state, now)
     _retry_stalled_calls(state, now)
     for call_state in list(state.routing.calls.values()):
         if now >= call_state.call.deadline_at:
--- a/src/bilberryspoke/_internal/core/routing/members.py
+++ b/src/bilberryspoke/_internal/core/routing/members.py
@@ -74,10 +74,15 @@
 
     The first one is lost if the connection is not open at once.
     """
+    connect_to_peer(state, peer)
+    state.emit(SendPeerMessage(peer.name, message))
+
+
+def connect_to_peer(state: VmState, peer: PeerView) -> None:
+    """Connect to a peer if that was not requested before."""
     if not peer.connected:
         peer.connected = True
         state.emit(ConnectPeer(peer.name, peer.address))
-    state.emit(SendPeerMessage(peer.name, message))
 
 
 @on_message(Introduction)
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/resumption.py
@@ -0,0 +1,167 @@
+"""Streams that callers take up again, after their connection broke.
+
+Such a call is sent only to upstreams of the software version that began its
+stream, which this VM may have to ask others for. Times are in seconds of the
+boot-time clock.
+"""
+
+from bilberryspoke._internal.core.reducer import on_message
+from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
+from bilberryspoke._internal.core.routing.completion import (
+    Refusal,
+    refuse_call,
+)
+from bilberryspoke._internal.core.routing.dispatch import dispatch_or_queue
+from bilberryspoke._internal.core.routing.members import send_to_peer
+from bilberryspoke._internal.core.routing.originledger import (
+    OriginLookup,
+    StreamOrigin,
+)
+from bilberryspoke._internal.core.routing.origins import (
+    find_only_version,
+    hash_stream,
+    list_askable_keepers,
+)
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing_messages import (
+    OriginReply,
+    OriginRequest,
+    StreamBegun,
+)
+
+# A message to a VM that was not connected is lost, so the question is repeated.
+_REPEAT_INTERVAL_S = 0.1
+_LOOKUP_TIMEOUT_S = 0.4
+# A new process does not know all other VMs.
+_MEMBERSHIP_TIMEOUT_S = 1.0
+
+
+def resume_stream(state: VmState, call_state: CallState, now: float) -> None:
+    """Send or queue a call that resumes a stream, once its origin is known."""
+    call = call_state.call
+    if not call.resumed_req_id:
+        _resume_at_only_version(state, call_state, now)
+        return
+    key = hash_stream(call)
+    origin = state.routing.origins.find(key)
+    if origin is None and state.routing.store_reachable:
+        origin = _find_only_origin(state, call_state, now)
+    if origin is not None:
+        _resume_at(state, call_state, origin, now)
+        return
+    call_state.stage = CallStage.resolving
+    lookup = state.routing.origins.lookups.setdefault(
+        key, OriginLookup(now + _LOOKUP_TIMEOUT_S)
+    )
+    lookup.call_ids.append(call.call_id)
+    _ask_keepers(state, key, lookup, now)
+    _review_lookup(state, key, lookup, now)
+
+
+def review_lookups(state: VmState, now: float) -> None:
+    """Repeat questions about origins, and end those without an answer."""
+    for key, lookup in list(state.routing.origins.lookups.items()):
+        if now - lookup.asked_at >= _REPEAT_INTERVAL_S:
+            _ask_keepers(state, key, lookup, now)
+        _review_lookup(state, key, lookup, now)
+
+
+@on_message(StreamBegun)
+def keep_origin(
+    state: VmState, sender: str, message: StreamBegun, now: float
+) -> None:
+    """Keep the origin of a stream that began at another VM."""
+    origin = StreamOrigin(message.software_version)
+    state.routing.origins.record(message.key, origin, now)
+
+
+@on_message(OriginRequest)
+def answer_request(
+    state: VmState, sender: str, message: OriginRequest, now: float
+) -> None:
+    """Tell another VM what is known of a stream's origin."""
+    peer = state.routing.peers.get(sender)
+    if peer is None:
+        return
+    origin = state.routing.origins.find(message.key)
+    reply = OriginReply(message.key, is_known=False)
+    if origin is not None:
+        reply = OriginReply(
+            message.key,
+            is_known=True,
+            software_version=origin.software_version,
+        )
+    send_to_peer(state, peer, reply)
+
+
+@on_message(OriginReply)
+def apply_reply(
+    state: VmState, sender: str, message: OriginReply, now: float
+) -> None:
+    """Resume the streams whose origin another VM knows."""
+    lookup = state.routing.origins.lookups.get(message.key)
+    if lookup is None:
+        return
+    if not message.is_known:
+        lookup.denied_by.add(sender)
+        _review_lookup(state, message.key, lookup, now)
+        return
+    origin = StreamOrigin(message.software_version)
+    state.routing.origins.record(message.key, origin, now)
+    for call_state in _end_lookup(state, message.key):
+        _resume_at(state, call_state, origin, now)
+
+
+def _ask_keepers(
+    state: VmState, key: int, lookup: OriginLookup, now: float
+) -> None:
+    lookup.asked_at = now
+    request = OriginRequest(key)
+    for name in list_askable_keepers(state, key, now):
+        if name not in lookup.denied_by:
+            send_to_peer(state, state.routing.peers[name], request)
+
+
+def _review_lookup(
+    state: VmState, key: int, lookup: OriginLookup, now: float
+) -> None:
+    """End a lookup whose time is over, or whose origin no VM knows."""
+    may_know = set(list_askable_keepers(state, key, now)) - lookup.denied_by
+    knows_members = now - state.started_at >= _MEMBERSHIP_TIMEOUT_S
+    if now < lookup.ends_at and (may_know or not knows_members):
+        return
+    for call_state in _end_lookup(state, key):
+        _resume_at_only_version(state, call_state, now)
+
+
+def _end_lookup(state: VmState, key: int) -> list[CallState]:
+    """Return the calls that wait for the origin of a stream, if still open."""
+    lookup = state.routing.origins.lookups.pop(key)
+    found = [state.routing.calls.get(each) for each in lookup.call_ids]
+    return [each for each in found if each is not None]
+
+
+def _find_only_origin(
+    state: VmState, call_state: CallState, now: float
+) -> StreamOrigin | None:
+    version = find_only_version(state, call_state.call, now)
+    return None if version is None else StreamOrigin(version)
+
+
+def _resume_at_only_version(
+    state: VmState, call_state: CallState, now: float
+) -> None:
+    origin = _find_only_origin(state, call_state, now)
+    _resume_at(state, call_state, origin or StreamOrigin(None), now)
+
+
+def _resume_at(
+    state: VmState, call_state: CallState, origin: StreamOrigin, now: float
+) -> None:
+    call_state.origin = origin
+    if origin.software_version is None:
+        state.emit(Count('streams_of_unknown_origin', call_state.call.service))
+        refuse_call(state, call_state, Refusal('origin_unknown'), now)
+        return
+    dispatch_or_queue(state, call_state, now)
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -62,7 +62,7 @@
     call_state: CallState,
     now: float,
 ) -> list[UpstreamState]:
-    """Return the untried upstreams that accept new calls.
+    """Return the untried upstreams that accept new calls and can serve this.
 
     Ejected ones are among them only if there are no others.
     """
@@ -128,6 +128,7 @@
         upstream
         for upstream in accepting
         if upstream.listed.instance not in call_state.tried_instances
+        and call_state.may_use(upstream.listed)
     ]
     healthy = [
         upstream for upstream in untried if not upstream.health.is_ejected(now)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -8,6 +8,7 @@
 
 from bilberryspoke._internal.core.routing.callstate import CallState, WaitQueue
 from bilberryspoke._internal.core.routing.crashledger import CrashLedger
+from bilberryspoke._internal.core.routing.originledger import OriginLedger
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.core.routing.upstreamstate import (
@@ -53,7 +54,7 @@
     same VMs. ``relays`` are the relays by data centre, empty in a small fleet,
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
-    calls that crash upstreams.
+    calls that crash upstreams, ``origins`` of the software versions of streams.
     """
 
     table: RouteTable | None = None
@@ -90,6 +91,7 @@
     heartbeat_sent_at: float = -1e9
     snapshot_requested_at: float = -1e9
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
+    origins: OriginLedger = field(default_factory=OriginLedger)
 
     @property
     def ready(self) -> bool:
--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -17,9 +17,12 @@
 from bilberryspoke._internal.models.routing_messages import (
     BacklogChange,
     Introduction,
+    OriginReply,
+    OriginRequest,
     RoutingHeartbeat,
     SnapshotRequest,
     StoreSnapshot,
+    StreamBegun,
 )
 
 
@@ -230,6 +233,9 @@
     | Introduction
     | SnapshotRequest
     | StoreSnapshot
+    | StreamBegun
+    | OriginRequest
+    | OriginReply
 )
 
 
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -181,6 +181,36 @@
     calls: int
 
 
+class StreamBegun(msgspec.Struct, tag='begun', array_like=True):
+    """The sender brought events of a stream to its caller.
+
+    ``key``: hash that names the stream, also when it is taken up again.
+    ``software_version``: that of the upstream that began it; None if it is not
+    certain.
+    """
+
+    key: int
+    software_version: str | None
+
+
+class OriginRequest(msgspec.Struct, tag='origin', array_like=True):
+    """Question at which software version the stream ``key`` began."""
+
+    key: int
+
+
+class OriginReply(msgspec.Struct, tag='origin_known', array_like=True):
+    """Reply to an ``OriginRequest``.
+
+    ``is_known``: whether the sender knows the stream.
+    ``software_version``: as in ``StreamBegun``.
+    """
+
+    key: int
+    is_known: bool
+    software_version: str | None = None
+
+
 class Introduction(msgspec.Struct, tag='introduce', array_like=True):
     """The VMs that the sender knows, itself included.
 
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -168,7 +168,7 @@
             call_id=f'{self._runtime.core.state.vm}/{number}',
             req_id=headers.req_id,
             route=route,
-            service=choose_service(route, headers.req_id),
+            service=choose_service(route, _get_stream_id(headers)),
             workspace=matched.key_holder.workspace,
             priority=matched.priority,
             arrived_at=arrived_at,
@@ -279,6 +279,13 @@
         )
 
 
+def _get_stream_id(headers: CallHeaders) -> str:
+    """Return the id that a stream keeps when it is taken up again."""
+    if headers.last_event_id is None:
+        return headers.req_id
+    return headers.resumed_req_id or headers.req_id
+
+
 def _make_refusal(
     status: int,
     reason: str,
--- a/tests/functional/test_routed_versions.py
+++ b/tests/functional/test_routed_versions.py
@@ -3,12 +3,8 @@
 import asyncio
 import contextlib
 
-import pytest
-
 from fakes.upstream import UpstreamStandIn, make_stream
-from tests.lib.routedfleet import run_routed_fleet
-
-pytestmark = pytest.mark.xfail(reason='KNOWN-RED.txt, 22', strict=False)
+from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 VERSIONS = ('v1', 'v2')
 ENGINES_PER_VERSION = 2
@@ -28,8 +24,10 @@
         for version in VERSIONS:
             for number in range(ENGINES_PER_VERSION):
                 engine = UpstreamStandIn(f'i-{version}-{number}', 'stream')
-                await fleet.add_upstream(engine, 'llm', version=version)
-        await asyncio.sleep(NOTICE_S)
+                await fleet.add_upstream(
+                    engine, 'llm', version=version, slots=64
+                )
+        await wait_until(lambda: all(map(knows_all_engines, fleet.nodes)))
         try:
             yield fleet
         finally:
@@ -37,6 +35,11 @@
                 await engine.stop()
 
 
+def knows_all_engines(node):
+    listed = node.list_events('upstream_listed')
+    return len(listed) >= len(VERSIONS) * ENGINES_PER_VERSION
+
+
 def find_versions(fleet, *req_ids):
     """Return the software versions at which the calls ran."""
     return {
@@ -56,7 +59,7 @@
     set_answers(fleet, 'stream_hold')
     tasks = []
     for number in range(count):
-        call = fleet.call('/stream/', f's{number}', node=node, method='POST')
+        call = fleet.call('/draft/', f's{number}', node=node, method='POST')
         tasks.append(asyncio.create_task(call))
     await asyncio.sleep(NOTICE_S)
     set_answers(fleet, 'stream')
@@ -71,7 +74,7 @@
             set_answers(fleet, 'stream_cut_once')
             for number in range(STREAMS):
                 req_id = f's{number}'
-                answer = await fleet.call('/stream/', req_id, method='POST')
+                answer = await fleet.call('/draft/', req_id, method='POST')
                 assert len(find_versions(fleet, req_id)) == 1
                 assert answer.whole
                 assert answer.body == make_stream(req_id)
@@ -92,7 +95,7 @@
             for number in range(STREAMS):
                 req_id = f'r{number}'
                 answer = await fleet.call(
-                    '/stream/',
+                    '/draft/',
                     req_id,
                     node=1 + number % 2,
                     method='POST',
@@ -127,7 +130,7 @@
                 began_at = find_versions(fleet, f's{number}')
                 req_id = f'r{number}'
                 answer = await fleet.call(
-                    '/stream/',
+                    '/draft/',
                     req_id,
                     node=1,
                     method='POST',
--- a/tests/lib/platformdata.py
+++ b/tests/lib/platformdata.py
@@ -35,6 +35,9 @@
         build_route_entry('open', 'safe', **{'skip-auth': True}),
         build_route_entry('short', 'safe', **{'timeout-ms': 300}),
         build_route_entry('stream', 'streaming', **engine),
+        build_route_entry(
+            'draft', 'streaming', **{**engine, 'stream-resume': True}
+        ),
         build_route_entry(
             'resume',
             'streaming',
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -119,7 +119,7 @@
         self,
         upstream: UpstreamStandIn,
         service: str,
-        **changes: str,
+        **changes: str | int,
     ) -> None:
         """Start an upstream and write its store entry.
 
--- a/tests/lib/streamcores.py
+++ b/tests/lib/streamcores.py
@@ -1,11 +1,11 @@
 """Cores of several VMs whose streams are broken off and taken up again."""
 
 import itertools
+from collections.abc import Sequence
 
 from bilberryspoke._internal.models.routing import RoutedCall
 from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
 from bilberryspoke._internal.models.routing_events import (
-    CallAbandoned,
     CallArrived,
     SendProgressed,
 )
@@ -23,12 +23,18 @@
     the id of the call.
     """
 
-    def __init__(self, vms: int, *, warm_up_s: float) -> None:
+    def __init__(
+        self,
+        vms: int,
+        *,
+        warm_up_s: float,
+        software_versions: Sequence[str] = ('v1', 'v2'),
+    ) -> None:
         """Run the fleet for ``warm_up_s``, until its VMs know each other."""
         self.sends: dict[str, list[Send]] = {}
         self.refusals: dict[str, RefuseCall] = {}
         self._numbers = itertools.count()
-        super().__init__(vms, software_versions=('v1', 'v2'))
+        super().__init__(vms, software_versions=software_versions)
         self.version_of = {
             each.instance: each.software_version for each in self._upstreams
         }
@@ -36,8 +42,7 @@
 
     def begin(self, name: str) -> RoutedCall:
         """Let a new stream arrive at a VM and bring its first events."""
-        number = next(self._numbers)
-        call = self._build_call(number)
+        call = self.build_call()
         self.arrive(name, call)
         for event in range(1, LAST_EVENT_ID + 1):
             progressed = SendProgressed(call.call_id, 1, event)
@@ -46,8 +51,7 @@
 
     def take_up(self, name: str, begun: RoutedCall) -> RoutedCall:
         """Let the caller of a broken stream take it up at another VM."""
-        call = self._build_call(
-            next(self._numbers),
+        call = self.build_call(
             last_event_id=LAST_EVENT_ID,
             resumed_req_id=begun.req_id,
         )
@@ -58,10 +62,6 @@
         """Let a call arrive at a VM."""
         self.handle(name, CallArrived(call))
 
-    def abandon(self, name: str, call: RoutedCall) -> None:
-        """Let a caller close its connection."""
-        self.handle(name, CallAbandoned(call.call_id))
-
     def handle(self, name: str, event: object) -> list[object]:
         """Submit an event to a VM, carry out and return its effects."""
         effects = super().handle(name, event)
@@ -80,7 +80,9 @@
             for send in self.sends.get(call.call_id, [])
         }
 
-    def _build_call(self, number: int, **changes: object) -> RoutedCall:
+    def build_call(self, **changes: object) -> RoutedCall:
+        """Return a call for a stream of its own that arrives now."""
+        number = next(self._numbers)
         return build_call(
             f'c{number}',
             DRAFT_ROUTE,
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -73,6 +73,7 @@
         'open': RetrySafety.any_time,
         'short': RetrySafety.any_time,
         'stream': RetrySafety.never,
+        'draft': RetrySafety.resumed,
         'resume': RetrySafety.resumed,
     }
     assert table.api_key_holders['key-3'].workspace == 'desk'
