--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -139,6 +139,8 @@
     upstream = state.routing.upstreams.get(call_state.instance)
     if event.status not in NOT_RECEIVED_SEND_STATUSES:
         call_state.sends += 1
+    else:
+        _log_undelivered_send(state, call_state, event, now)
     call_state.tried_instances.append(call_state.instance)
     if event.status is SendStatus.broken:
         _log_broken_send(state, call_state, event, now)
@@ -159,6 +161,22 @@
         upstream.health.record_outcome(now, succeeded=succeeded)
 
 
+def _log_undelivered_send(
+    state: VmState,
+    call_state: CallState,
+    event: SendEnded,
+    now: float,
+) -> None:
+    fields = {
+        'req_id': call_state.call.req_id,
+        'upstream': call_state.instance,
+        'attempt': call_state.attempt,
+        'sent_s': round(now - call_state.sent_at, 3),
+        'detail': event.detail,
+    }
+    state.emit(LogDecision('send_undelivered', fields, important=False))
+
+
 def _log_broken_send(
     state: VmState,
     call_state: CallState,
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -13,6 +13,7 @@
 from bilberryspoke._internal.core.routing.lifecycle import finish_or_retry_call
 from bilberryspoke._internal.core.routing.origins import review_keepers
 from bilberryspoke._internal.core.routing.ratelimits import review_limits
+from bilberryspoke._internal.core.routing.reach import review_reach
 from bilberryspoke._internal.core.routing.resumption import review_lookups
 from bilberryspoke._internal.core.routing.retries import may_retry
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
@@ -41,6 +42,7 @@
     review_limits(state, now)
     review_crashes(state, now)
     record_review(state.routing, now)
+    review_reach(state, now)
     review_keepers(state, now)
     review_lookups(state, now)
     _retry_stalled_calls(state, now)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -55,6 +55,8 @@
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
     calls that crash upstreams, ``origins`` of the software versions of streams.
+    ``unreached_services`` are the services with upstreams of which this VM
+    reaches none.
     """
 
     table: RouteTable | None = None
@@ -92,6 +94,7 @@
     snapshot_requested_at: float = -1e9
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
     origins: OriginLedger = field(default_factory=OriginLedger)
+    unreached_services: set[str] = field(default_factory=set)
 
     @property
     def ready(self) -> bool:
