--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -137,10 +137,10 @@
     now: float,
 ) -> None:
     upstream = state.routing.upstreams.get(call_state.instance)
-    if event.status not in NOT_RECEIVED_SEND_STATUSES:
-        call_state.sends += 1
-    else:
+    if event.status in NOT_RECEIVED_SEND_STATUSES:
         _log_undelivered_send(state, call_state, event, now)
+    else:
+        call_state.sends += 1
     call_state.tried_instances.append(call_state.instance)
     if event.status is SendStatus.broken:
         _log_broken_send(state, call_state, event, now)
--- /dev/null
+++ b/tests/functional/test_routed_cuts.py
@@ -0,0 +1,98 @@
+"""Routing processes that are cut off from all upstreams, but nothing else."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.cutfleet import run_cut_fleet
+
+# From the begin of a cut on callers are served at the other processes' expense.
+STABILITY_WINDOW_S = 3.0
+CALLS_PER_S = 15
+# The share of the others' that calls at cut-off processes are served, at least.
+MIN_RELATIVE_SHARE = 2 / 3
+
+
+def count_served(answers):
+    return sum(answer.status == 200 and answer.whole for answer in answers)
+
+
+def check_served(answers, cut):
+    """Check that callers of cut-off processes are served like the others."""
+    served = [count_served(each) / len(each) for each in answers]
+    others = [share for node, share in enumerate(served) if node not in cut]
+    assert min(others) > MIN_RELATIVE_SHARE
+    for node in cut:
+        assert served[node] >= MIN_RELATIVE_SHARE * min(others)
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 22', strict=False)
+@pytest.mark.parametrize('cut', [(0,), (0, 1, 2)])
+@pytest.mark.parametrize('how', ['refuse', 'reset', 'hang'])
+@pytest.mark.parametrize('service', ['app', 'llm'])
+def test_callers_of_processes_cut_off_from_upstreams_are_served(
+    how, cut, service
+):
+    """They were refused, while the other processes served all callers."""
+    path = '/safe/' if service == 'app' else '/stream/'
+
+    async def run():
+        async with run_cut_fleet(nodes=4, service=service) as cuts:
+            await cuts.send_calls(1.0, per_s=CALLS_PER_S, prefix='a', path=path)
+            cuts.cut(cut, how)
+            await cuts.send_calls(
+                STABILITY_WINDOW_S, per_s=CALLS_PER_S, prefix='b', path=path
+            )
+            answers = await cuts.send_calls(
+                2.0, per_s=CALLS_PER_S, prefix='c', path=path
+            )
+            check_served(answers, cut)
+            await cuts.mend(cut)
+            await asyncio.sleep(STABILITY_WINDOW_S)
+            answers = await cuts.send_calls(
+                1.0, per_s=CALLS_PER_S, prefix='d', path=path
+            )
+            check_served(answers, cut)
+
+    asyncio.run(run())
+
+
+def test_processes_that_are_all_cut_off_refuse_in_time_as_not_run():
+    """Nobody can help, and no caller is kept waiting for it."""
+
+    async def run():
+        async with run_cut_fleet(nodes=3) as cuts:
+            await cuts.send_calls(0.5, per_s=CALLS_PER_S, prefix='a')
+            cuts.cut(range(3), 'reset')
+            await asyncio.sleep(1.0)
+            answers = await cuts.send_calls(
+                1.0, per_s=CALLS_PER_S, prefix='b', path='/once/'
+            )
+            assert {each.status for sent in answers for each in sent} == {503}
+
+    asyncio.run(run())
+
+
+def test_call_that_runs_once_is_run_once_through_another_process():
+    """A call passed on to another process must not run at a second upstream."""
+
+    async def run():
+        async with run_cut_fleet(nodes=3) as cuts:
+            await cuts.send_calls(0.5, per_s=CALLS_PER_S, prefix='a')
+            cuts.cut([0], 'reset')
+            await cuts.send_calls(1.0, per_s=CALLS_PER_S, prefix='b')
+            for upstream in cuts.upstreams:
+                upstream.answers = ['reset'] * 100
+            answers = await cuts.send_calls(
+                1.0, per_s=CALLS_PER_S, prefix='c', path='/once/'
+            )
+            for node, sent in enumerate(answers):
+                for number, answer in enumerate(sent):
+                    runs = sum(
+                        upstream.count_runs(f'c{node}-{number}')
+                        for upstream in cuts.upstreams
+                    )
+                    assert runs <= 1
+                    assert not runs or answer.status == 502
+
+    asyncio.run(run())
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -234,6 +234,7 @@
     retry_reserve: int = 56,
     retry_window_s: float = 0.5,
     seeds: int | None = None,
+    stores: Sequence[StoreStandIn] = (),
 ) -> AsyncIterator[RoutedFleet]:
     """Run a store, upstreams and ready routing processes.
 
@@ -242,7 +243,8 @@
     ``scripted_engines``, which answer by script, and ``models``, which behave
     as batching model engines. ``retry_reserve`` and ``retry_window_s`` are as
     in ``build_boot_settings``. The settings of each process name the first
-    ``seeds`` processes, or all of them if it is None.
+    ``seeds`` processes, or all of them if it is None. Each process reads its
+    own one of ``stores``, which run already, if there are any.
     """
     store = StoreStandIn()
     await store.start()
@@ -270,8 +272,7 @@
         for upstream in fleet.upstreams.values():
             stack.push_async_callback(upstream.stop)
         fleet.nodes = _make_nodes(
-            store,
-            nodes,
+            stores or [store] * nodes,
             Path(folder),
             seeds,
             retry_reserve=retry_reserve,
@@ -286,15 +287,22 @@
         yield fleet
 
 
+def _find_ports(ips: Sequence[str]) -> list[int]:
+    """Return free ports; the last three are the range between processes."""
+    while True:
+        ports = find_free_ports(6, ips)
+        if ports[3:] == [*range(ports[3], ports[3] + 3)]:
+            return [*ports[:4], ports[5]]
+
+
 def _make_nodes(
-    store: StoreStandIn,
-    count: int,
+    stores: Sequence[StoreStandIn],
     folder: Path,
     seeds: int | None,
     **bounds: float,
 ) -> list[RouterProcess]:
-    ips = [f'127.0.1.{number + 1}' for number in range(count)]
-    ports = find_free_ports(5, ips)
+    ips = [f'127.0.1.{number + 1}' for number in range(len(stores))]
+    ports = _find_ports(ips)
     nodes = []
     for number, ip in enumerate(ips):
         boot = build_boot_settings(
@@ -302,12 +310,12 @@
             ip=ip,
             ports=ports,
             seeds=ips[:seeds],
-            store=store.address,
+            store=stores[number].address,
             **bounds,
         )
         path = folder / f'settings-{number}.yaml'
         path.write_text(json.dumps(boot), encoding='utf-8')
-        nodes.append(RouterProcess(ip, ports[0], ports[1], ports[4], path))
+        nodes.append(RouterProcess(ip, ports[0], ports[1], ports[-1], path))
     return nodes
 
 
