Hand calls off to another VM where no upstream can be reached

A VM that reaches none of the upstreams for a call now sends it to another VM, which serves it like its own. Upstreams that can't be reached are probed, so that no call is spent on finding out whether they are back.

--- a/src/bilberryspoke/_internal/cli/node.py
+++ b/src/bilberryspoke/_internal/cli/node.py
@@ -61,11 +61,14 @@
 
 
 def _bind_sockets(node: VmSettings) -> list[socket.socket]:
-    return [
+    sockets = [
         bind_address(*parse_address(node.entry_address)),
         bind_address(*parse_address(node.ready_address)),
         bind_address(node.ip, node.metrics_port),
     ]
+    if node.handoff_port is not None:
+        sockets.append(bind_address(node.ip, node.handoff_port))
+    return sockets
 
 
 def _run_daemon(
--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -47,7 +47,9 @@
     to the current send; ``crashes`` counts the upstreams that crashed under the
     call before they outlived that. ``sent_version`` is the software version of
     the upstream of the current send, None if not certain, and ``origin`` that
-    of the begin of its stream, None before.
+    of the begin of its stream, None before. ``helper`` is the VM that it was
+    handed off to, empty while it is sent from here; ``tried_helpers`` are those
+    that did not serve it.
     """
 
     call: RoutedCall
@@ -73,6 +75,8 @@
     crashes: int = 0
     sent_version: str | None = None
     origin: StreamOrigin | None = None
+    helper: str = ''
+    tried_helpers: list[str] = field(default_factory=list)
 
     def may_use(self, listed: ListedUpstream) -> bool:
         """Return whether an upstream can serve the call, by its software.
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -14,6 +14,11 @@
 from bilberryspoke._internal.core.routing.crashledger import Block
 from bilberryspoke._internal.core.routing.fingerprints import describe_content
 from bilberryspoke._internal.core.routing.groups import get_group_name
+from bilberryspoke._internal.core.routing.handoff import (
+    choose_helper,
+    hand_off,
+    reaches_none,
+)
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.core.routing.selection import (
@@ -29,6 +34,7 @@
 )
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing import NO_ROOM
 from bilberryspoke._internal.models.routing_effects import LogDecision, Send
 from bilberryspoke._internal.models.routing_events import SendEnded
 
@@ -56,7 +62,16 @@
     if blocked is not None:
         _refuse_blocked(state, call_state, *blocked, now)
         return
-    if not list_usable_upstreams(state.routing, call_state, now):
+    usable = list_usable_upstreams(state.routing, call_state, now)
+    if reaches_none(usable, now):
+        helper = choose_helper(state, call_state, now)
+        if helper is not None:
+            _count_first_attempt(state, call_state, now)
+            hand_off(state, call_state, helper, now)
+            return
+        if call_state.call.handed_off:
+            usable = []
+    if not usable:
         _end_without_upstream(state, call_state, before, now)
         return
     placement = None
@@ -106,10 +121,12 @@
     call = call_state.call
     chosen = placement.upstream
     listed = chosen.listed
+    _count_first_attempt(state, call_state, now)
     call_state.stage = CallStage.sent
     call_state.waited_s += now - call_state.queued_at
     call_state.attempt += 1
     call_state.instance = listed.instance
+    call_state.helper = ''
     call_state.sent_at = now
     call_state.last_progress_at = None
     call_state.created_ms = listed.created_ms
@@ -126,8 +143,6 @@
     )
     if call_state.last_event_id is not None:
         state.emit(Count('streams_resumed', call.service))
-    if call_state.attempt == 1:
-        ensure_budget(state, call.service, now).record_first_send(now)
     table = state.routing.table
     service = table.services.get(call.service)
     is_engine = service is not None and service.engine is not None
@@ -171,6 +186,15 @@
     )
 
 
+def _count_first_attempt(
+    state: VmState, call_state: CallState, now: float
+) -> None:
+    """Count a call for the retry budget, once at the VM where it arrived."""
+    call = call_state.call
+    if not call_state.attempt and not call.handed_off:
+        ensure_budget(state, call.service, now).record_first_send(now)
+
+
 def _end_without_upstream(
     state: VmState,
     call_state: CallState,
@@ -205,7 +229,7 @@
     for call_state in sort_waiting(state.routing, now):
         if must_refuse(state.routing, call_state, now):
             refusal = Refusal(
-                'no_room',
+                NO_ROOM,
                 retry_after_s=_get_shortest_pause_s(state, call_state, now),
             )
             refuse_call(state, call_state, refusal, now)
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -0,0 +1,127 @@
+"""Calls that this VM hands off to another VM, as it reaches no upstream.
+
+The other VM, the helper, serves such a call like one of its own callers', but
+does not hand it off again. Times are in seconds of the boot-time clock.
+"""
+
+from bilberryspoke._internal.core.routing.backlog import PEER_TIMEOUT_S
+from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
+from bilberryspoke._internal.core.routing.peerstate import PeerView
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing_effects import HandOff, LogDecision
+from bilberryspoke._internal.utils.hashing import hash_parts
+
+_MAX_HELPERS_PER_CALL = 3
+# A helper that could not serve a call gets no other of that service for this
+# time.
+_HELPER_PAUSE_S = 1.0
+
+
+def reaches_none(upstreams: list[UpstreamState], now: float) -> bool:
+    """Return whether this VM reaches none of the upstreams."""
+    return all(each.health.is_unresponsive(now) for each in upstreams)
+
+
+def choose_helper(
+    state: VmState, call_state: CallState, now: float
+) -> PeerView | None:
+    """Return the VM that a call is handed off to, None if there is none.
+
+    One in this data centre is preferred, unless another there could not help
+    lately: the links of a whole data centre may be cut.
+    """
+    call = call_state.call
+    if call.handed_off or state.settings.handoff_port is None:
+        return None
+    if len(call_state.tried_helpers) >= _MAX_HELPERS_PER_CALL:
+        return None
+    paused = _list_paused(state, call.service, now)
+    able = [
+        peer
+        for peer in state.routing.peers.values()
+        if peer.name not in call_state.tried_helpers
+        and peer.name not in paused
+        and _is_alive(state, peer, now)
+    ]
+    own = state.settings.data_centre
+    peers = state.routing.peers
+    failed = [peers[name].data_centre for name in paused if name in peers]
+    prefers_own = own not in failed
+
+    def rank(peer: PeerView) -> tuple[bool, int]:
+        drawn = hash_parts(call.call_id, peer.name)
+        return ((peer.data_centre == own) != prefers_own, drawn)
+
+    return min(able, key=rank, default=None)
+
+
+def hand_off(
+    state: VmState, call_state: CallState, helper: PeerView, now: float
+) -> None:
+    """Hand a call off to another VM."""
+    call = call_state.call
+    call_state.stage = CallStage.sent
+    call_state.waited_s += now - call_state.queued_at
+    call_state.attempt += 1
+    call_state.instance = ''
+    call_state.helper = helper.name
+    call_state.sent_at = now
+    call_state.last_progress_at = None
+    call_state.began_at = None
+    call_state.proven = False
+    call_state.prefill_tokens = 0
+    call_state.expected_first_event_s = 0
+    state.emit(Count('handoffs', call.service))
+    fields = {
+        'req_id': call.req_id,
+        'route': call.route.name,
+        'helper': helper.name,
+        'attempt': call_state.attempt,
+        'last_event_id': call_state.last_event_id,
+        'age_s': round(now - call.arrived_at, 3),
+    }
+    state.emit(LogDecision('call_handed_off', fields, important=False))
+    host = helper.address.rpartition(':')[0]
+    state.emit(
+        HandOff(
+            call_id=call.call_id,
+            attempt=call_state.attempt,
+            helper=helper.name,
+            address=f'{host}:{state.settings.handoff_port}',
+            deadline_at=call.deadline_at,
+            max_attempts=call.route.max_attempts - call_state.sends,
+            last_event_id=call_state.last_event_id,
+        ),
+    )
+
+
+def record_helper_refusal(
+    state: VmState, call_state: CallState, now: float
+) -> None:
+    """Record that a helper did not serve a call, which did not run there."""
+    helper = call_state.helper
+    call_state.tried_helpers.append(helper)
+    service = call_state.call.service
+    state.routing.helpers_paused_until[helper, service] = now + _HELPER_PAUSE_S
+    state.emit(Count('handoffs_refused', service))
+
+
+def _list_paused(state: VmState, service: str, now: float) -> set[str]:
+    """Return the VMs that could not serve a call of a service lately."""
+    paused_until = state.routing.helpers_paused_until
+    for key, until in list(paused_until.items()):
+        if now >= until:
+            paused_until.pop(key)
+    return {name for name, paused in paused_until if paused == service}
+
+
+def _is_alive(state: VmState, peer: PeerView, now: float) -> bool:
+    """Return whether a peer is thought to be alive.
+
+    In a fleet with relays most peers are not heard from directly.
+    """
+    if state.routing.relays:
+        return not peer.suspected
+    return now - peer.last_heard_at < PEER_TIMEOUT_S
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -22,6 +22,7 @@
     describe_content,
     list_fingerprints,
 )
+from bilberryspoke._internal.core.routing.handoff import record_helper_refusal
 from bilberryspoke._internal.core.routing.origins import record_stream_begin
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.resumption import resume_stream
@@ -101,7 +102,7 @@
     call_state.last_progress_at = now
     record_progress_proof(state, call_state, now)
     call_state.first_event_at = call_state.first_event_at or now
-    if is_first:
+    if is_first and not call_state.helper:
         record_stream_begin(state, call_state, now)
     if event.last_event_id is not None:
         call_state.last_event_id = event.last_event_id
@@ -136,6 +137,10 @@
     event: SendEnded,
     now: float,
 ) -> None:
+    if call_state.helper:
+        if event.status in NOT_RECEIVED_SEND_STATUSES:
+            record_helper_refusal(state, call_state, now)
+        return
     upstream = state.routing.upstreams.get(call_state.instance)
     if event.status in NOT_RECEIVED_SEND_STATUSES:
         _log_undelivered_send(state, call_state, event, now)
@@ -154,8 +159,10 @@
         return
     if event.upstream_crashed and not upstream.health.is_unresponsive(now):
         upstream.health.record_unreachable(now)
-    if event.status in NOT_RECEIVED_SEND_STATUSES:
+    if event.status is SendStatus.unsent:
         upstream.health.record_unreachable(now)
+    elif event.status is SendStatus.misdirected:
+        upstream.health.record_misdirected(now)
     elif event.status is not SendStatus.cancelled:
         succeeded = event.status is SendStatus.finished
         upstream.health.record_outcome(now, succeeded=succeeded)
@@ -216,6 +223,9 @@
         or now >= call_state.call.deadline_at
     ):
         return False
+    if call_state.helper and event.status is not SendStatus.unsent:
+        # The helper has made the sends that the call may have.
+        return False
     if not may_retry(call_state, event, sends=call_state.sends):
         return False
     service = call_state.call.service
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -10,10 +10,17 @@
     dispatch_waiting,
     ensure_budget,
 )
+from bilberryspoke._internal.core.routing.handoff import (
+    choose_helper,
+    reaches_none,
+)
 from bilberryspoke._internal.core.routing.lifecycle import finish_or_retry_call
 from bilberryspoke._internal.core.routing.origins import review_keepers
 from bilberryspoke._internal.core.routing.ratelimits import review_limits
-from bilberryspoke._internal.core.routing.reach import review_reach
+from bilberryspoke._internal.core.routing.reach import (
+    review_reach,
+    send_probes,
+)
 from bilberryspoke._internal.core.routing.resumption import review_lookups
 from bilberryspoke._internal.core.routing.retries import may_retry
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
@@ -43,6 +50,7 @@
     review_crashes(state, now)
     record_review(state.routing, now)
     review_reach(state, now)
+    send_probes(state, now)
     review_keepers(state, now)
     review_lookups(state, now)
     _retry_stalled_calls(state, now)
@@ -99,7 +107,12 @@
         return
     if not ensure_budget(state, call.service, now).allows(now):
         return
-    usable = list_usable_upstreams(state.routing, call_state, now)
-    if any(each.listed.instance != call_state.instance for each in usable):
+    usable = [
+        each
+        for each in list_usable_upstreams(state.routing, call_state, now)
+        if each.listed.instance != call_state.instance
+    ]
+    reached = usable and not reaches_none(usable, now)
+    if reached or choose_helper(state, call_state, now) is not None:
         state.emit(CancelSend(call.call_id, call_state.attempt))
         finish_or_retry_call(state, ending, now)
--- a/src/bilberryspoke/_internal/core/routing/passivehealth.py
+++ b/src/bilberryspoke/_internal/core/routing/passivehealth.py
@@ -21,37 +21,46 @@
 class PassiveHealth:
     """Passive health of one upstream, by which it is ejected for a while.
 
-    After each send that could not reach it, it is ejected for a backoff that
-    doubles up to a maximum, and for a fixed time while it gives no response. An
-    upstream that fails a large fraction of its recent calls is ejected while
-    others are usable, and tried again afterwards.
-
-    ``consecutive_unreachable`` counts the sends in a row that could not reach
-    it. ``ejected_until`` and ``unresponsive_until`` are in seconds of the
-    boot-time clock; -1e9 means never. ``outcomes`` holds the time of each
-    recent answer and whether it succeeded.
+    After each send that could not reach it, and while it gives no response, it
+    is ejected until a probe connects to it. The time to the next probe doubles
+    up to a maximum. An upstream that fails a large fraction of its recent calls
+    is ejected while others are usable, and tried again afterwards.
+
+    ``consecutive_unreachable`` counts the sends and probes in a row that could
+    not reach it. ``probe_at`` is when the next probe is due, None while one is
+    under way or if none is needed, and ``unreachable`` whether none has
+    connected since. ``ejected_until`` and ``unresponsive_until`` are in seconds
+    of the boot-time clock; -1e9 means never. ``outcomes`` holds the time of
+    each recent answer and whether it succeeded.
     """
 
     consecutive_unreachable: int = 0
     ejected_until: float = -1e9
     unresponsive_until: float = -1e9
+    unreachable: bool = False
+    probe_at: float | None = None
     outcomes: deque[tuple[float, bool]] = field(
         default_factory=lambda: deque(maxlen=_MAX_RECORDED_OUTCOMES),
     )
 
     def is_ejected(self, now: float) -> bool:
         """Return whether new calls should go to other upstreams."""
-        return now < self.ejected_until
+        return self.unreachable or now < self.ejected_until
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether it gave no response at all when it was last tried.
 
         This holds until a call succeeds there or the probation is over.
         """
-        return now < self.unresponsive_until
+        return self.unreachable or now < self.unresponsive_until
 
     def record_unreachable(self, now: float) -> None:
-        """Record a send that did not reach the upstream."""
+        """Record a send or a probe that did not reach the upstream."""
+        self.record_misdirected(now)
+        self._expect_probe(self.ejected_until)
+
+    def record_misdirected(self, now: float) -> None:
+        """Record a send that another upstream got, at the same address."""
         backoff_s = _MIN_BACKOFF_S * 2**self.consecutive_unreachable
         self.consecutive_unreachable += 1
         self.ejected_until = now + min(_MAX_BACKOFF_S, backoff_s)
@@ -61,6 +70,15 @@
         """Record that the upstream gives no response to any call."""
         self.ejected_until = max(self.ejected_until, now + _SILENCE_EJECTION_S)
         self.unresponsive_until = self.ejected_until + _PROBATION_S
+        if not self.unreachable:
+            self._expect_probe(self.ejected_until)
+
+    def record_connected(self, now: float) -> None:
+        """Record that a probe connected to the upstream."""
+        self.consecutive_unreachable = 0
+        self.unreachable = False
+        self.probe_at = None
+        self.unresponsive_until = now
 
     def record_outcome(self, now: float, *, succeeded: bool) -> None:
         """Record a call that reached the upstream, and whether it succeeded.
@@ -70,6 +88,8 @@
         self.consecutive_unreachable = 0
         if succeeded:
             self.unresponsive_until = now
+            self.unreachable = False
+            self.probe_at = None
         self.outcomes.append((now, succeeded))
         if succeeded:
             return
@@ -83,3 +103,7 @@
             self.ejected_until = max(
                 self.ejected_until, now + _OUTCOME_WINDOW_S / 2
             )
+
+    def _expect_probe(self, due_at: float) -> None:
+        self.unreachable = True
+        self.probe_at = due_at
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -56,7 +56,8 @@
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
     calls that crash upstreams, ``origins`` of the software versions of streams.
     ``unreached_services`` are the services with upstreams of which this VM
-    reaches none.
+    reaches none. ``helpers_paused_until`` is when other VMs may get calls of a
+    service from this one again, which they did not serve, by VM and service.
     """
 
     table: RouteTable | None = None
@@ -95,6 +96,9 @@
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
     origins: OriginLedger = field(default_factory=OriginLedger)
     unreached_services: set[str] = field(default_factory=set)
+    helpers_paused_until: dict[tuple[str, str], float] = field(
+        default_factory=dict
+    )
 
     @property
     def ready(self) -> bool:
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -43,7 +43,8 @@
     owners of pools. In a large fleet all of these intervals and timeouts but
     ``lease_s`` are multiplied by ``Membership.interval_factor``. ``ownership``
     has the time bounds of key ownership, ``bounds`` the bounds that the
-    deployment promises its users.
+    deployment promises its users. ``handoff_port`` is where each VM takes calls
+    that others hand off, None if they can't.
     """
 
     vm: str
@@ -66,6 +67,7 @@
     ownership: OwnershipSettings = OwnershipSettings()
     bounds: DeploymentBounds = DeploymentBounds()
     shares_slots: bool = True
+    handoff_port: int | None = None
 
 
 @dataclass(slots=True)
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -13,6 +13,10 @@
 _ROUTE_PRIORITY_LEVELS = 100
 
 
+# Reason of the refusal of a call that waited too long for capacity.
+NO_ROOM = 'no_room'
+
+
 class StorePosition(NamedTuple):
     """Position in the sequence of changes of the store.
 
@@ -222,6 +226,7 @@
     ``resumed_req_id``: ``req_id`` of the call that brought the first event of
     the stream to be resumed; empty if the caller does not say.
     ``content_hash``: hash of method, path, query and body; 0 if not known.
+    ``handed_off``: whether another VM handed it off to this one.
     """
 
     call_id: str
@@ -237,6 +242,7 @@
     last_event_id: int | None = None
     resumed_req_id: str = ''
     content_hash: int = 0
+    handed_off: bool = False
 
     @property
     def rank(self) -> int:
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -35,6 +35,40 @@
     created_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class HandOff:
+    """Hand a call off to another VM, which serves it and answers this VM.
+
+    ``helper``: the other VM.
+    ``address``: ``host:port`` where it takes such calls.
+    ``deadline_at``: when the answer must be complete, in seconds of the
+    boot-time clock.
+    ``max_attempts``: maximum number of its sends that reach an upstream.
+    ``last_event_id``: as in ``Send``.
+    """
+
+    call_id: str
+    attempt: int
+    helper: str
+    address: str
+    deadline_at: float
+    max_attempts: int
+    last_event_id: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeUpstream:
+    """Check whether an upstream accepts connections from this VM.
+
+    An ``UpstreamProbed`` event follows. ``created_ms`` names the incarnation,
+    as in ``ListedUpstream``, ``address`` is ``host:port``.
+    """
+
+    instance: str
+    created_ms: int
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class CancelSend:
     """Cancel a send by closing its connection, which the upstream notices."""
@@ -119,6 +153,8 @@
 
 RoutingEffect = (
     Send
+    | HandOff
+    | ProbeUpstream
     | CancelSend
     | RelayFailure
     | RefuseCall
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -154,6 +154,18 @@
     delay_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamProbed:
+    """A probe ended with or without a connection to an upstream.
+
+    ``created_ms``: names its incarnation, as in ``ListedUpstream``.
+    """
+
+    instance: str
+    created_ms: int
+    accepts: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SendEnded:
     """A send to an upstream ended.
@@ -188,5 +200,6 @@
     | RateLimitStated
     | LeavingStated
     | PauseRequested
+    | UpstreamProbed
     | SendEnded
 )
--- a/src/bilberryspoke/_internal/models/vmsettings.py
+++ b/src/bilberryspoke/_internal/models/vmsettings.py
@@ -31,6 +31,8 @@
     the platform's readiness checks.
     ``peer_port``, ``metrics_port``: ports on ``ip`` for other VMs and for
     metrics.
+    ``handoff_port``: port on ``ip`` for calls that other VMs hand off; ``None``
+    if there is no port for it.
     ``seed_hosts``: hosts of some other VMs, which may no longer exist.
     ``store_address``: the platform's store of routes and upstreams.
     """
@@ -45,3 +47,4 @@
     seed_hosts: tuple[str, ...]
     store_address: str
     bounds: DeploymentBounds
+    handoff_port: int | None = None
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -61,7 +61,7 @@
     runtime: Runtime
     sender: CallSender
     store: StoreClient
-    ingress: Ingress
+    ingresses: tuple[Ingress, ...]
     servers: tuple[EmbeddedServer, ...]
 
 
@@ -78,8 +78,8 @@
         """Create a daemon.
 
         ``read_settings`` reads and checks the settings file on SIGHUP.
-        ``sockets`` listen for callers, for probes and for metrics, in this
-        order.
+        ``sockets`` listen for callers, for probes, for metrics and, if other
+        VMs can hand off calls, for these, in this order.
         """
         self._settings = settings
         self._sockets = tuple(sockets)
@@ -122,6 +122,7 @@
                 peer_address=peer_address,
                 bounds=settings.bounds,
                 shares_slots=False,
+                handoff_port=settings.handoff_port,
             ),
         )
         runtime = Runtime(core, peers=peers)
@@ -131,20 +132,16 @@
         )
         runtime.submit(SeedsConfigured(seeds))
         sender = CallSender(runtime.submit)
+        runtime.on_probe = sender.start_probe
         ingress = Ingress(runtime, sender)
+        helper_ingress = Ingress(runtime, sender, takes_handoffs=True)
         return _Components(
             runtime=runtime,
             sender=sender,
             store=StoreClient(settings.store_address, settings.ip),
-            ingress=ingress,
+            ingresses=(ingress, helper_ingress),
             servers=(
-                make_routing_server(
-                    ingress,
-                    keep_alive_s=_KEEP_ALIVE_TIMEOUT_S,
-                    protocol=functools.partial(
-                        IngressProtocol, ingress.get_limits
-                    ),
-                ),
+                _make_call_server(ingress),
                 make_routing_server(
                     make_probe_app(runtime), keep_alive_s=_KEEP_ALIVE_TIMEOUT_S
                 ),
@@ -152,6 +149,7 @@
                     make_metrics_app(runtime),
                     keep_alive_s=_KEEP_ALIVE_TIMEOUT_S,
                 ),
+                _make_call_server(helper_ingress),
             ),
         )
 
@@ -159,7 +157,7 @@
         server_tasks = [
             asyncio.create_task(server.serve(sockets=[sock]))
             for server, sock in zip(
-                components.servers, self._sockets, strict=True
+                components.servers, self._sockets, strict=False
             )
         ]
         watcher = DiscoveryWatcher(components.runtime, components.store)
@@ -200,7 +198,8 @@
         limit_s = self._settings.bounds.stop_timeout_s * _DRAIN_TIMEOUT_FRACTION
         deadline_at = time.monotonic() + limit_s
         logger.info('stopping', calls_open=len(components.runtime.calls))
-        components.ingress.stopping = True
+        for ingress in components.ingresses:
+            ingress.stopping = True
         components.runtime.submit(StopRequested())
         await asyncio.sleep(min(_DEREGISTRATION_DELAY_S, limit_s))
         for server in components.servers:
@@ -216,3 +215,11 @@
         while True:
             runtime.submit(Tick())
             await asyncio.sleep(_TICK_INTERVAL_S)
+
+
+def _make_call_server(ingress: Ingress) -> EmbeddedServer:
+    return make_routing_server(
+        ingress,
+        keep_alive_s=_KEEP_ALIVE_TIMEOUT_S,
+        protocol=functools.partial(IngressProtocol, ingress.get_limits),
+    )
--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -4,7 +4,9 @@
     CancelSend,
     ConnectPeer,
     DecodeRoutes,
+    HandOff,
     LogDecision,
+    ProbeUpstream,
     RecordDurations,
     RefuseCall,
     RelayFailure,
@@ -16,10 +18,11 @@
 
 
 @handles_effect(Send)
+@handles_effect(HandOff)
 @handles_effect(RelayFailure)
 @handles_effect(RefuseCall)
 def queue_command(
-    runtime: Runtime, effect: Send | RelayFailure | RefuseCall
+    runtime: Runtime, effect: Send | HandOff | RelayFailure | RefuseCall
 ) -> None:
     """Queue a command for the task that serves the call.
 
@@ -30,6 +33,13 @@
         exchange.commands.put_nowait(effect)
 
 
+@handles_effect(ProbeUpstream)
+def probe_upstream(runtime: Runtime, effect: ProbeUpstream) -> None:
+    """Start a probe; an ``UpstreamProbed`` event follows."""
+    if runtime.on_probe is not None:
+        runtime.on_probe(effect)
+
+
 @handles_effect(CancelSend)
 def cancel_send(runtime: Runtime, effect: CancelSend) -> None:
     """Cancel the running send of a call; its connection is closed."""
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -6,6 +6,7 @@
 
 from bilberryspoke._internal.models.routing import RoutedCall
 from bilberryspoke._internal.models.routing_effects import (
+    HandOff,
     RefuseCall,
     RelayFailure,
     Send,
@@ -14,7 +15,7 @@
 
 _CONNECTION_CLOSE = (b'connection', b'close')
 
-Command = Send | RelayFailure | RefuseCall
+Command = Send | HandOff | RelayFailure | RefuseCall
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,14 +32,14 @@
     """Request of a routed call and the state of its response.
 
     ``request_target`` is the path with its query as the caller sent it,
-    ``forwarded`` the headers that go on to upstreams, ``send`` the ASGI send
-    callable. ``close_connection`` asks the caller to open a new connection for
-    its next call. ``commands`` holds decisions of the core; None ends the
-    exchange. ``task`` is the running send to an upstream. ``held`` is the last
-    failure response of an upstream, kept in case the core relays it.
-    ``last_event_id`` is the id of the last event that the caller has.
-    ``started`` is true once the status line was sent, ``complete`` once the
-    whole response was.
+    ``forwarded`` the headers that go on to upstreams, ``key`` the caller's API
+    key, ``send`` the ASGI send callable. ``close_connection`` asks the caller
+    to open a new connection for its next call. ``commands`` holds decisions of
+    the core; None ends the exchange. ``task`` is the running send to an
+    upstream. ``held`` is the last failure response of an upstream, kept in case
+    the core relays it. ``last_event_id`` is the id of the last event that the
+    caller has. ``started`` is true once the status line was sent, ``complete``
+    once the whole response was.
     """
 
     call: RoutedCall
@@ -47,6 +48,7 @@
     body: bytes
     forwarded: RawHeaders
     send: Any
+    key: str | None = None
     close_connection: bool = False
     commands: asyncio.Queue[Command] = field(default_factory=asyncio.Queue)
     task: asyncio.Task[Any] | None = None
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -1,6 +1,7 @@
 """Ingress: the ASGI application for callers of routed calls."""
 
 import asyncio
+import dataclasses
 import itertools
 from typing import Any
 
@@ -18,6 +19,7 @@
     RoutedCall,
 )
 from bilberryspoke._internal.models.routing_effects import (
+    HandOff,
     RefuseCall,
     RelayFailure,
     Send,
@@ -34,10 +36,16 @@
     add_close_header,
     send_response_start,
 )
+from bilberryspoke._internal.network.routing.handoff import (
+    drop_handoff_headers,
+    make_reason_header,
+    parse_max_attempts,
+)
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.platform.headers import (
     CallHeaders,
+    RawHeaders,
     parse_call_headers,
 )
 from bilberryspoke._internal.utils.hashing import hash_bytes
@@ -59,8 +67,21 @@
     While ``stopping`` is true, responses ask callers to open a new connection.
     """
 
-    def __init__(self, runtime: Runtime, sender: CallSender) -> None:
-        """Create the ingress of a VM."""
+    def __init__(
+        self,
+        runtime: Runtime,
+        sender: CallSender,
+        *,
+        takes_handoffs: bool = False,
+    ) -> None:
+        """Create an ingress of a VM.
+
+        If ``takes_handoffs`` is true, its callers are other VMs that hand off
+        calls of theirs. They are told which calls did not run.
+        """
+        self._takes_handoffs = takes_handoffs
+        # The ids of a VM's calls differ, whichever ingress they come by.
+        self._prefix = 'handoff-' if takes_handoffs else ''
         self.stopping = False
         self._runtime = runtime
         self._sender = sender
@@ -129,12 +150,15 @@
         call = self._make_call(
             headers, match_result.ok, arrived_at, content_hash
         )
+        if self._takes_handoffs:
+            call = _accept_handoff(call, scope['headers'])
         exchange = Exchange(
             call=call,
             method=scope['method'],
             request_target=request_target,
             body=body,
-            forwarded=headers.forwarded,
+            forwarded=drop_handoff_headers(headers.forwarded),
+            key=headers.key,
             send=send,
             close_connection=self.stopping,
             last_event_id=call.last_event_id,
@@ -165,7 +189,7 @@
         if wait_s is None:
             wait_s = route.timeout_s
         return RoutedCall(
-            call_id=f'{self._runtime.core.state.vm}/{number}',
+            call_id=f'{self._runtime.core.state.vm}/{self._prefix}{number}',
             req_id=headers.req_id,
             route=route,
             service=choose_service(route, _get_stream_id(headers)),
@@ -197,7 +221,7 @@
             command = await exchange.commands.get()
             if command is None:
                 return
-            if isinstance(command, Send):
+            if isinstance(command, Send | HandOff):
                 if await self._run_send(exchange, command):
                     return
                 continue
@@ -209,7 +233,9 @@
             # the connection, by which the caller notices.
             return
 
-    async def _run_send(self, exchange: Exchange, effect: Send) -> bool:
+    async def _run_send(
+        self, exchange: Exchange, effect: Send | HandOff
+    ) -> bool:
         """Run one send; return whether the caller has a complete response."""
         task = asyncio.create_task(self._sender.run(exchange, effect))
         exchange.task = task
@@ -233,7 +259,12 @@
         elif refusal.timed_out:
             status = 504
         await exchange.send_response(
-            _make_refusal(status, refusal.reason, refusal.retry_after_s),
+            self._make_refusal(
+                status,
+                refusal.reason,
+                refusal.retry_after_s,
+                not_run=refusal.not_run,
+            ),
         )
 
     async def _refuse_at_ingress(
@@ -244,13 +275,32 @@
         retry_after_s: float | None = None,
     ) -> None:
         self._runtime.counters.add('refused', reason)
-        response = _make_refusal(status, reason, retry_after_s)
+        response = self._make_refusal(status, reason, retry_after_s)
         headers = add_close_header(
             response.headers, close_connection=self.stopping
         )
         await send_response_start(send, status, headers)
         await send({'type': 'http.response.body', 'body': response.body})
 
+    def _make_refusal(
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+        *,
+        not_run: bool = True,
+    ) -> BufferedResponse:
+        body = reason.encode()
+        headers = [
+            (b'content-type', b'text/plain'),
+            (b'content-length', b'%d' % len(body)),
+        ]
+        if retry_after_s is not None:
+            headers.append((b'retry-after', f'{retry_after_s:.3f}'.encode()))
+        if self._takes_handoffs and not_run:
+            headers.append(make_reason_header(reason))
+        return BufferedResponse(status, headers, body)
+
     async def _watch_caller(self, call_id: str, receive: Any) -> None:
         while True:
             message = await receive()
@@ -286,16 +336,8 @@
     return headers.resumed_req_id or headers.req_id
 
 
-def _make_refusal(
-    status: int,
-    reason: str,
-    retry_after_s: float | None,
-) -> BufferedResponse:
-    body = reason.encode()
-    headers = [
-        (b'content-type', b'text/plain'),
-        (b'content-length', b'%d' % len(body)),
-    ]
-    if retry_after_s is not None:
-        headers.append((b'retry-after', f'{retry_after_s:.3f}'.encode()))
-    return BufferedResponse(status, headers, body)
+def _accept_handoff(call: RoutedCall, raw: RawHeaders) -> RoutedCall:
+    """Return a call that another VM handed off, with the limit that it set."""
+    max_attempts = parse_max_attempts(raw, call.route.max_attempts)
+    route = dataclasses.replace(call.route, max_attempts=max_attempts)
+    return dataclasses.replace(call, route=route, handed_off=True)
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -8,8 +8,14 @@
 import structlog
 from yarl import URL
 
-from bilberryspoke._internal.models.routing import RetrySafety, SendStatus
+from bilberryspoke._internal.models.routing import (
+    NO_ROOM,
+    RetrySafety,
+    SendStatus,
+)
 from bilberryspoke._internal.models.routing_effects import (
+    HandOff,
+    ProbeUpstream,
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
@@ -18,9 +24,10 @@
     RateLimitStated,
     SendEnded,
     SendProgressed,
+    UpstreamProbed,
 )
 from bilberryspoke._internal.network.clock import read_boottime
-from bilberryspoke._internal.network.listencheck import ListenCheck
+from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
     call_connection,
@@ -30,9 +37,16 @@
     BufferedResponse,
     Exchange,
 )
+from bilberryspoke._internal.network.routing.handoff import (
+    find_not_run_reason,
+    make_attempts_header,
+)
 from bilberryspoke._internal.platform.headers import (
+    HandoffHeaders,
+    RawHeaders,
     ResponseHeaders,
     SendHeaders,
+    make_handoff_headers,
     make_send_headers,
     parse_response_headers,
 )
@@ -73,19 +87,26 @@
     def __init__(
         self,
         submit: Callable[
-            [SendProgressed | RateLimitStated | LeavingStated | PauseRequested],
+            [
+                SendProgressed
+                | RateLimitStated
+                | LeavingStated
+                | PauseRequested
+                | UpstreamProbed
+            ],
             None,
         ],
     ) -> None:
         """Create the client sessions; must run inside the event loop.
 
         ``submit`` is called with ``SendProgressed`` when a response is
-        complete and whenever events of a stream were relayed, and with
-        what the upstream says of itself in a response.
+        complete and whenever events of a stream were relayed, with what the
+        upstream says of itself in a response, and with the ends of probes.
         """
         self.connector = KeepAliveConnector()
         self._submit = submit
         self._check = ListenCheck()
+        self._probes: set[asyncio.Task[None]] = set()
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -101,9 +122,22 @@
         await self._session.close()
         await self._single_use_session.close()
 
-    async def run(self, exchange: Exchange, effect: Send) -> SendEnded:
+    def start_probe(self, effect: ProbeUpstream) -> None:
+        """Open and close a connection to an upstream, in the background.
+
+        If it does not open, pooled connections to it are not used again.
+        """
+        task = asyncio.create_task(self._probe(effect))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def run(
+        self, exchange: Exchange, effect: Send | HandOff
+    ) -> SendEnded:
         """Send a call once and relay the response to its caller.
 
+        It is sent to an upstream, or to another VM that serves it.
+
         Failures of the upstream or its connection are not raised; the status
         of the returned event tells them apart.
         """
@@ -121,8 +155,10 @@
             result = _SendResult(
                 SendStatus.broken, detail, connection_lost=True
             )
-        crashed = result.connection_lost and await self._check.refuses(
-            effect.address
+        crashed = (
+            result.connection_lost
+            and isinstance(effect, Send)
+            and await self._check.check(effect.address) is Reach.refused
         )
         return SendEnded(
             call_id=effect.call_id,
@@ -134,8 +170,16 @@
             upstream_crashed=crashed,
         )
 
+    async def _probe(self, effect: ProbeUpstream) -> None:
+        accepts = await self._check.check(effect.address) is Reach.accepted
+        if not accepts:
+            self.connector.expire_connections(effect.address)
+        self._submit(
+            UpstreamProbed(effect.instance, effect.created_ms, accepts)
+        )
+
     async def _send_request(
-        self, exchange: Exchange, effect: Send
+        self, exchange: Exchange, effect: Send | HandOff
     ) -> _SendResult:
         async with self._choose_session(exchange).request(
             exchange.method,
@@ -163,7 +207,7 @@
     async def _handle_response(
         self,
         exchange: Exchange,
-        effect: Send,
+        effect: Send | HandOff,
         resp: aiohttp.ClientResponse,
     ) -> _SendResult:
         headers = parse_response_headers(resp.status, resp.raw_headers)
@@ -177,7 +221,18 @@
             return _SendResult(
                 SendStatus.broken, 'response has the id of another call'
             )
-        self._report_statements(effect, headers)
+        if isinstance(effect, HandOff):
+            reason = find_not_run_reason(resp.raw_headers)
+            if reason is not None:
+                await resp.read()
+                return _SendResult(
+                    SendStatus.refused
+                    if reason == NO_ROOM
+                    else SendStatus.unsent,
+                    f'helper: {reason}',
+                )
+        else:
+            self._report_statements(effect, headers)
         if headers.not_run:
             detail = f'status {resp.status}, not run'
             await resp.read()
@@ -236,7 +291,7 @@
     async def _relay_body(
         self,
         exchange: Exchange,
-        effect: Send,
+        effect: Send | HandOff,
         body: '_ResponseBody',
     ) -> _SendResult:
         status = body.resp.status
@@ -273,7 +328,7 @@
     async def _relay_events(
         self,
         exchange: Exchange,
-        effect: Send,
+        effect: Send | HandOff,
         body: '_ResponseBody',
     ) -> _SendResult:
         splitter = EventSplitter(exchange.last_event_id)
@@ -351,18 +406,41 @@
     )
 
 
-def _make_headers(exchange: Exchange, effect: Send) -> list[tuple[str, str]]:
-    call = exchange.call
+def _make_headers(
+    exchange: Exchange, effect: Send | HandOff
+) -> list[tuple[str, str]]:
+    raw = (
+        _make_upstream_headers(exchange, effect)
+        if isinstance(effect, Send)
+        else _make_helper_headers(exchange, effect)
+    )
+    return [
+        (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
+    ]
+
+
+def _make_upstream_headers(exchange: Exchange, effect: Send) -> RawHeaders:
     added = SendHeaders(
         instance=effect.instance,
         wait_s=effect.upstream_deadline_at - read_boottime(),
         priority=effect.priority,
-        workspace=call.workspace,
+        workspace=exchange.call.workspace,
+        last_event_id=effect.last_event_id,
+    )
+    return make_send_headers(exchange.forwarded, added)
+
+
+def _make_helper_headers(exchange: Exchange, effect: HandOff) -> RawHeaders:
+    call = exchange.call
+    added = HandoffHeaders(
+        wait_s=effect.deadline_at - read_boottime(),
+        key=exchange.key,
         last_event_id=effect.last_event_id,
+        resumed_req_id=call.resumed_req_id or call.req_id,
     )
     return [
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in make_send_headers(exchange.forwarded, added)
+        *make_handoff_headers(exchange.forwarded, added),
+        make_attempts_header(effect.max_attempts),
     ]
 
 
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -34,6 +34,7 @@
 )
 from bilberryspoke._internal.models.messages import ConfigPush, Envelope
 from bilberryspoke._internal.models.requests import RequestRecord
+from bilberryspoke._internal.models.routing_effects import ProbeUpstream
 from bilberryspoke._internal.network.answers import AnswerStore
 from bilberryspoke._internal.network.calls import Call, Command
 from bilberryspoke._internal.network.clock import read_boottime
@@ -62,8 +63,9 @@
     """A core and the objects that its effects need.
 
     ``calls`` has the open calls by request id: each a ``Call``, or an
-    ``Exchange`` in the daemon of ``network.routing``. ``on_order`` and
-    ``on_push`` handle orders to engines and configurations that peers send.
+    ``Exchange`` in the daemon of ``network.routing``. ``on_order``,
+    ``on_push`` and ``on_probe`` handle orders to engines, configurations that
+    peers send and probes of upstreams.
     ``started_at`` is in seconds of the boot-time clock.
     """
 
@@ -76,6 +78,7 @@
     peers: PeerTransport | None = None
     on_order: Callable[[OrderModelLoad], None] | None = None
     on_push: Callable[[ConfigPush], None] | None = None
+    on_probe: Callable[[ProbeUpstream], None] | None = None
     started_at: float = field(default_factory=read_boottime)
 
     decision_log: DecisionLog = field(init=False)
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -12,7 +12,7 @@
 from bilberryspoke._internal.network.answers import AnswerStore
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.clock import read_boottime
-from bilberryspoke._internal.network.listencheck import ListenCheck
+from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.relaying import (
     AttemptResult,
     relay_events,
@@ -122,7 +122,7 @@
         if result.status is not AttemptStatus.broken:
             return result
         address = URL(base_url).authority
-        crashed = await self._check.refuses(address)
+        crashed = await self._check.check(address) is Reach.refused
         return dataclasses.replace(result, upstream_crashed=crashed)
 
     async def forward(self, call: Call, base_url: str) -> AttemptResult:
--- a/src/bilberryspoke/_internal/platform/boot.py
+++ b/src/bilberryspoke/_internal/platform/boot.py
@@ -83,7 +83,8 @@
     zone: str = Field(min_length=1)
     listen: _Listen
     # First and last port of the range that VMs may use among themselves. The
-    # first is for peer messages, the last for metrics.
+    # first is for peer messages, the next for calls that VMs hand off, the last
+    # for metrics.
     internal_ports: tuple[int, int]
     seeds: tuple[Address, ...] = ()
     bounds: _Bounds = _Bounds()
@@ -124,14 +125,16 @@
 
 def _make_vm_settings(boot: _Boot) -> VmSettings:
     bounds = boot.bounds
+    first_port, last_port = boot.internal_ports
     return VmSettings(
         vm=boot.node,
         data_centre=boot.zone,
         ip=boot.ip,
         entry_address=boot.listen.front,
         ready_address=boot.listen.ready,
-        peer_port=boot.internal_ports[0],
-        metrics_port=boot.internal_ports[1],
+        peer_port=first_port,
+        metrics_port=last_port,
+        handoff_port=first_port + 1 if first_port + 1 < last_port else None,
         seed_hosts=tuple(seed.rsplit(':', 1)[0] for seed in boot.seeds),
         store_address=boot.platform.address,
         bounds=DeploymentBounds(
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -133,6 +133,21 @@
     last_event_id: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class HandoffHeaders:
+    """Headers that the router adds to a request to another VM.
+
+    ``wait_s`` is the time left, in seconds. ``key`` is the caller's API key,
+    None if there is none. A stream resumes after ``last_event_id``; the call
+    ``resumed_req_id`` brought its first event.
+    """
+
+    wait_s: float
+    key: str | None
+    last_event_id: int | None
+    resumed_req_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHeaders:
     """Decoded headers of an upstream's response.
@@ -223,6 +238,26 @@
     return headers
 
 
+def make_handoff_headers(
+    forwarded: RawHeaders, added: HandoffHeaders
+) -> RawHeaders:
+    """Return the headers of a request to another VM.
+
+    They are those that the caller would send to it.
+    """
+    names = {name for name, _ in forwarded}
+    wait_ms = max(1, int(added.wait_s * _MS_PER_S))
+    headers = [*forwarded, (_DEADLINE, b'%d' % wait_ms)]
+    if added.key is not None and _AUTHORIZATION not in names:
+        credentials = _BEARER + added.key.encode('latin-1')
+        headers.append((_AUTHORIZATION, credentials))
+    if added.last_event_id is not None:
+        headers.append((_LAST_EVENT_ID, b'%d' % added.last_event_id))
+        if _RESUMES not in names:
+            headers.append((_RESUMES, added.resumed_req_id.encode('latin-1')))
+    return headers
+
+
 def parse_response_headers(
     status: int,
     raw: Iterable[tuple[bytes, bytes]],
--- a/tests/functional/test_routed_cuts.py
+++ b/tests/functional/test_routed_cuts.py
@@ -26,7 +26,6 @@
         assert served[node] >= MIN_RELATIVE_SHARE * min(others)
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 22', strict=False)
 @pytest.mark.parametrize('cut', [(0,), (0, 1, 2)])
 @pytest.mark.parametrize('how', ['refuse', 'reset', 'hang'])
 @pytest.mark.parametrize('service', ['app', 'llm'])
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -108,6 +108,7 @@
                     retry_share=RETRY_SHARE, retry_reserve=RETRY_RESERVE
                 ),
                 shares_slots=False,
+                handoff_port=1,
             ),
         )
         self.handle(name, RoutesOffered(build_table()))
--- /dev/null
+++ b/tests/unit/test_routed_cuts.py
@@ -0,0 +1,72 @@
+"""VMs that reach no upstream hand their calls off to others."""
+
+import pytest
+
+from tests.lib.cutcores import CutCores
+
+CALLS_PER_VM = 30
+CALL_INTERVAL_S = 0.1
+STABILITY_WINDOW_S = 3.0
+
+
+def send_calls(fleet, names, prefix):
+    """Let calls arrive at VMs in turn; return the share that was served."""
+    served_before = len(fleet.served)
+    for number in range(CALLS_PER_VM):
+        for name in names:
+            fleet.arrive(name, f'{prefix}-{name}-{number}')
+        fleet.run_until(fleet.now + CALL_INTERVAL_S)
+    fleet.run_until(fleet.now + CALL_INTERVAL_S)
+    served = len(fleet.served) - served_before
+    return served / (CALLS_PER_VM * len(names))
+
+
+@pytest.mark.parametrize(
+    ('vms', 'warm_up_s'), [(8, 2.0), (60, 4.0), (370, 3.0)]
+)
+def test_calls_of_a_data_centre_cut_off_from_upstreams_are_served(
+    vms, warm_up_s
+):
+    """All VMs of a data centre lose their links, and refused their callers."""
+    fleet = CutCores(vms, warm_up_s=warm_up_s)
+    fleet.cut = {
+        name
+        for name, data_centre in fleet.data_centre_of.items()
+        if data_centre == 'dc-0'
+    }
+    names = sorted(fleet.cut)[:4]
+    send_calls(fleet, names, 'b')
+    assert send_calls(fleet, names, 'c') == 1
+
+
+@pytest.mark.parametrize('vms', [8, 60])
+def test_calls_are_served_while_half_of_the_vms_is_cut_off(vms):
+    """One helper in two can't help either."""
+    fleet = CutCores(vms, warm_up_s=4.0)
+    fleet.cut = {f'vm-{number}' for number in range(vms // 2)}
+    names = sorted(fleet.cut)[:4]
+    send_calls(fleet, names, 'b')
+    assert send_calls(fleet, names, 'c') >= 2 / 3
+
+
+def test_calls_are_sent_from_their_vm_again_once_the_cut_ends():
+    """The VM probes its upstreams, so that no call finds out."""
+    fleet = CutCores(8, warm_up_s=2.0)
+    fleet.cut = {'vm-0'}
+    send_calls(fleet, ['vm-0'], 'b')
+    assert fleet.handoffs
+    fleet.cut = set()
+    fleet.run_until(fleet.now + STABILITY_WINDOW_S)
+    handoffs_before = fleet.handoffs
+    assert send_calls(fleet, ['vm-0'], 'c') == 1
+    assert fleet.handoffs == handoffs_before
+
+
+def test_calls_are_refused_and_not_passed_around_while_all_vms_are_cut_off():
+    """A helper does not hand off what it gets."""
+    fleet = CutCores(8, warm_up_s=2.0)
+    fleet.cut = set(fleet.cores)
+    fleet.arrive('vm-0', 'call')
+    fleet.run_until(fleet.now + CALL_INTERVAL_S)
+    assert fleet.refused == ['call']
+    assert fleet.handoffs <= 3
