Send brittle upstreams only calls that they have a slot for

Upstreams that say that they fall over at many refusals (Server-Brittle) fell over again and again in a burst: 34 falls in 8 s of 4 upstreams that run 160 calls a second and get 220; 551 of 1,760 calls served. Each VM sent what came and let the upstream refuse.

While an upstream says so, the VMs divide its slots by hashing; further calls wait at their VM and are refused there. A free slot is used at once. An upstream that ends after it refused calls lately counts as fallen over, not as crashed by a call.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -182,6 +182,7 @@
             last_event_id=call_state.last_event_id,
             rate_limited=chosen.limit.per_s is not None,
             created_ms=listed.created_ms,
+            is_brittle=chosen.is_brittle,
         ),
     )
 
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -4,8 +4,8 @@
 does not hand it off again. Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.backlog import PEER_TIMEOUT_S
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
+from bilberryspoke._internal.core.routing.members import is_alive
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.core.state import VmState
@@ -43,7 +43,7 @@
         for peer in state.routing.peers.values()
         if peer.name not in call_state.tried_helpers
         and peer.name not in paused
-        and _is_alive(state, peer, now)
+        and is_alive(state, peer, now)
     ]
     own = state.settings.data_centre
     peers = state.routing.peers
@@ -115,13 +115,3 @@
         if now >= until:
             paused_until.pop(key)
     return {name for name, paused in paused_until if paused == service}
-
-
-def _is_alive(state: VmState, peer: PeerView, now: float) -> bool:
-    """Return whether a peer is thought to be alive.
-
-    In a fleet with relays most peers are not heard from directly.
-    """
-    if state.routing.relays:
-        return not peer.suspected
-    return now - peer.last_heard_at < PEER_TIMEOUT_S
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -2,6 +2,7 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.backlog import update_latency_ratio
+from bilberryspoke._internal.core.routing.brittleness import has_fallen_over
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
     FINISHED,
@@ -121,6 +122,7 @@
         call_state.last_event_id = event.last_event_id
     if event.status is SendStatus.finished:
         close_call(state, call_state, FINISHED, now)
+        _use_free_slot(state, call_state, now)
         return
     if event.status not in NOT_RUN_SEND_STATUSES:
         call_state.may_have_run = True
@@ -131,6 +133,13 @@
     fail_call(state, call_state, event, now)
 
 
+def _use_free_slot(state: VmState, call_state: CallState, now: float) -> None:
+    """Send a waiting call to a brittle upstream whose slot is free again."""
+    upstream = state.routing.upstreams.get(call_state.instance)
+    if upstream is not None and upstream.is_brittle and state.routing.waiting:
+        dispatch_waiting(state, now)
+
+
 def _record_send_end(
     state: VmState,
     call_state: CallState,
@@ -149,7 +158,7 @@
     call_state.tried_instances.append(call_state.instance)
     if event.status is SendStatus.broken:
         _log_broken_send(state, call_state, event, now)
-    if event.upstream_crashed:
+    if event.upstream_crashed and not has_fallen_over(upstream, now):
         record_crash(state, call_state, now)
     if upstream is None:
         return
@@ -159,6 +168,8 @@
         return
     if event.upstream_crashed and not upstream.health.is_unresponsive(now):
         upstream.health.record_unreachable(now)
+    if event.status is SendStatus.refused:
+        upstream.refused_at = now
     if event.status is SendStatus.unsent:
         upstream.health.record_unreachable(now)
     elif event.status is SendStatus.misdirected:
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -1,5 +1,8 @@
 """Periodic review of open calls: timeouts, stalls and waiting calls."""
 
+from bilberryspoke._internal.core.routing.brittleness import (
+    review_brittle_upstreams,
+)
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.completion import time_out_call
 from bilberryspoke._internal.core.routing.crashes import review_crashes
@@ -45,12 +48,9 @@
 
     Upstreams that were not listed again after a store outage are dropped.
     """
-    drop_missing_upstreams(state, now)
-    review_limits(state, now)
-    review_crashes(state, now)
     record_review(state.routing, now)
-    review_reach(state, now)
-    send_probes(state, now)
+    _review_upstreams(state, now)
+    review_crashes(state, now)
     review_keepers(state, now)
     review_lookups(state, now)
     _retry_stalled_calls(state, now)
@@ -60,6 +60,14 @@
     dispatch_waiting(state, now)
 
 
+def _review_upstreams(state: VmState, now: float) -> None:
+    drop_missing_upstreams(state, now)
+    review_limits(state, now)
+    review_brittle_upstreams(state, now)
+    review_reach(state, now)
+    send_probes(state, now)
+
+
 def _retry_stalled_calls(state: VmState, now: float) -> None:
     """Retry calls elsewhere that stalled or whose upstream is silent."""
     routing = state.routing
--- a/src/bilberryspoke/_internal/core/routing/members.py
+++ b/src/bilberryspoke/_internal/core/routing/members.py
@@ -7,6 +7,7 @@
 """
 
 from bilberryspoke._internal.core.reducer import on_event, on_message
+from bilberryspoke._internal.core.routing.backlog import PEER_TIMEOUT_S
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
@@ -85,6 +86,25 @@
         state.emit(ConnectPeer(peer.name, peer.address))
 
 
+def is_alive(state: VmState, peer: PeerView, now: float) -> bool:
+    """Return whether a peer is thought to be alive.
+
+    In a fleet with relays most peers are not heard from directly.
+    """
+    if state.routing.relays:
+        return not peer.suspected
+    return now - peer.last_heard_at < PEER_TIMEOUT_S
+
+
+def list_live_names(state: VmState, now: float) -> list[str]:
+    """Return the names of the VMs that are thought to be alive, and its own."""
+    peers = state.routing.peers.values()
+    return [
+        state.vm,
+        *(each.name for each in peers if is_alive(state, each, now)),
+    ]
+
+
 @on_message(Introduction)
 def handle_introduction(
     state: VmState,
--- a/src/bilberryspoke/_internal/core/routing/upstreamstate.py
+++ b/src/bilberryspoke/_internal/core/routing/upstreamstate.py
@@ -49,9 +49,12 @@
     first event. ``last_heard_at`` is when bytes of any answer last arrived,
     -1e9 if never. ``drop_at`` is set if its entry is missing after a store
     outage; it is dropped then unless it is listed again before. ``limit`` is
-    what it said of the calls that it takes. ``said_leaving`` is whether it
-    said itself that it leaves. It asked for no calls of this VM until
-    ``paused_until``, -1e9 if it never did.
+    what it said of the calls that it takes. ``said_leaving`` is whether it said
+    itself that it leaves. It asked for no calls of this VM until
+    ``paused_until``, -1e9 if it never did. ``is_brittle`` is whether it said
+    that it falls over if it has to refuse many calls, ``slot_share`` the number
+    of calls that this VM may then have there, and ``refused_at`` when it last
+    refused one of this VM.
     """
 
     listed: ListedUpstream
@@ -64,6 +67,9 @@
     limit: RateLimit = field(default_factory=RateLimit)
     said_leaving: bool = False
     paused_until: float = _NEVER
+    is_brittle: bool = False
+    slot_share: int = 0
+    refused_at: float = _NEVER
 
     @property
     def is_leaving(self) -> bool:
@@ -75,6 +81,8 @@
 
         Otherwise calls wait until it does, or go to others.
         """
+        if self.is_brittle and len(self.sends) >= self.slot_share:
+            return False
         return self.limit.allows_call and now >= self.paused_until
 
 
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -22,6 +22,7 @@
     ``None`` to start from the beginning.
     ``rate_limited``: whether the upstream was known to limit calls.
     ``created_ms``: names the incarnation, as in ``ListedUpstream``.
+    ``is_brittle``: whether the upstream was known to be brittle.
     """
 
     call_id: str
@@ -33,6 +34,7 @@
     last_event_id: int | None = None
     rate_limited: bool = False
     created_ms: int = 0
+    is_brittle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -141,6 +141,18 @@
     created_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class BrittlenessStated:
+    """An upstream answered whether it falls over at many refusals.
+
+    ``created_ms``: names its incarnation, as in ``ListedUpstream``.
+    """
+
+    instance: str
+    created_ms: int
+    is_brittle: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PauseRequested:
     """An upstream refused a call and asked this VM for none for a while.
@@ -200,6 +212,7 @@
     | RateLimitStated
     | LeavingStated
     | PauseRequested
+    | BrittlenessStated
     | UpstreamProbed
     | SendEnded
 )
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -19,6 +19,7 @@
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
+    BrittlenessStated,
     LeavingStated,
     PauseRequested,
     RateLimitStated,
@@ -92,6 +93,7 @@
                 | RateLimitStated
                 | LeavingStated
                 | PauseRequested
+                | BrittlenessStated
                 | UpstreamProbed
             ],
             None,
@@ -262,6 +264,12 @@
             return
         if headers.is_leaving:
             self._submit(LeavingStated(effect.instance, effect.created_ms))
+        if headers.is_brittle or effect.is_brittle:
+            self._submit(
+                BrittlenessStated(
+                    effect.instance, effect.created_ms, headers.is_brittle
+                )
+            )
         if headers.pause_s is not None:
             self._submit(
                 PauseRequested(
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -32,6 +32,8 @@
 _NOT_EXECUTED = b'x-not-executed'
 # Requests per second that the upstream takes from all VMs together.
 _RATE_LIMIT = b'server-limit'
+# Refusals for lack of room per second at which the upstream falls over.
+_BRITTLE = b'server-brittle'
 # Says that the upstream is leaving, in each of its answers.
 _LEAVING = b'server-leaving'
 # Seconds for which the upstream wants no calls from the VM that it refused.
@@ -162,11 +164,12 @@
     ``keep_alive_s`` is how long the upstream keeps the connection open while
     idle, in seconds, or None if it does not say. ``names_rate_limit`` is
     whether the upstream limits the requests that it takes from all VMs
-    together; ``rate_limit_per_s`` is that limit, or None if it is not a
-    number of at least 0. ``is_leaving`` is whether the upstream says that it
-    leaves. ``pause_s`` is how long it wants no calls from this VM after a
-    refusal, in seconds, or None if it does not say. ``forwarded`` are the
-    headers that go on to the caller.
+    together; ``rate_limit_per_s`` is that limit, or None if it is not a number
+    of at least 0. ``is_leaving`` is whether the upstream says that it leaves,
+    ``is_brittle`` that it falls over if it has to refuse many calls.
+    ``pause_s`` is how long it wants no calls from this VM after a refusal, in
+    seconds, or None if it does not say. ``forwarded`` are the headers that go
+    on to the caller.
     """
 
     req_id: str | None
@@ -179,6 +182,7 @@
     names_rate_limit: bool
     rate_limit_per_s: float | None
     is_leaving: bool
+    is_brittle: bool
     pause_s: float | None
     forwarded: RawHeaders
 
@@ -283,6 +287,7 @@
         ),
         pause_s=_parse_pause(status, by_name.get(_RETRY_AFTER)),
         is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
+        is_brittle=_BRITTLE in by_name,
         forwarded=[pair for pair in pairs if pair[0] not in dropped],
     )
 
