Hand off only calls whose upstreams this VM does not reach

A call that every upstream had refused had no usable one left, which counted as reaching none: it went to another VM, which sent it to the same upstreams again. tests/unit/test_routed_cuts.py::test_call_that_every_upstream_refused_is_not_handed_off failed before.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -63,7 +63,7 @@
         _refuse_blocked(state, call_state, *blocked, now)
         return
     usable = list_usable_upstreams(state.routing, call_state, now)
-    if reaches_none(usable, now):
+    if reaches_none(state.routing, call_state, now):
         helper = choose_helper(state, call_state, now)
         if helper is not None:
             _count_first_attempt(state, call_state, now)
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -7,7 +7,7 @@
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.members import is_alive
 from bilberryspoke._internal.core.routing.peerstate import PeerView
-from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
+from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing_effects import HandOff, LogDecision
@@ -19,9 +19,18 @@
 _HELPER_PAUSE_S = 1.0
 
 
-def reaches_none(upstreams: list[UpstreamState], now: float) -> bool:
-    """Return whether this VM reaches none of the upstreams."""
-    return all(each.health.is_unresponsive(now) for each in upstreams)
+def reaches_none(
+    routing: RoutingState, call_state: CallState, now: float
+) -> bool:
+    """Return whether this VM reaches none of the upstreams for a call.
+
+    It is false if there is no upstream for it at all.
+    """
+    accepting = routing.list_accepting_upstreams(call_state.call.service)
+    suitable = [each for each in accepting if call_state.may_use(each.listed)]
+    return bool(suitable) and all(
+        each.health.is_unresponsive(now) for each in suitable
+    )
 
 
 def choose_helper(
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -115,12 +115,13 @@
         return
     if not ensure_budget(state, call.service, now).allows(now):
         return
-    usable = [
-        each
-        for each in list_usable_upstreams(state.routing, call_state, now)
-        if each.listed.instance != call_state.instance
-    ]
-    reached = usable and not reaches_none(usable, now)
-    if reached or choose_helper(state, call_state, now) is not None:
+    usable = list_usable_upstreams(state.routing, call_state, now)
+    if reaches_none(state.routing, call_state, now):
+        has_other = choose_helper(state, call_state, now) is not None
+    else:
+        has_other = any(
+            each.listed.instance != call_state.instance for each in usable
+        )
+    if has_other:
         state.emit(CancelSend(call.call_id, call_state.attempt))
         finish_or_retry_call(state, ending, now)
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -2,11 +2,21 @@
 
 import pytest
 
+from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing_effects import HandOff, RefuseCall
+from bilberryspoke._internal.models.routing_events import (
+    CallArrived,
+    SendEnded,
+)
+from tests.lib.corefleet import CoreFleet
 from tests.lib.cutcores import CutCores
+from tests.lib.routedcore import READ_ROUTE, build_call, find_decision
 
 CALLS_PER_VM = 30
 CALL_INTERVAL_S = 0.1
 STABILITY_WINDOW_S = 3.0
+# A new process has retries only after the window of the retry budget.
+BUDGET_WINDOW_S = 12.0
 
 
 def send_calls(fleet, names, prefix):
@@ -70,3 +80,15 @@
     fleet.run_until(fleet.now + CALL_INTERVAL_S)
     assert fleet.refused == ['call']
     assert fleet.handoffs <= 3
+
+
+def test_call_that_every_upstream_refused_is_not_handed_off():
+    """This VM reaches them; another VM would send it to the same ones."""
+    fleet = CoreFleet(4, plain_upstreams=1)
+    fleet.run_until(BUDGET_WINDOW_S)
+    call = build_call('c', READ_ROUTE, now=fleet.now)
+    send = find_decision(fleet.handle('vm-0', CallArrived(call)))
+    refused = SendEnded(send.call_id, send.attempt, SendStatus.refused)
+    effects = fleet.handle('vm-0', refused)
+    assert isinstance(find_decision(effects), RefuseCall)
+    assert not [each for each in effects if isinstance(each, HandOff)]
