--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -26,11 +26,18 @@
 
     It is false if there is no upstream for it at all.
     """
-    accepting = routing.list_accepting_upstreams(call_state.call.service)
-    suitable = [each for each in accepting if call_state.may_use(each.listed)]
-    return bool(suitable) and all(
-        each.health.is_unresponsive(now) for each in suitable
-    )
+    service = call_state.call.service
+    has_suitable = False
+    for upstream in routing.upstreams.values():
+        listed = upstream.listed
+        if listed.service != service or upstream.is_leaving:
+            continue
+        if not call_state.may_use(listed):
+            continue
+        if not upstream.health.is_unresponsive(now):
+            return False
+        has_suitable = True
+    return has_suitable
 
 
 def choose_helper(
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -128,8 +128,9 @@
         upstream
         for upstream in accepting
         if upstream.listed.instance not in call_state.tried_instances
-        and call_state.may_use(upstream.listed)
     ]
+    if call_state.origin is not None:
+        untried = [each for each in untried if call_state.may_use(each.listed)]
     healthy = [
         upstream for upstream in untried if not upstream.health.is_ejected(now)
     ]
