Begin a send in one place, and serve handoffs only where there is a port

Dispatch and handoff each reset the same eight fields of a call; CallState.begin_send does now. The daemon paired servers with sockets loosely, so that a missing socket went unseen; it creates the ingress for handed-off calls only with a port, and the pairing is strict again. Two tests of restarts share their steps, with the same assertions.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -78,6 +78,16 @@
     helper: str = ''
     tried_helpers: list[str] = field(default_factory=list)
 
+    def begin_send(self, now: float) -> None:
+        """Start to count a send, after the call may have waited for it."""
+        self.stage = CallStage.sent
+        self.waited_s += now - self.queued_at
+        self.attempt += 1
+        self.sent_at = now
+        self.last_progress_at = None
+        self.began_at = None
+        self.proven = False
+
     def may_use(self, listed: ListedUpstream) -> bool:
         """Return whether an upstream can serve the call, by its software.
 
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -122,16 +122,10 @@
     chosen = placement.upstream
     listed = chosen.listed
     _count_first_attempt(state, call_state, now)
-    call_state.stage = CallStage.sent
-    call_state.waited_s += now - call_state.queued_at
-    call_state.attempt += 1
+    call_state.begin_send(now)
     call_state.instance = listed.instance
     call_state.helper = ''
-    call_state.sent_at = now
-    call_state.last_progress_at = None
     call_state.created_ms = listed.created_ms
-    call_state.began_at = None
-    call_state.proven = False
     call_state.sent_version = listed.software_version
     call_state.prefill_tokens = placement.prefill_tokens
     call_state.expected_first_event_s = placement.first_event_s
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -4,7 +4,7 @@
 does not hand it off again. Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
+from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.members import is_alive
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.state import RoutingState
@@ -78,15 +78,9 @@
 ) -> None:
     """Hand a call off to another VM."""
     call = call_state.call
-    call_state.stage = CallStage.sent
-    call_state.waited_s += now - call_state.queued_at
-    call_state.attempt += 1
+    call_state.begin_send(now)
     call_state.instance = ''
     call_state.helper = helper.name
-    call_state.sent_at = now
-    call_state.last_progress_at = None
-    call_state.began_at = None
-    call_state.proven = False
     call_state.prefill_tokens = 0
     call_state.expected_first_event_s = 0
     state.emit(Count('handoffs', call.service))
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -134,12 +134,16 @@
         sender = CallSender(runtime.submit)
         runtime.on_probe = sender.start_probe
         ingress = Ingress(runtime, sender)
-        helper_ingress = Ingress(runtime, sender, takes_handoffs=True)
+        helper_ingresses = []
+        if settings.handoff_port is not None:
+            helper_ingresses.append(
+                Ingress(runtime, sender, takes_handoffs=True)
+            )
         return _Components(
             runtime=runtime,
             sender=sender,
             store=StoreClient(settings.store_address, settings.ip),
-            ingresses=(ingress, helper_ingress),
+            ingresses=(ingress, *helper_ingresses),
             servers=(
                 _make_call_server(ingress),
                 make_routing_server(
@@ -149,7 +153,7 @@
                     make_metrics_app(runtime),
                     keep_alive_s=_KEEP_ALIVE_TIMEOUT_S,
                 ),
-                _make_call_server(helper_ingress),
+                *(_make_call_server(each) for each in helper_ingresses),
             ),
         )
 
@@ -157,7 +161,7 @@
         server_tasks = [
             asyncio.create_task(server.serve(sockets=[sock]))
             for server, sock in zip(
-                components.servers, self._sockets, strict=False
+                components.servers, self._sockets, strict=True
             )
         ]
         watcher = DiscoveryWatcher(components.runtime, components.store)
--- a/tests/unit/test_routed_versions.py
+++ b/tests/unit/test_routed_versions.py
@@ -55,12 +55,15 @@
     check_streams(fleet, begun, take_up_streams(fleet, begun, others))
 
 
-def restart_all(fleet):
+def take_up_after_restart(fleet):
+    """Begin streams, restart all VMs, and take the streams up."""
+    begun = [fleet.begin('vm-0') for _ in range(STREAMS)]
     fleet.run_until(fleet.now + NOTICE_S)
     for name in list(fleet.cores):
         fleet.kill(name)
         fleet.start(name)
     fleet.run_until(fleet.now + NOTICE_S)
+    return take_up_streams(fleet, begun, ['vm-0', 'vm-1'])
 
 
 def run_small_fleet():
@@ -107,18 +110,14 @@
 def test_streams_go_on_after_a_restart_of_all_vms_with_one_version():
     """No process knows an origin then, but there was one version only."""
     fleet = StreamCores(8, warm_up_s=2.0, software_versions=('v1',))
-    begun = [fleet.begin('vm-0') for _ in range(STREAMS)]
-    restart_all(fleet)
-    calls = take_up_streams(fleet, begun, ['vm-0', 'vm-1'])
+    calls = take_up_after_restart(fleet)
     assert all(call.call_id in fleet.sends for call in calls)
 
 
 def test_no_stream_goes_on_unseen_after_a_restart_of_all_vms():
     """The version that began a stream may have left during the restart."""
     fleet = run_small_fleet()
-    begun = [fleet.begin('vm-0') for _ in range(STREAMS)]
-    restart_all(fleet)
-    calls = take_up_streams(fleet, begun, ['vm-0', 'vm-1'])
+    calls = take_up_after_restart(fleet)
     assert all(call.call_id in fleet.refusals for call in calls)
 
 
