Let a call name an earlier stream only if it resumes after an event

A call with Resumes and without Last-Event-Id begins a stream. Its origin was kept under the id that it named and not under its own, so that its caller could not take it up again. What names a stream stood in three places, two of which ignored whether one was resumed: the border decides that now, and RoutedCall.stream_req_id serves the hash of a stream and the handoff.

--- a/src/bilberryspoke/_internal/core/routing/origins.py
+++ b/src/bilberryspoke/_internal/core/routing/origins.py
@@ -38,8 +38,9 @@
 
     A caller can't name the stream of another workspace.
     """
-    req_id = call.resumed_req_id or call.req_id
-    return hash_parts('stream', call.service, call.workspace, req_id)
+    return hash_parts(
+        'stream', call.service, call.workspace, call.stream_req_id
+    )
 
 
 def record_stream_begin(
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -244,6 +244,14 @@
     content_hash: int = 0
     handed_off: bool = False
 
+    @property
+    def stream_req_id(self) -> str:
+        """``req_id`` of the call that brought, or brings, the first event.
+
+        It stays the same each time that the stream is taken up again.
+        """
+        return self.resumed_req_id or self.req_id
+
     @property
     def rank(self) -> int:
         """Position in the order of urgency; the lowest is the most urgent.
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -192,7 +192,9 @@
             call_id=f'{self._runtime.core.state.vm}/{self._prefix}{number}',
             req_id=headers.req_id,
             route=route,
-            service=choose_service(route, _get_stream_id(headers)),
+            service=choose_service(
+                route, headers.resumed_req_id or headers.req_id
+            ),
             workspace=matched.key_holder.workspace,
             priority=matched.priority,
             arrived_at=arrived_at,
@@ -329,13 +331,6 @@
         )
 
 
-def _get_stream_id(headers: CallHeaders) -> str:
-    """Return the id that a stream keeps when it is taken up again."""
-    if headers.last_event_id is None:
-        return headers.req_id
-    return headers.resumed_req_id or headers.req_id
-
-
 def _accept_handoff(call: RoutedCall, raw: RawHeaders) -> RoutedCall:
     """Return a call that another VM handed off, with the limit that it set."""
     max_attempts = parse_max_attempts(raw, call.route.max_attempts)
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -444,7 +444,7 @@
         wait_s=effect.deadline_at - read_boottime(),
         key=exchange.key,
         last_event_id=effect.last_event_id,
-        resumed_req_id=call.resumed_req_id or call.req_id,
+        resumed_req_id=call.stream_req_id,
     )
     return [
         *make_handoff_headers(exchange.forwarded, added),
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -98,10 +98,10 @@
     which is the caller's API key. ``last_event_id`` is the id of the event
     after which the caller resumes a stream. These three are None if missing or
     malformed. ``resumed_req_id`` is the request id of the call that brought the
-    first event of that stream, empty if missing. ``prompt_tokens`` is the
-    length of the prompt and ``output_tokens`` the maximum length of the answer,
-    both 0 if missing or malformed. ``forwarded`` are the headers that go on to
-    the upstream unchanged.
+    first event of that stream, empty if missing or if no stream is resumed.
+    ``prompt_tokens`` is the length of the prompt and ``output_tokens`` the
+    maximum length of the answer, both 0 if missing or malformed. ``forwarded``
+    are the headers that go on to the upstream unchanged.
     """
 
     req_id: str
@@ -203,6 +203,10 @@
     )
     if not keep_authorization:
         dropped |= {_AUTHORIZATION}
+    last_event_id = _parse_number(by_name.get(_LAST_EVENT_ID))
+    resumed_req_id = b''
+    if last_event_id is not None:
+        resumed_req_id = by_name.get(_RESUMES, b'')
     prompt_tokens, output_tokens = _parse_token_counts(
         by_name.get(_TOKEN_COUNTS, b'')
     )
@@ -211,8 +215,8 @@
         host=by_name.get(b'host', b'').decode('latin-1'),
         wait_s=_parse_remaining_time(by_name.get(_DEADLINE)),
         key=_parse_bearer_token(by_name.get(_AUTHORIZATION)),
-        last_event_id=_parse_number(by_name.get(_LAST_EVENT_ID)),
-        resumed_req_id=by_name.get(_RESUMES, b'').decode('latin-1'),
+        last_event_id=last_event_id,
+        resumed_req_id=resumed_req_id.decode('latin-1'),
         model=by_name.get(_MODEL, b'').decode('latin-1'),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -199,3 +199,18 @@
         collected += len(chunk)
     assert splitter.broken
     assert collected <= 2 * 1_048_576
+
+
+@pytest.mark.parametrize(
+    ('last_event_id', 'resumed'),
+    [(b'3', 'first'), (b'', ''), (b'x', ''), (None, '')],
+)
+def test_call_that_resumes_after_no_event_begins_a_stream_of_its_own(
+    last_event_id, resumed
+):
+    """It was kept under the id of the other stream, and could not be found."""
+    raw = [(b'resumes', b'first')]
+    if last_event_id is not None:
+        raw.append((b'last-event-id', last_event_id))
+    headers = parse_call_headers(raw, keep_authorization=False)
+    assert headers.resumed_req_id == resumed
