Refuse calls that a stopping VM has no time to finish

Change: the VM knows how long complete answers of each route lately took, and refuses a call as not run, to be retried at once elsewhere, if it would end after the stop. Ruled out: a shorter time for the load balancer (its two probes take two seconds).

--- a/src/bilberryspoke/_internal/core/maintenance.py
+++ b/src/bilberryspoke/_internal/core/maintenance.py
@@ -143,6 +143,7 @@
     """
     if not state.stopping:
         state.stopping = True
+        state.stopping_since = now
         if not state.settings.shares_slots:
             return
         state.emit(Log('stopping', str(len(state.req_states))))
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -9,6 +9,7 @@
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.crashes import record_proof
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
+from bilberryspoke._internal.core.routing.stopping import record_duration
 from bilberryspoke._internal.core.routing.waitqueue import choose_retry_after_s
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
@@ -59,9 +60,10 @@
 
     ``reason`` is the cause as one word, which is also the call's outcome.
     ``event`` is the end of the last send, if that is the cause. The caller is
-    told to wait for at least ``retry_after_s``. ``blocked_by`` describes what
-    the call has in common with others that crash upstreams, if it is refused
-    for that.
+    told to wait for at least ``retry_after_s``, or to retry at once if
+    ``elsewhere`` is true, because other VMs have room. ``blocked_by`` describes
+    what the call has in common with others that crash upstreams, if it is
+    refused for that.
     """
 
     reason: str
@@ -69,6 +71,7 @@
     timed_out: bool = False
     retry_after_s: float = 0
     blocked_by: str = ''
+    elsewhere: bool = False
 
 
 def refuse_call(
@@ -81,7 +84,9 @@
     """
     call = call_state.call
     not_run = not call_state.may_have_run
-    retry_after_s = max(refusal.retry_after_s, choose_retry_after_s(call))
+    retry_after_s = refusal.retry_after_s
+    if not refusal.elsewhere:
+        retry_after_s = max(retry_after_s, choose_retry_after_s(call))
     state.emit(
         RefuseCall(
             call.call_id,
@@ -126,6 +131,7 @@
     call = call_state.call
     if outcome == FINISHED:
         record_proof(state, call_state, now)
+        record_duration(state.routing, call.route, now - call.arrived_at)
     state.routing.calls.pop(call.call_id, None)
     state.routing.waiting.discard(call_state)
     upstream = state.routing.upstreams.get(call_state.instance)
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -27,6 +27,7 @@
     has_prefix_affinity,
     list_usable_upstreams,
 )
+from bilberryspoke._internal.core.routing.stopping import STOPPING, lacks_time
 from bilberryspoke._internal.core.routing.waitqueue import (
     must_refuse,
     must_yield,
@@ -58,6 +59,9 @@
     if call_state.stage is not CallStage.waiting:
         call_state.stage = CallStage.waiting
         call_state.queued_at = now
+    if lacks_time(state, call_state, now):
+        refuse_call(state, call_state, Refusal(STOPPING, elsewhere=True), now)
+        return
     blocked = find_block(state, call_state, now)
     if blocked is not None:
         _refuse_blocked(state, call_state, *blocked, now)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -55,6 +55,8 @@
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
     calls that crash upstreams, ``origins`` of the software versions of streams.
+    ``longest_answer_s`` is how long complete answers lately took at most, by
+    route.
     ``unreached_services`` are the services with upstreams of which this VM
     reaches none. ``helpers_paused_until`` is when other VMs may get calls of a
     service from this one again, which they did not serve, by VM and service.
@@ -95,6 +97,7 @@
     snapshot_requested_at: float = -1e9
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
     origins: OriginLedger = field(default_factory=OriginLedger)
+    longest_answer_s: dict[str, float] = field(default_factory=dict)
     unreached_services: set[str] = field(default_factory=set)
     helpers_paused_until: dict[tuple[str, str], float] = field(
         default_factory=dict
--- a/src/bilberryspoke/_internal/core/state.py
+++ b/src/bilberryspoke/_internal/core/state.py
@@ -94,7 +94,8 @@
     read it (``listed_leaving``) or a live peer names as leaving. ``loads`` is
     by upstream, ``req_states`` by request id. ``effects`` are those of the
     event being reduced, and ``loopback_messages`` the messages from this VM to
-    itself that are still to be handled. ``started_at`` is when the process
+    itself that are still to be handled. ``stopping_since`` is when it was asked
+    to stop, infinite before. ``started_at`` is when the process
     handled its first event. Times are in seconds of the boot-time
     clock. ``choice_count`` counts the choices of the policies that take
     upstreams in turn or by hash.
@@ -109,6 +110,7 @@
     manifest: bytes = b''
     values: Mapping[str, bytes] = field(default_factory=dict)
     stopping: bool = False
+    stopping_since: float = math.inf
     orders: OrderState = field(default_factory=OrderState)
     req_states: dict[str, RequestState] = field(default_factory=dict)
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -14,6 +14,9 @@
 from expression import Result
 
 from bilberryspoke._internal.core import Core, CoreSettings
+from bilberryspoke._internal.core.routing.stopping import (
+    DRAIN_TIMEOUT_FRACTION,
+)
 from bilberryspoke._internal.models.events import (
     StopRequested,
     Tick,
@@ -49,9 +52,6 @@
 # The load balancer removes a VM after two failed probes, one second apart, and
 # sends new connections until then.
 _DEREGISTRATION_DELAY_S = 3.0
-# Calls that are still open after this fraction of ``stop_timeout_s`` are
-# aborted.
-_DRAIN_TIMEOUT_FRACTION = 0.95
 
 SettingsReader = Callable[[Path], Result[VmSettings, list[Finding]]]
 
@@ -199,7 +199,7 @@
         server_tasks: list[asyncio.Task[Any]],
     ) -> None:
         """Serve open and new calls until the servers stop or time runs out."""
-        limit_s = self._settings.bounds.stop_timeout_s * _DRAIN_TIMEOUT_FRACTION
+        limit_s = self._settings.bounds.stop_timeout_s * DRAIN_TIMEOUT_FRACTION
         deadline_at = time.monotonic() + limit_s
         logger.info('stopping', calls_open=len(components.runtime.calls))
         for ingress in components.ingresses:
