Place calls by measured speed, known caches and the load of tight streams

Change: backlogs are bounded in seconds, at the speed that is measured; VMs tell which parts they sent to which engine, and a call goes where its first event plus the price of reading shared parts again is lowest; the tight group has as many engines as the arrivals and open streams of all VMs need. Calls that can no longer meet their target by their own prefill time go after those that can.

--- a/src/bilberryspoke/_internal/core/routing/backlog.py
+++ b/src/bilberryspoke/_internal/core/routing/backlog.py
@@ -8,29 +8,21 @@
 from dataclasses import dataclass
 
 from bilberryspoke._internal.core.routing.callstate import CallState
+from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
 from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
+from bilberryspoke._internal.core.routing.promptcache import ensure_speed
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
-from bilberryspoke._internal.models.routing import RoutedCall
 
-# Prompt tokens that an engine reads per second while it also generates tokens
-# for other calls.
-_PREFILL_TOKENS_PER_S = 30_000
 # Time to the first event at an engine, apart from the time to read prompts.
 _IDLE_FIRST_EVENT_S = 0.02
-# With a prefill backlog above the threshold, the engine reads other prompts
-# before the tokens of the first event are complete.
-_BUSY_FIRST_EVENT_S = 0.15
+# With a prefill backlog above the threshold, the engine reads as many tokens of
+# other prompts as below before the tokens of the first event are complete.
+_BUSY_FIRST_EVENT_TOKENS = 4500
 _BUSY_THRESHOLD_TOKENS = 2048
 # The backlog and waiting calls of a peer that was last heard from longer ago
 # are ignored.
 PEER_TIMEOUT_S = 1.0
-# An engine is assumed to keep a part of a prompt in its cache for this long
-# after this VM last sent it there.
-_PREFIX_RETENTION_S = 15.0
-# Above this number of recorded parts, those that were sent longer ago than the
-# retention time above are discarded.
-_PARTS_CLEANUP_THRESHOLD = 2000
 _LATENCY_RATIO_SMOOTHING_FACTOR = 0.15
 _MAX_LATENCY_RATIO = 8.0
 # Shorter times depend more on the network than on the engine, so the latency
@@ -85,6 +77,7 @@
 
 def estimate_first_event_s(
     upstream: UpstreamState,
+    speed: PrefillSpeed,
     backlog: EngineBacklog,
     uncached_tokens: int,
 ) -> float:
@@ -92,68 +85,30 @@
 
     ``uncached_tokens`` are the prompt tokens that the call adds to ``backlog``.
     """
-    prefill_s = (
-        backlog.prefill_tokens + uncached_tokens
-    ) / _PREFILL_TOKENS_PER_S
-    busy = backlog.prefill_tokens > _BUSY_THRESHOLD_TOKENS
-    first_event_s = _BUSY_FIRST_EVENT_S if busy else _IDLE_FIRST_EVENT_S
+    tokens = backlog.prefill_tokens + uncached_tokens
+    first_event_s = _IDLE_FIRST_EVENT_S
+    if backlog.prefill_tokens > _BUSY_THRESHOLD_TOKENS:
+        first_event_s = speed.get_prefill_s(_BUSY_FIRST_EVENT_TOKENS)
+    prefill_s = speed.get_prefill_s(tokens)
     return (first_event_s + prefill_s) * upstream.latency_ratio
 
 
-def count_uncached_tokens(
-    upstream: UpstreamState,
-    call: RoutedCall,
-    now: float,
-    *,
-    assume_cached: bool,
-) -> int:
-    """Return the prompt tokens that an engine would have to read for a call.
-
-    With ``assume_cached`` the engine is assumed to have the call's shared parts
-    in its cache, because other VMs send them there as well. Otherwise only
-    parts that this VM sent there recently count as cached. All parts but the
-    last are shared with other calls. The last one always counts as uncached,
-    even if the stated lengths of the prompt and its parts do not add up.
-    """
-    if not call.parts:
-        return call.prompt_tokens
-    shared_parts = call.shared_parts
-    uncached_tokens = max(
-        0, call.prompt_tokens - sum(part.tokens for part in shared_parts)
-    )
-    uncached_tokens = max(uncached_tokens, call.parts[-1].tokens)
-    if assume_cached:
-        return uncached_tokens
-    for part in shared_parts:
-        last_sent_at = upstream.parts_sent_at.get(part.name)
-        if last_sent_at is None or last_sent_at < now - _PREFIX_RETENTION_S:
-            uncached_tokens += part.tokens
-    return uncached_tokens
-
-
-def record_sent_parts(
-    upstream: UpstreamState, call_state: CallState, now: float
-) -> None:
-    """Record when the shared parts of a prompt were sent to an engine."""
-    for part in call_state.call.shared_parts:
-        upstream.parts_sent_at[part.name] = now
-    if len(upstream.parts_sent_at) > _PARTS_CLEANUP_THRESHOLD:
-        upstream.parts_sent_at = {
-            name: at
-            for name, at in upstream.parts_sent_at.items()
-            if at >= now - _PREFIX_RETENTION_S
-        }
-
-
-def update_latency_ratio(
+def record_first_event(
+    routing: RoutingState,
     upstream: UpstreamState,
     call_state: CallState,
     now: float,
 ) -> None:
-    """Update the latency ratio from the time to the first event of a call.
+    """Learn from the time to the first event of a call.
 
-    The ratio is a moving average of measured to expected times, at least 1.
+    The prefill speed of the service follows it, and so does the latency ratio
+    of the upstream, a moving average of measured to expected times, at least 1.
     """
+    speed = ensure_speed(routing, call_state.call.service)
+    speed.record(
+        call_state.backlog_tokens + call_state.prefill_tokens,
+        now - call_state.sent_at - _IDLE_FIRST_EVENT_S,
+    )
     # The estimate of the call includes the latency ratio; this one does not.
     expected_first_event_s = (
         call_state.expected_first_event_s / upstream.latency_ratio
--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -33,9 +33,12 @@
     ``attempt`` numbers the sends, ``sends`` is the number of ended ones that
     reached an upstream, and ``tried_instances`` lists the upstreams of all
     ended ones. ``queued_at`` is when the call began to wait for its next send,
-    ``waited_s`` the total of such waits. ``instance``, ``sent_at``,
+    ``waited_s`` the total of such waits. ``needed_s`` are the seconds from its
+    send to the first event at an engine without a backlog, as of when a
+    placement was last looked for. ``instance``, ``sent_at``,
     ``last_progress_at``, ``prefill_tokens`` (prompt tokens that the engine has
-    to read) and ``expected_first_event_s`` (seconds from the send to the first
+    to read), ``backlog_tokens`` (those of other calls that it had to read
+    before) and ``expected_first_event_s`` (seconds from the send to the first
     event) belong to the current send. ``first_event_at`` is when the first part
     of an answer arrived, ``longest_gap_s`` the longest pause after it.
     ``last_event_id`` is the id of the last delivered event, after which a
@@ -59,12 +62,14 @@
     instance: str = ''
     queued_at: float = 0.0
     waited_s: float = 0.0
+    needed_s: float = 0.0
     sent_at: float = 0.0
     last_progress_at: float | None = None
     first_event_at: float | None = None
     longest_gap_s: float = 0.0
     last_event_id: int | None = None
     prefill_tokens: int = 0
+    backlog_tokens: int = 0
     expected_first_event_s: float = 0.0
     may_have_run: bool = False
     tried_instances: list[str] = field(default_factory=list)
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -8,6 +8,7 @@
 )
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.crashes import record_proof
+from bilberryspoke._internal.core.routing.groups import note_call_end
 from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
 from bilberryspoke._internal.core.routing.stopping import record_duration
 from bilberryspoke._internal.core.routing.waitqueue import choose_retry_after_s
@@ -132,6 +133,7 @@
     if outcome == FINISHED:
         record_proof(state, call_state, now)
         record_duration(state.routing, call.route, now - call.arrived_at)
+    note_call_end(state.routing, call)
     state.routing.calls.pop(call.call_id, None)
     state.routing.waiting.discard(call_state)
     upstream = state.routing.upstreams.get(call_state.instance)
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -1,6 +1,5 @@
 """Dispatch of a call: send it, queue it, or end it without an upstream."""
 
-from bilberryspoke._internal.core.routing.backlog import record_sent_parts
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
     Refusal,
@@ -20,6 +19,7 @@
     reaches_none,
 )
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
+from bilberryspoke._internal.core.routing.promptcache import record_sent_parts
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.core.routing.selection import (
     Placement,
@@ -38,6 +38,7 @@
 from bilberryspoke._internal.models.routing import NO_ROOM
 from bilberryspoke._internal.models.routing_effects import LogDecision, Send
 from bilberryspoke._internal.models.routing_events import SendEnded
+from bilberryspoke._internal.models.routing_messages import BacklogChange
 
 # Fraction of the retry budget that is used. The rest is a margin for times at
 # which VMs do not know of one another.
@@ -132,13 +133,18 @@
     call_state.created_ms = listed.created_ms
     call_state.sent_version = listed.software_version
     call_state.prefill_tokens = placement.prefill_tokens
+    call_state.backlog_tokens = placement.backlog.prefill_tokens
     call_state.expected_first_event_s = placement.first_event_s
     chosen.sends[call.call_id] = call_state
     chosen.limit.count_call()
-    record_sent_parts(chosen, call_state, now)
-    publish_backlog_change(
-        state, listed.instance, placement.prefill_tokens, now, calls=1
+    names = [part.name for part in call.shared_parts]
+    change = BacklogChange(
+        listed.instance,
+        placement.prefill_tokens,
+        calls=1,
+        parts=record_sent_parts(state.routing, chosen, names, now),
     )
+    publish_backlog_change(state, change, now)
     if call_state.last_event_id is not None:
         state.emit(Count('streams_resumed', call.service))
     table = state.routing.table
--- a/src/bilberryspoke/_internal/core/routing/groups.py
+++ b/src/bilberryspoke/_internal/core/routing/groups.py
@@ -3,18 +3,28 @@
 An engine that reads a long prompt delays the tokens of all its other streams.
 A service's engines are therefore split into two groups: the tight group serves
 streams with the shortest gap limit (maximum inter-token gap,
-``Route.max_event_gap_s``), and other calls run there only while the prefill
-backlog is almost empty. Times are in seconds of the boot-time clock.
+``Route.max_event_gap_s``) and has as many engines as they need, see
+``tightdemand``. Other calls run there only while the prefill backlog is almost
+empty. Times are in seconds of the boot-time clock.
 """
 
+from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.callstate import CallState
+from bilberryspoke._internal.core.routing.promptcache import (
+    count_own_tokens,
+    ensure_speed,
+)
 from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.tightdemand import (
+    INITIAL_FRACTION,
+    EngineCapacity,
+    TightLoad,
+    count_tight_engines,
+)
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.models.routing import Route, RoutedCall
 from bilberryspoke._internal.utils.hashing import hash_member
 
-# Fraction of a service's engines that form the tight group.
-_TIGHT_GROUP_FRACTION = 0.25
 _TIGHT_GROUP_SUFFIX = '/tight'
 
 
@@ -67,7 +77,50 @@
         accepting,
         key=lambda each: hash_member(service, each.listed.instance),
     )
-    tight_count = max(1, round(len(ranked) * _TIGHT_GROUP_FRACTION))
+    tight_count = _count_tight_engines(routing, service, ranked, now)
     if has_tight_gap_limit(routing, call_state.call.route, service):
         return ranked[:tight_count], ranked[tight_count:]
     return ranked[tight_count:], ranked[:tight_count]
+
+
+def note_tight_arrival(
+    routing: RoutingState, call: RoutedCall, now: float
+) -> None:
+    """Count a call that arrived if it is a stream with a tight gap limit."""
+    if has_tight_gap_limit(routing, call.route, call.service):
+        load = _ensure_tight_load(routing, call.service)
+        load.record_arrival(call.call_id, count_own_tokens(call), now)
+
+
+def note_call_end(routing: RoutingState, call: RoutedCall) -> None:
+    """Count a call no more that ended."""
+    load = routing.tight_loads.get(call.service)
+    if load is not None:
+        load.open_calls.discard(call.call_id)
+
+
+def _ensure_tight_load(routing: RoutingState, service: str) -> TightLoad:
+    return routing.tight_loads.setdefault(service, TightLoad())
+
+
+def _count_tight_engines(
+    routing: RoutingState,
+    service: str,
+    engines: list[UpstreamState],
+    now: float,
+) -> int:
+    gaps = routing.table.max_event_gaps_of_service.get(service, set())
+    if len(gaps) < 2:
+        return max(1, round(len(engines) * INITIAL_FRACTION))
+    capacity = EngineCapacity(
+        len(engines),
+        engines[0].listed.slots,
+        ensure_speed(routing, service),
+    )
+    return count_tight_engines(
+        _ensure_tight_load(routing, service),
+        service,
+        list_live_peers(routing, now),
+        capacity,
+        now,
+    )
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -1,7 +1,7 @@
 """Handlers of a routed call's events, from its arrival to its end."""
 
 from bilberryspoke._internal.core.reducer import on_event
-from bilberryspoke._internal.core.routing.backlog import update_latency_ratio
+from bilberryspoke._internal.core.routing.backlog import record_first_event
 from bilberryspoke._internal.core.routing.brittleness import has_fallen_over
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
@@ -23,6 +23,7 @@
     describe_content,
     list_fingerprints,
 )
+from bilberryspoke._internal.core.routing.groups import note_tight_arrival
 from bilberryspoke._internal.core.routing.handoff import record_helper_refusal
 from bilberryspoke._internal.core.routing.origins import record_stream_begin
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
@@ -45,6 +46,7 @@
     SendEnded,
     SendProgressed,
 )
+from bilberryspoke._internal.models.routing_messages import BacklogChange
 
 
 @on_event(CallArrived)
@@ -59,6 +61,7 @@
     )
     state.routing.calls[call.call_id] = call_state
     state.emit(Count('calls', call.route.name))
+    note_tight_arrival(state.routing, call, now)
     if call.last_event_id is None:
         dispatch_or_queue(state, call_state, now)
     else:
@@ -93,10 +96,11 @@
     if upstream is not None:
         upstream.last_heard_at = now
         if is_first:
-            update_latency_ratio(upstream, call_state, now)
-            publish_backlog_change(
-                state, call_state.instance, -call_state.prefill_tokens, now
+            record_first_event(state.routing, upstream, call_state, now)
+            change = BacklogChange(
+                call_state.instance, -call_state.prefill_tokens, calls=0
             )
+            publish_backlog_change(state, change, now)
     if call_state.first_event_at is not None:
         gap_s = now - (call_state.last_progress_at or call_state.sent_at)
         call_state.longest_gap_s = max(call_state.longest_gap_s, gap_s)
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -12,7 +12,13 @@
     record_sender,
     send_to_peer,
 )
+from bilberryspoke._internal.core.routing.partnews import (
+    apply_part_news,
+    clear_part_news,
+    remember_new_parts,
+)
 from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
+from bilberryspoke._internal.core.routing.promptcache import record_sent_parts
 from bilberryspoke._internal.core.routing.ratelimits import (
     apply_stated_limits,
 )
@@ -57,11 +63,13 @@
         for each in message.backlog
     }
     peer.waiting = message.waiting
+    peer.tight_demand = message.tight_demand
     peer.scope = message.scope
     peer.vms = message.vms
     peer.store_reader = message.store_reader or sender
     apply_stated_limits(state, sender, message.limits, now)
     apply_leaving(state, sender, message.leaving)
+    apply_part_news(state, message, now)
     if message.crash_news is not None:
         apply_crash_news(state, sender, message.crash_news, now)
     if counts_report(state, peer):
@@ -90,29 +98,27 @@
         0, backlog.prefill_tokens + message.prefill_tokens
     )
     backlog.calls += message.calls
+    upstream = state.routing.upstreams.get(message.instance)
+    if upstream is not None:
+        record_sent_parts(state.routing, upstream, message.parts, now)
 
 
 def publish_backlog_change(
-    state: VmState,
-    instance: str,
-    prefill_tokens: int,
-    now: float,
-    *,
-    calls: int = 0,
+    state: VmState, change: BacklogChange, now: float
 ) -> None:
     """Send the change of a backlog to the peers without delay.
 
     Otherwise all VMs could pick the same idle upstream, or leave one idle that
     has become free, until the next heartbeat. In a fleet with relays this would
     be too many messages, so that the change is sent with the next heartbeat
-    only. ``prefill_tokens`` and ``calls`` are the differences to the backlog
-    before, negative if it has shrunk. A change without prefill tokens is left
-    to the heartbeat as well.
+    only. A change without prefill tokens is left to the heartbeat as well.
     """
-    if not prefill_tokens or state.routing.relays:
+    if state.routing.relays:
+        remember_new_parts(state.routing, change.instance, change.parts)
+        return
+    if not change.prefill_tokens:
         return
     for peer in list_live_peers(state.routing, now):
-        change = BacklogChange(instance, prefill_tokens, calls)
         send_to_peer(state, peer, change)
 
 
@@ -137,7 +143,7 @@
 
 def _send_heartbeats(state: VmState, now: float) -> None:
     routing = state.routing
-    own = view_own_state(state)
+    own = view_own_state(state, now)
     relays_here = is_relay(state)
     news = collect_news(routing, now)
     own_report = make_report(
@@ -147,12 +153,13 @@
         state.emit(SendPeerMessage(SEED_PREFIX + address, own_report))
     if relays_here:
         _send_totals(state, own, news, now)
-        return
-    receivers = routing.peers.values()
-    if routing.relays:
-        receivers = find_expected_relays(state).values()
-    for receiver in receivers:
-        send_to_peer(state, receiver, own_report)
+    else:
+        receivers = routing.peers.values()
+        if routing.relays:
+            receivers = find_expected_relays(state).values()
+        for receiver in receivers:
+            send_to_peer(state, receiver, own_report)
+    clear_part_news(routing)
 
 
 def _send_totals(
@@ -182,7 +189,8 @@
 def _answer_as_no_relay(state: VmState, peer: PeerView, now: float) -> None:
     """Tell a peer that took this VM for a relay which VM is the relay."""
     news = collect_news(state.routing, now)
-    send_to_peer(state, peer, make_report(state, [view_own_state(state)], news))
+    report = make_report(state, [view_own_state(state, now)], news)
+    send_to_peer(state, peer, report)
 
 
 def _note_relay_of(state: VmState, message: RoutingHeartbeat) -> None:
--- a/src/bilberryspoke/_internal/core/routing/peerstate.py
+++ b/src/bilberryspoke/_internal/core/routing/peerstate.py
@@ -9,7 +9,10 @@
     NO_POSITION,
     StorePosition,
 )
-from bilberryspoke._internal.models.routing_messages import ReportScope
+from bilberryspoke._internal.models.routing_messages import (
+    ReportScope,
+    TightDemand,
+)
 
 
 @dataclass(slots=True)
@@ -31,7 +34,8 @@
     of its route table, 0 without one, and ``position`` that of the store as
     of which it knows the upstreams. ``backlog`` is by instance of the
     upstream. ``waiting`` is the most urgent rank among the calls that wait for
-    capacity at that VM, by group of upstreams. Both are those of ``vms`` VMs,
+    capacity at that VM, by group of upstreams. ``tight_demand`` is the load by
+    streams with a tight gap limit, by service. They are those of ``vms`` VMs,
     as ``scope`` says. ``store_reader`` is the VM that ``version``, ``position``
     and ``store_reachable`` describe. ``connected`` is whether a connection was
     requested. ``suspected`` is whether the peer does not answer, so that it is
@@ -48,6 +52,7 @@
     store_reachable: bool = False
     backlog: dict[str, PeerBacklog] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
+    tight_demand: dict[str, TightDemand] = field(default_factory=dict)
     data_centre: str = ''
     scope: ReportScope = ReportScope.vm
     vms: int = 1
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -5,6 +5,7 @@
 
 from bilberryspoke._internal.core.routing.backlog import measure_own_backlog
 from bilberryspoke._internal.core.routing.crashnews import make_crash_news
+from bilberryspoke._internal.core.routing.partnews import list_part_news
 from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
 from bilberryspoke._internal.core.routing.ratelimits import (
     list_stated_limits,
@@ -14,11 +15,13 @@
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing import StorePosition
 from bilberryspoke._internal.models.routing_messages import (
+    CachedParts,
     CrashNews,
     LeavingUpstream,
     ReportScope,
     RoutingHeartbeat,
     StatedLimit,
+    TightDemand,
     UpstreamBacklog,
 )
 
@@ -30,6 +33,7 @@
     limits: list[StatedLimit]
     leaving: list[LeavingUpstream]
     crashes: CrashNews | None
+    parts: dict[ReportScope, list[CachedParts]]
 
 
 def collect_news(routing: RoutingState, now: float) -> HeartbeatNews:
@@ -38,6 +42,7 @@
         list_stated_limits(routing, now),
         list_leaving(routing),
         make_crash_news(routing, now),
+        {scope: list_part_news(routing, scope) for scope in ReportScope},
     )
 
 
@@ -66,6 +71,7 @@
             for instance, each in _add_backlogs(views).items()
         ],
         waiting=_find_most_urgent_ranks(views),
+        tight_demand=_add_tight_demands(views),
         members=routing.members_digest,
         data_centre=state.settings.data_centre,
         scope=scope,
@@ -77,10 +83,11 @@
         limits=news.limits,
         crash_news=news.crashes,
         leaving=news.leaving,
+        cached_parts=news.parts[scope],
     )
 
 
-def view_own_state(state: VmState) -> PeerView:
+def view_own_state(state: VmState, now: float) -> PeerView:
     """Return this VM as other VMs see it."""
     routing = state.routing
     backlog = {}
@@ -97,6 +104,10 @@
         store_reader=state.vm,
         backlog=backlog,
         waiting=routing.waiting.get_most_urgent_ranks(),
+        tight_demand={
+            service: load.measure(now)
+            for service, load in routing.tight_loads.items()
+        },
     )
 
 
@@ -110,6 +121,16 @@
     return totals
 
 
+def _add_tight_demands(views: Iterable[PeerView]) -> dict[str, TightDemand]:
+    totals: dict[str, TightDemand] = {}
+    for view in views:
+        for service, demand in view.tight_demand.items():
+            total = totals.setdefault(service, TightDemand(0, 0))
+            total.tokens_per_s += demand.tokens_per_s
+            total.calls += demand.calls
+    return totals
+
+
 def _find_most_urgent_ranks(views: Iterable[PeerView]) -> dict[str, int]:
     ranks: dict[str, int] = {}
     for view in views:
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -5,17 +5,20 @@
 boot-time clock.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bilberryspoke._internal.core.routing.backlog import (
     EngineBacklog,
-    count_uncached_tokens,
     estimate_first_event_s,
     measure_backlog,
 )
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.groups import split_into_groups
+from bilberryspoke._internal.core.routing.promptcache import (
+    count_own_tokens,
+    count_uncached_shared_tokens,
+    ensure_speed,
+)
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.models.routing import RoutedCall
@@ -24,14 +27,25 @@
     rank_members,
 )
 
-# The first engine in order of prefix affinity is chosen whose first event is
-# expected within this fraction of the latency target.
-_MAX_FIRST_EVENT_TARGET_FRACTION = 0.25
+# Engines whose cost is within this fraction of the latency target of the lowest
+# one are equal; the first of them in order of prefix affinity is chosen.
+_EQUAL_COST_TARGET_FRACTION = 0.1
+# A call that has waited for an engine with its prompt in the cache goes to one
+# whose cost is within this fraction of its latency target of the lowest one.
+_MAX_COST_TARGET_FRACTION = 0.5
+# Weight of the time in which an engine reads shared parts that another engine
+# may have in its cache. It delays other calls, the more engines are busy.
+_IDLE_REREAD_WEIGHT = 2.0
+_BUSY_REREAD_WEIGHT = 8.0
+_BUSY_BACKLOG_S = 0.1
 # A call that would raise the prefill backlog of a busy engine above this waits
 # at its VM: what waits at an engine holds memory there and delays later calls.
-_MAX_PREFILL_BACKLOG_TOKENS = 6000
+_MAX_PREFILL_BACKLOG_S = 0.2
+# An engine with at most this backlog is not busy: it gets a prompt of any
+# length, as it would be idle before the next one arrives.
+_FREE_BACKLOG_S = 0.03
 # A call is sent to an engine of the other group only up to this backlog.
-_MAX_OTHER_GROUP_BACKLOG_TOKENS = 1000
+_MAX_OTHER_GROUP_BACKLOG_S = 0.033
 # A call waits for the engine that caches its prompt for this fraction of its
 # latency target.
 _AFFINITY_WAIT_TARGET_FRACTION = 0.5
@@ -47,14 +61,20 @@
     """A candidate upstream for a call, with the estimates it is judged by.
 
     ``prefill_tokens`` are the prompt tokens that the call would add there,
-    ``backlog`` is that of the calls of all VMs, and ``first_event_s`` the
-    expected seconds from the send to the first event.
+    ``backlog`` is that of the calls of all VMs, and ``backlog_s`` the seconds
+    in which the engine reads the prompts of the backlog, ``prefill_s`` those
+    for the call's own. ``first_event_s`` are the expected seconds from the send
+    to the first event, and ``reread_s`` those in which it reads shared parts
+    of the prompt.
     """
 
     upstream: UpstreamState
     prefill_tokens: int
     backlog: EngineBacklog
+    backlog_s: float
+    prefill_s: float
     first_event_s: float
+    reread_s: float
 
 
 def list_usable_upstreams(
@@ -94,16 +114,18 @@
         accepting = routing.list_accepting_upstreams(service)
         own_group = other_group or _list_open(accepting, call_state, now)
         other_group = []
-    first = _choose_within_target(routing, own_group, call_state, now)
+    placements = _list_placements(routing, own_group, call_state, now)
+    call_state.needed_s = min(
+        (each.first_event_s - each.backlog_s for each in placements),
+        default=0,
+    )
+    target_s = call_state.call.route.latency_target_s
+    first = _choose_cheapest(placements, target_s * _EQUAL_COST_TARGET_FRACTION)
     if first is not None or has_prefix_affinity(call_state.call, now):
         return first
-    return _choose_from_other_group(
-        routing, other_group, call_state, now
-    ) or _choose_fastest(
-        routing,
-        own_group,
-        call_state,
-        now,
+    others = _list_placements(routing, other_group, call_state, now)
+    return _choose_from_other_group(others) or _choose_cheapest(
+        placements, target_s * _MAX_COST_TARGET_FRACTION
     )
 
 
@@ -147,81 +169,59 @@
     return [upstream for upstream in usable if upstream.is_open(now)]
 
 
-def _choose_within_target(
-    routing: RoutingState,
-    group: list[UpstreamState],
-    call_state: CallState,
-    now: float,
+def _choose_cheapest(
+    placements: list[Placement], tolerance_s: float
 ) -> Placement | None:
-    """Return the first engine that is expected to answer in time, if any.
+    """Return the first engine with capacity whose cost is low, if any.
 
-    The engines are in the order of prefix affinity. A call that still waits for
-    the engine that caches its prompt considers the first one only.
+    It is low if it is at most ``tolerance_s`` seconds over that of the cheapest
+    engine, with or without capacity.
     """
-    max_first_event_s = (
-        call_state.call.route.latency_target_s
-        * _MAX_FIRST_EVENT_TARGET_FRACTION
-    )
-    has_affinity = has_prefix_affinity(call_state.call, now)
-    for placement in _iterate_placements(routing, group, call_state, now):
-        if (
-            _has_capacity(placement)
-            and placement.first_event_s <= max_first_event_s
-        ):
+    busy = [each for each in placements if each.backlog_s > _BUSY_BACKLOG_S]
+    busy_fraction = len(busy) / max(1, len(placements))
+    costs_s = [_get_cost_s(each, busy_fraction) for each in placements]
+    highest_s = min(costs_s, default=0) + tolerance_s
+    for placement, cost_s in zip(placements, costs_s, strict=True):
+        if cost_s <= highest_s and _has_capacity(placement):
             return placement
-        if has_affinity:
-            return None
     return None
 
 
-def _choose_from_other_group(
-    routing: RoutingState,
-    group: list[UpstreamState],
-    call_state: CallState,
-    now: float,
-) -> Placement | None:
+def _get_cost_s(placement: Placement, busy_fraction: float) -> float:
+    """Return the seconds that a call takes at an engine, with their price.
+
+    ``busy_fraction`` is the fraction of engines that are busy.
+    """
+    weight = _IDLE_REREAD_WEIGHT
+    if placement.backlog.calls:
+        weight += (_BUSY_REREAD_WEIGHT - weight) * busy_fraction
+    return placement.first_event_s + weight * placement.reread_s
+
+
+def _choose_from_other_group(placements: list[Placement]) -> Placement | None:
     """Return an engine of the other group with an almost empty backlog.
 
     It also has a free slot: a call that waits in an engine's own queue can't be
     sent elsewhere, and is preempted or passed there by more urgent ones.
     """
-    for placement in _iterate_placements(
-        routing, group, call_state, now, own_group=False
-    ):
-        waiting = placement.backlog.prefill_tokens + placement.prefill_tokens
-        if (
-            _has_capacity(placement)
-            and waiting <= _MAX_OTHER_GROUP_BACKLOG_TOKENS
-        ):
+    for placement in placements:
+        waiting_s = placement.backlog_s + placement.prefill_s
+        if _has_capacity(placement) and waiting_s <= _MAX_OTHER_GROUP_BACKLOG_S:
             return placement
     return None
 
 
-def _choose_fastest(
-    routing: RoutingState,
-    group: list[UpstreamState],
-    call_state: CallState,
-    now: float,
-) -> Placement | None:
-    """Return the engine with capacity that is expected to answer first."""
-    placements = _iterate_placements(routing, group, call_state, now)
-    with_capacity = [each for each in placements if _has_capacity(each)]
-    return min(with_capacity, key=_get_first_event_s, default=None)
-
-
 def _has_capacity(placement: Placement) -> bool:
     """Return whether an engine may get a call, by its load.
 
-    It needs a free slot and room in its backlog.
-
-    An engine without a prefill backlog accepts a prompt of any length.
+    It needs a free slot and room in its backlog. An engine that is not busy
+    accepts a prompt of any length.
     """
     if placement.backlog.calls >= placement.upstream.listed.slots:
         return False
-    waiting = placement.backlog.prefill_tokens
     return (
-        not waiting
-        or waiting + placement.prefill_tokens <= _MAX_PREFILL_BACKLOG_TOKENS
+        placement.backlog_s <= _FREE_BACKLOG_S
+        or placement.backlog_s + placement.prefill_s <= _MAX_PREFILL_BACKLOG_S
     )
 
 
@@ -243,18 +243,16 @@
     return min(first, second, key=_get_relative_load)
 
 
-def _iterate_placements(
+def _list_placements(
     routing: RoutingState,
     group: list[UpstreamState],
     call_state: CallState,
     now: float,
-    *,
-    own_group: bool = True,
-) -> Iterable[Placement]:
-    """Yield the engines of a group in the order of prefix affinity.
+) -> list[Placement]:
+    """Return the engines of a group in the order of prefix affinity.
 
-    In a call's own group the first engine is assumed to cache the shared parts
-    of the prompt, since the other VMs send such calls there as well.
+    The order decides between engines that are equally good, so that all VMs
+    choose the same one for a part of a prompt that no engine has yet.
     """
     # Calls with the same last shared part prefer the same engine. The last part
     # of a prompt is not shared.
@@ -263,11 +261,10 @@
     if parts:
         hash_key = parts[-2].name if len(parts) > 1 else parts[-1].name
     by_name = {each.listed.instance: each for each in group}
-    for position, name in enumerate(rank_members(hash_key, by_name)):
-        assume_cached = own_group and not position
-        yield _estimate_placement(
-            routing, by_name[name], call_state, now, assume_cached=assume_cached
-        )
+    return [
+        _estimate_placement(routing, by_name[name], call_state, now)
+        for name in rank_members(hash_key, by_name)
+    ]
 
 
 def _estimate_placement(
@@ -275,19 +272,24 @@
     upstream: UpstreamState,
     call_state: CallState,
     now: float,
-    *,
-    assume_cached: bool = False,
 ) -> Placement:
+    call = call_state.call
     backlog = measure_backlog(routing, upstream, now)
-    prefill_tokens = count_uncached_tokens(
-        upstream, call_state.call, now, assume_cached=assume_cached
+    uncached_tokens = count_uncached_shared_tokens(routing, upstream, call, now)
+    prefill_tokens = count_own_tokens(call) + uncached_tokens
+    speed = ensure_speed(routing, call.service)
+    first_event_s = estimate_first_event_s(
+        upstream, speed, backlog, prefill_tokens
+    )
+    return Placement(
+        upstream=upstream,
+        prefill_tokens=prefill_tokens,
+        backlog=backlog,
+        backlog_s=speed.get_prefill_s(backlog.prefill_tokens),
+        prefill_s=speed.get_prefill_s(prefill_tokens),
+        first_event_s=first_event_s,
+        reread_s=speed.get_prefill_s(uncached_tokens),
     )
-    first_event_s = estimate_first_event_s(upstream, backlog, prefill_tokens)
-    return Placement(upstream, prefill_tokens, backlog, first_event_s)
-
-
-def _get_first_event_s(placement: Placement) -> float:
-    return placement.first_event_s
 
 
 def _get_relative_load(placement: Placement) -> float:
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -8,9 +8,11 @@
 
 from bilberryspoke._internal.core.routing.callstate import CallState, WaitQueue
 from bilberryspoke._internal.core.routing.crashledger import CrashLedger
+from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
 from bilberryspoke._internal.core.routing.originledger import OriginLedger
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
+from bilberryspoke._internal.core.routing.tightdemand import TightLoad
 from bilberryspoke._internal.core.routing.upstreamstate import (
     RemovedUpstream,
     UpstreamState,
@@ -21,6 +23,7 @@
     StorePosition,
 )
 from bilberryspoke._internal.models.routing_events import StoreWatch
+from bilberryspoke._internal.models.routing_messages import CachedParts
 
 # Time of what has not happened yet, in seconds of the boot-time clock.
 _NEVER = -1e9
@@ -55,8 +58,10 @@
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
     calls that crash upstreams, ``origins`` of the software versions of streams.
-    ``longest_answer_s`` is how long complete answers lately took at most, by
-    route.
+    ``part_news`` and ``foreign_part_news`` are the parts of prompts to name in
+    the next heartbeats, from this data centre and from others.
+    ``tight_loads`` and ``prefill_speeds`` are by service. ``longest_answer_s``
+    is how long complete answers lately took at most, by route.
     ``unreached_services`` are the services with upstreams of which this VM
     reaches none. ``helpers_paused_until`` is when other VMs may get calls of a
     service from this one again, which they did not serve, by VM and service.
@@ -97,6 +102,10 @@
     snapshot_requested_at: float = -1e9
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
     origins: OriginLedger = field(default_factory=OriginLedger)
+    part_news: list[CachedParts] = field(default_factory=list)
+    foreign_part_news: list[CachedParts] = field(default_factory=list)
+    tight_loads: dict[str, TightLoad] = field(default_factory=dict)
+    prefill_speeds: dict[str, PrefillSpeed] = field(default_factory=dict)
     longest_answer_s: dict[str, float] = field(default_factory=dict)
     unreached_services: set[str] = field(default_factory=set)
     helpers_paused_until: dict[tuple[str, str], float] = field(
--- a/src/bilberryspoke/_internal/core/routing/upstreamstate.py
+++ b/src/bilberryspoke/_internal/core/routing/upstreamstate.py
@@ -44,9 +44,10 @@
     """One incarnation of an upstream, and this VM's calls there.
 
     ``sends`` holds the calls under way there by their id. ``parts_sent_at``
-    holds the time at which this VM last sent each shared part of a prompt
-    there. ``latency_ratio`` is the ratio of measured to expected times to the
-    first event. ``last_heard_at`` is when bytes of any answer last arrived,
+    holds the time at which a VM last sent each shared part of a prompt there,
+    as far as this VM knows. ``latency_ratio`` is the ratio of measured to
+    expected times to the first event. ``last_heard_at`` is when bytes of any
+    answer last arrived,
     -1e9 if never. ``drop_at`` is set if its entry is missing after a store
     outage; it is dropped then unless it is listed again before. ``limit`` is
     what it said of the calls that it takes. ``said_leaving`` is whether it said
--- a/src/bilberryspoke/_internal/core/routing/waitqueue.py
+++ b/src/bilberryspoke/_internal/core/routing/waitqueue.py
@@ -38,13 +38,16 @@
     """Return the waiting calls in the order in which they are sent.
 
     More urgent ones go first. Among calls of equal rank, those that may still
-    meet their latency target go first, then the one whose target is due first.
+    meet their latency target go first, then the one whose target is due first:
+    in a rush, calls with long prompts would otherwise be sent when it is too
+    late for them, and make the next ones late.
     """
 
     def rank(call_state: CallState) -> tuple[int, bool, float]:
         call = call_state.call
         due_at = call.arrived_at + call.route.latency_target_s
-        late = now + _MIN_FIRST_EVENT_S > due_at
+        needed_s = max(_MIN_FIRST_EVENT_S, call_state.needed_s)
+        late = now + needed_s > due_at
         return (call.rank, late, due_at)
 
     return sorted(routing.waiting, key=rank)
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -105,6 +105,24 @@
     blocks: list[BlockReport] = []
 
 
+class TightDemand(msgspec.Struct, array_like=True):
+    """Load by streams with a tight gap limit to one service.
+
+    ``tokens_per_s``: prompt tokens of their own that arrive per second.
+    ``calls``: number of streams that are open.
+    """
+
+    tokens_per_s: BoundedCount
+    calls: BoundedCount
+
+
+class CachedParts(msgspec.Struct, array_like=True):
+    """Shared parts of prompts, by name, that an engine lately got."""
+
+    instance: str
+    names: list[str]
+
+
 class ReportScope(StrEnum):
     """Whose backlog and waiting calls a heartbeat reports.
 
@@ -146,6 +164,10 @@
     ``limits``: limits that the sender knows of, and those that ended lately.
     ``crash_news``: what it knows of crashes, None if there is nothing new.
     ``leaving``: listed upstreams that said in an answer that they leave.
+    ``cached_parts``: parts of prompts that the VMs in ``scope`` have sent since
+    the last heartbeat and that the receiver may not know of.
+    ``tight_demand``: load by streams with a tight gap limit at the VMs in
+    ``scope``, by service.
     """
 
     address: str
@@ -165,6 +187,8 @@
     limits: list[StatedLimit] = []
     crash_news: CrashNews | None = None
     leaving: list[LeavingUpstream] = []
+    cached_parts: list[CachedParts] = []
+    tight_demand: dict[str, TightDemand] = {}
 
 
 class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
@@ -173,12 +197,15 @@
     ``prefill_tokens``: prompt tokens added; negative once the upstream has
     processed a prompt.
     ``calls``: number of calls added.
+    ``parts``: shared parts of prompts that the upstream got with the call, and
+    which the receiver may not know it to have.
     The sender's next heartbeat includes the change.
     """
 
     instance: str
     prefill_tokens: int
     calls: int
+    parts: list[str] = []
 
 
 class StreamBegun(msgspec.Struct, tag='begun', array_like=True):
