Expect streams of a stopping VM to take as long as open ones and their timeout suggest

After three seconds of load only short answers had ended, the longest of them below 3 s. Change: open calls count with their age, the margin is 1.5, and a stream takes at least two fifths of its timeout. The test of the short stream taken after 3 s expects a refusal now: a route of 15 s promises no end within 4.6 s.

--- a/src/bilberryspoke/_internal/core/routing/stopping.py
+++ b/src/bilberryspoke/_internal/core/routing/stopping.py
@@ -17,7 +17,10 @@
 # ``DeploymentBounds.stop_timeout_s``.
 DRAIN_TIMEOUT_FRACTION = 0.95
 # The next answer may take this multiple of the longest recent one.
-_DURATION_MARGIN_RATIO = 1.25
+_DURATION_MARGIN_RATIO = 1.5
+# A stream is expected to take at least this fraction of its timeout: the
+# longest ones have not ended yet when the load is young.
+_MIN_TIMEOUT_FRACTION = 0.4
 # Fraction by which the longest duration of a route is lowered at each shorter
 # one, so that it follows the load.
 _DURATION_DECAY = 0.02
@@ -41,17 +44,30 @@
     if not state.stopping or call_state.attempt:
         return False
     limit_s = state.settings.bounds.stop_timeout_s * DRAIN_TIMEOUT_FRACTION
-    ends_at = now + _expect_duration_s(state.routing, call_state.call.route)
+    ends_at = now + _expect_duration_s(
+        state.routing, call_state.call.route, now
+    )
     return ends_at > state.stopping_since + limit_s
 
 
-def _expect_duration_s(routing: RoutingState, route: Route) -> float:
+def _expect_duration_s(
+    routing: RoutingState, route: Route, now: float
+) -> float:
     """Return the seconds that an answer of a route takes at most, as a rule.
 
-    Before the first answer they are its timeout, or a multiple of its latency
-    target if that bounds the complete answer.
+    Before the first answer they are its timeout, or its latency target if that
+    bounds the complete answer. Calls that are open count with their age.
     """
     longest_s = routing.longest_answer_s.get(route.name)
     if longest_s is None:
         longest_s = route.timeout_s if route.streams else route.latency_target_s
-    return min(route.timeout_s, longest_s * _DURATION_MARGIN_RATIO)
+    ages_s = [
+        now - each.call.arrived_at
+        for each in routing.calls.values()
+        if each.call.route is route and each.attempt
+    ]
+    longest_s = max(longest_s, *ages_s, 0)
+    expected_s = longest_s * _DURATION_MARGIN_RATIO
+    if route.streams:
+        expected_s = max(expected_s, route.timeout_s * _MIN_TIMEOUT_FRACTION)
+    return min(route.timeout_s, expected_s)
--- a/tests/unit/test_routed_stopping.py
+++ b/tests/unit/test_routed_stopping.py
@@ -6,6 +6,7 @@
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
 from tests.lib.routedcore import (
+    DRAFT_ROUTE,
     READ_ROUTE,
     TIGHT_GAP_ROUTE,
     RoutedCore,
@@ -38,8 +39,10 @@
     ('answer_s', 'since_s', 'is_served'),
     [
         (1.0, 0.5, True),
-        (1.0, 3.0, True),
-        (5.5, 0.1, True),
+        (1.0, 1.0, True),
+        # Streams of the route may take 15 s, so that 6 s are expected at least.
+        (1.0, 3.0, False),
+        (5.0, 0.05, True),
         # Streams of 5 s and more were cut off at the end of the stop.
         (5.5, 3.0, False),
         (7.0, 0.1, False),
@@ -96,5 +99,15 @@
         call = build_call(f'c{number}', TIGHT_GAP_ROUTE, own_tokens=10, now=8)
         send = core.arrive(call, now=8.0)
         core.end(send, SendStatus.finished, now=9.0)
-    decision = arrive_while_stopping(core, TIGHT_GAP_ROUTE, since_s=3.0)
+    decision = arrive_while_stopping(core, TIGHT_GAP_ROUTE, since_s=1.0)
     assert isinstance(decision, Send)
+
+
+def test_open_streams_tell_how_long_answers_take():
+    """A stopping VM had seen only the shortest answers of a young load."""
+    core = RoutedCore()
+    complete_answer(core, DRAFT_ROUTE, seconds=0.5)
+    core.arrive(build_call('open', now=6.0, shared='s1'), now=6.0)
+    core.handle(StopRequested(), now=10.0)
+    late = build_call('late', own_tokens=10, now=12.0)
+    assert isinstance(core.arrive(late, now=12.0), RefuseCall)
