--- a/src/bilberryspoke/_internal/core/routing/confirmation.py
+++ b/src/bilberryspoke/_internal/core/routing/confirmation.py
@@ -51,7 +51,8 @@
 def review_version_lag(routing: RoutingState, now: float) -> bool:
     """Return whether a peer has to be asked for newer routes.
 
-    That is so if it has had them for a while, or if this process is new.
+    That is so if it has had them for a while, if this process is new, or if it
+    does not read the store.
     """
     version = routing.table.version if routing.table else 0
     if find_newest_version(routing, now) <= version:
@@ -61,6 +62,7 @@
         routing.behind_since = now
     return (
         not routing.confirmed
+        or not routing.reads_store
         or now - routing.behind_since >= _MAX_VERSION_LAG_S
     )
 
--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -8,6 +8,10 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.confirmation import confirm_routes
+from bilberryspoke._internal.core.routing.entrydigest import (
+    hash_entry,
+    update_upstreams_digest,
+)
 from bilberryspoke._internal.core.routing.origins import doubt_origins
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import (
@@ -235,8 +239,11 @@
     if listed.leaving and not known.listed.leaving:
         state.emit(LogDecision('upstream_leaving', _describe_upstream(listed)))
     _withdraw_version(state, known, listed.software_version, now)
+    is_changed = hash_entry(known.listed) != hash_entry(listed)
     known.listed = listed
     known.drop_at = None
+    if is_changed:
+        update_upstreams_digest(state.routing)
 
 
 def _withdraw_version(
@@ -261,6 +268,7 @@
         return
     state.routing.removed.pop(listed.instance, None)
     state.routing.upstreams[listed.instance] = UpstreamState(listed)
+    update_upstreams_digest(state.routing)
     state.emit(LogDecision('upstream_listed', _describe_upstream(listed)))
 
 
@@ -294,6 +302,7 @@
         if each.removed_at >= now - _REMOVED_RETENTION_S
     }
     routing.removed[instance] = RemovedUpstream(dropped.listed, now)
+    update_upstreams_digest(routing)
     version = dropped.listed.software_version
     routing.origins.withdrawn_versions[dropped.listed.service, version] = now
     fields = {'upstream': instance, 'reason': reason}
--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -34,6 +34,10 @@
     make_report,
     view_own_state,
 )
+from bilberryspoke._internal.core.routing.storereaders import (
+    record_readers,
+    review_reading,
+)
 from bilberryspoke._internal.core.routing.withdrawal import apply_leaving
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
@@ -67,9 +71,11 @@
     peer.scope = message.scope
     peer.vms = message.vms
     peer.store_reader = message.store_reader or sender
+    peer.upstreams_digest = message.upstreams_digest
     apply_stated_limits(state, sender, message.limits, now)
     apply_leaving(state, sender, message.leaving)
     apply_part_news(state, message, now)
+    record_readers(state, sender, message, now)
     if message.crash_news is not None:
         apply_crash_news(state, sender, message.crash_news, now)
     if counts_report(state, peer):
@@ -130,6 +136,7 @@
         forget_expired_peers(state, now)
         choose_relays(state, now)
         _update_reporters(state)
+        review_reading(state, now)
         _send_heartbeats(state, now)
 
 
--- a/src/bilberryspoke/_internal/core/routing/peerstate.py
+++ b/src/bilberryspoke/_internal/core/routing/peerstate.py
@@ -36,8 +36,9 @@
     upstream. ``waiting`` is the most urgent rank among the calls that wait for
     capacity at that VM, by group of upstreams. ``tight_demand`` is the load by
     streams with a tight gap limit, by service. They are those of ``vms`` VMs,
-    as ``scope`` says. ``store_reader`` is the VM that ``version``, ``position``
-    and ``store_reachable`` describe. ``connected`` is whether a connection was
+    as ``scope`` says. ``upstreams_digest`` is as in ``RoutingState``, and
+    ``store_reader`` is the VM that ``version``, ``position`` and
+    ``store_reachable`` describe. ``connected`` is whether a connection was
     requested. ``suspected`` is whether the peer does not answer, so that it is
     not chosen as a relay.
     """
@@ -57,5 +58,6 @@
     scope: ReportScope = ReportScope.vm
     vms: int = 1
     store_reader: str = ''
+    upstreams_digest: int = 0
     connected: bool = False
     suspected: bool = False
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -10,6 +10,7 @@
 from bilberryspoke._internal.core.routing.ratelimits import (
     list_stated_limits,
 )
+from bilberryspoke._internal.core.routing.relays import is_relay
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.withdrawal import list_leaving
 from bilberryspoke._internal.core.state import VmState
@@ -84,6 +85,8 @@
         crash_news=news.crashes,
         leaving=news.leaving,
         cached_parts=news.parts[scope],
+        store_readers=list(routing.store_readers) if is_relay(state) else [],
+        upstreams_digest=reader.upstreams_digest,
     )
 
 
@@ -100,8 +103,9 @@
         state.settings.peer_address,
         version=routing.table.version if routing.confirmed else 0,
         position=routing.position,
-        store_reachable=routing.store_reachable,
+        store_reachable=routing.is_store_reader,
         store_reader=state.vm,
+        upstreams_digest=routing.upstreams_digest,
         backlog=backlog,
         waiting=routing.waiting.get_most_urgent_ranks(),
         tight_demand={
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -12,6 +12,8 @@
 from bilberryspoke._internal.core.routing.discovery import replace_upstreams
 from bilberryspoke._internal.core.routing.members import send_to_peer
 from bilberryspoke._internal.core.routing.peerstate import PeerView
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.storereaders import choose_source
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.routing import ListedUpstream
@@ -24,8 +26,12 @@
     SnapshotUpstream,
     StoreSnapshot,
 )
+from bilberryspoke._internal.utils.compression import compress
 
 _SNAPSHOT_REQUEST_INTERVAL_S = 0.3
+# A reader of the store has known other upstreams for this long before it is
+# asked: all VMs hear of a change within the same tenth of a second.
+_UPSTREAM_LAG_S = 0.05
 # Time without the store after which a peer is asked for a snapshot.
 _SNAPSHOT_REQUEST_DELAY_S = 0.4
 
@@ -33,8 +39,8 @@
 def review_snapshot(state: VmState, now: float) -> None:
     """Ask a peer for a snapshot if this VM may lack a change.
 
-    It may if the store does not answer one of its watches, or if a peer has
-    newer routes.
+    It may if the store does not answer one of its watches, if a peer has newer
+    routes, or if it does not read the store and a reader knows other upstreams.
     """
     routing = state.routing
     confirm_routes(state, now)
@@ -42,8 +48,10 @@
         now - lost_at >= _SNAPSHOT_REQUEST_DELAY_S
         for lost_at in routing.lost_watches.values()
     )
+    lacks_change = review_version_lag(routing, now)
+    lacks_change |= _lacks_upstreams(routing, now)
     if (
-        review_version_lag(routing, now) or lacks_store
+        lacks_change or lacks_store
     ) and now - routing.snapshot_requested_at >= _SNAPSHOT_REQUEST_INTERVAL_S:
         _request_snapshot(state, now)
 
@@ -62,7 +70,7 @@
     """
     routing = state.routing
     table = routing.table
-    if not routing.ready or not routing.store_reachable or table is None:
+    if not routing.ready or not routing.is_store_reader or table is None:
         return
     newer = table.version > message.version
     if not newer and routing.position <= message.position:
@@ -74,7 +82,7 @@
     snapshot = StoreSnapshot(
         version=table.version,
         revision=routing.position.revision,
-        table=table.encoded if newer else b'',
+        table=compress(table.encoded) if newer else b'',
         upstreams=upstreams,
         era=routing.position.era,
     )
@@ -100,7 +108,7 @@
     current = routing.table.version if routing.table else None
     if message.table and (current is None or message.version > current):
         state.emit(DecodeRoutes(message.table, f'peer {sender}'))
-    if routing.store_reachable or message.position <= routing.position:
+    if routing.is_store_reader or message.position <= routing.position:
         return
     fields = {
         'peer': sender,
@@ -128,10 +136,29 @@
     request = SnapshotRequest(version, position.revision, position.era)
     for peer in live_peers[:1]:
         routing.snapshot_requested_at = now
-        reader = routing.peers.get(peer.store_reader, peer)
+        source = peer.store_reader
+        if not routing.reads_store:
+            source = choose_source(state, source)
+        reader = routing.peers.get(source, peer)
         send_to_peer(state, reader, request)
 
 
+def _lacks_upstreams(routing: RoutingState, now: float) -> bool:
+    """Return whether a reader has known other upstreams for a while."""
+    differs = not routing.reads_store and any(
+        peer.store_reachable
+        and peer.position > routing.position
+        and peer.upstreams_digest != routing.upstreams_digest
+        for peer in list_live_peers(routing, now)
+    )
+    if not differs:
+        routing.differs_since = None
+        return False
+    if routing.differs_since is None:
+        routing.differs_since = now
+    return now - routing.differs_since >= _UPSTREAM_LAG_S
+
+
 def _get_newest_first_key(peer: PeerView) -> tuple[int, int, int, str]:
     era, revision = peer.position
     return (-peer.version, -era, -revision, peer.name)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -58,6 +58,13 @@
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
     calls that crash upstreams, ``origins`` of the software versions of streams.
+    ``reads_store`` is whether this VM reads the store. ``store_readers`` are
+    the VMs of this data centre that do in a large fleet, and
+    ``reader_named_at`` is when its relay named each. ``reader_heard_at`` is
+    when this VM last heard of one that reaches the store. ``upstreams_digest``
+    is equal at VMs that know the same of all upstreams, and ``differs_since``
+    is when a reader first had another one, None if none has.
+    ``snapshot_requests`` counts the requests.
     ``part_news`` and ``foreign_part_news`` are the parts of prompts to name in
     the next heartbeats, from this data centre and from others.
     ``tight_loads`` and ``prefill_speeds`` are by service. ``longest_answer_s``
@@ -102,6 +109,13 @@
     snapshot_requested_at: float = -1e9
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
     origins: OriginLedger = field(default_factory=OriginLedger)
+    reads_store: bool = True
+    store_readers: tuple[str, ...] = ()
+    reader_named_at: dict[str, float] = field(default_factory=dict)
+    reader_heard_at: float = _NEVER
+    upstreams_digest: int = 0
+    differs_since: float | None = None
+    snapshot_requests: int = 0
     part_news: list[CachedParts] = field(default_factory=list)
     foreign_part_news: list[CachedParts] = field(default_factory=list)
     tight_loads: dict[str, TightLoad] = field(default_factory=dict)
@@ -122,6 +136,11 @@
         """Whether the store answers about upstreams."""
         return StoreWatch.upstreams not in self.lost_watches
 
+    @property
+    def is_store_reader(self) -> bool:
+        """Whether this VM reads the store, and the store answers it."""
+        return self.reads_store and self.store_reachable
+
     def find_incarnation(
         self, instance: str, created_ms: int
     ) -> UpstreamState | None:
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -147,9 +147,10 @@
     """Decode routes received from another VM.
 
     A ``RoutesOffered`` event with this ``source`` follows if they are valid.
+    ``compressed``: the encoded routes, as in ``StoreSnapshot``.
     """
 
-    encoded: bytes
+    compressed: bytes
     source: str
 
 
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -145,7 +145,7 @@
     ``version``: version of its routes; 0 if it has none, or none that it has
     compared with those of other VMs.
     ``revision``: revision of the store as of which it knows the upstreams.
-    ``store_reachable``: whether it reaches the store.
+    ``store_reachable``: whether it reads the store, and reaches it.
     ``backlog``: one entry for each upstream with calls of the VMs in ``scope``.
     ``waiting``: rank of the most urgent call that waits for capacity (see
     ``RoutedCall.rank``), by the group of upstreams that it waits for. The name
@@ -166,6 +166,9 @@
     ``leaving``: listed upstreams that said in an answer that they leave.
     ``cached_parts``: parts of prompts that the VMs in ``scope`` have sent since
     the last heartbeat and that the receiver may not know of.
+    ``store_readers``: VMs of its data centre that a relay names to read the
+    store for the others.
+    ``upstreams_digest``: digest of the upstreams that ``store_reader`` knows.
     ``tight_demand``: load by streams with a tight gap limit at the VMs in
     ``scope``, by service.
     """
@@ -189,6 +192,8 @@
     leaving: list[LeavingUpstream] = []
     cached_parts: list[CachedParts] = []
     tight_demand: dict[str, TightDemand] = {}
+    store_readers: list[str] = []
+    upstreams_digest: int = 0
 
 
 class BacklogChange(msgspec.Struct, tag='changed', array_like=True):
@@ -292,8 +297,8 @@
 
     ``version``: version of its routes.
     ``revision``: revision of the store as of which it knows the upstreams.
-    ``table``: the encoded routes; empty if they are not newer than the
-    receiver's.
+    ``table``: the encoded routes, compressed; empty if they are not newer than
+    the receiver's.
     ``era``: era of the store to which ``revision`` belongs.
     """
 
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -43,6 +43,7 @@
 # interval, so that it returns many changes at once.
 _BATCH_INTERVAL_S = 0.6
 _RETRY_INTERVAL_S = 0.25
+_READING_POLL_INTERVAL_S = 0.1
 # Number of different jitter fractions.
 _JITTER_STEPS = 100
 
@@ -55,13 +56,15 @@
 class DiscoveryWatcher:
     """Submits routes and upstreams from the store to the core.
 
-    Reads all entries first, then watches them for changes.
+    Reads all entries first, then watches them for changes, as long as the core
+    wants it to.
     """
 
     def __init__(self, runtime: Runtime, store: StoreClient) -> None:
         """Create the watcher of a VM."""
         self._runtime = runtime
         self._store = store
+        self._routing = runtime.core.state.routing
         # Number of sleeps so far, which gives each sleep another jitter.
         self._sleep_count = 0
 
@@ -90,6 +93,10 @@
     ) -> None:
         position = NO_POSITION
         while True:
+            if not self._routing.reads_store:
+                position = NO_POSITION
+                await asyncio.sleep(_READING_POLL_INTERVAL_S)
+                continue
             try:
                 position = await self._fetch_changes(prefix, position, wait_s)
             except PlatformHistoryLostError as exc:
--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -15,6 +15,7 @@
 from bilberryspoke._internal.models.routing_events import RoutesOffered
 from bilberryspoke._internal.network.runtime import Runtime, handles_effect
 from bilberryspoke._internal.platform.records import decode_route_table
+from bilberryspoke._internal.utils.compression import decompress
 
 
 @handles_effect(Send)
@@ -78,7 +79,8 @@
 @handles_effect(DecodeRoutes)
 def decode_routes(runtime: Runtime, effect: DecodeRoutes) -> None:
     """Decode a route table from another VM and submit it to the core."""
-    decoded = decode_route_table(effect.encoded)
+    encoded = decompress(effect.compressed)
+    decoded = decode_route_table(encoded or b'')
     if decoded.is_error():
         fields = {'source': effect.source, 'cause': decoded.error}
         runtime.log_decision('peer_routes_invalid', fields, important=True)
--- /dev/null
+++ b/tests/unit/test_routed_storereaders.py
@@ -0,0 +1,121 @@
+"""Few VMs of a large fleet read the store; the others follow them."""
+
+import pytest
+
+from tests.lib.storefleet import StoreFleet
+
+# As in the grown and large deployments.
+CONFIG_APPLY_S = 3.0
+START_S = 9.0
+
+
+def build_fleet(vms=26, data_centres=2):
+    """Return a fleet that has run until its readers are named."""
+    fleet = StoreFleet(vms, data_centres=data_centres)
+    fleet.run_until(START_S)
+    return fleet
+
+
+def check_change_arrives(fleet, within_s=CONFIG_APPLY_S):
+    fleet.change()
+    fleet.run_until(fleet.now + within_s)
+    assert fleet.find_outdated() == set()
+
+
+def count_readers(fleet):
+    return {name: len(each) for name, each in fleet.find_readers().items()}
+
+
+@pytest.mark.parametrize(('vms', 'data_centres'), [(26, 2), (63, 5)])
+def test_one_vm_of_each_data_centre_reads_the_store(vms, data_centres):
+    """195 VMs made 1.8 calls a second each."""
+    fleet = build_fleet(vms, data_centres)
+    readers = count_readers(fleet)
+    assert readers == {f'dc-{number}': 1 for number in range(data_centres)}
+    before = fleet.reads
+    for _ in range(5):
+        fleet.rewrite()
+        fleet.run_until(fleet.now + 0.4)
+    # Each reader reads five times a second.
+    assert fleet.reads - before <= data_centres * 11
+
+
+def test_change_reaches_the_vms_that_do_not_read_within_a_second():
+    fleet = build_fleet()
+    check_change_arrives(fleet, within_s=1.0)
+    check_change_arrives(fleet, within_s=1.0)
+
+
+def test_small_fleet_reads_by_itself():
+    fleet = build_fleet(8, 2)
+    assert count_readers(fleet) == {'dc-0': 4, 'dc-1': 4}
+    check_change_arrives(fleet, within_s=0.5)
+
+
+def test_readers_that_are_killed_are_replaced():
+    fleet = build_fleet()
+    for name in fleet.find_readers()['dc-0']:
+        fleet.kill(name)
+    check_change_arrives(fleet)
+    fleet.run_until(fleet.now + 5)
+    assert count_readers(fleet) == {'dc-0': 1, 'dc-1': 1}
+
+
+def test_relay_that_is_killed_with_the_readers_is_replaced():
+    fleet = build_fleet()
+    routing = next(iter(fleet.cores.values())).state.routing
+    doomed = {*fleet.find_readers()['dc-1'], routing.relays['dc-1']}
+    for name in doomed:
+        fleet.kill(name)
+    check_change_arrives(fleet)
+    fleet.run_until(fleet.now + 5)
+    assert count_readers(fleet) == {'dc-0': 1, 'dc-1': 1}
+
+
+def test_readers_that_the_store_turns_away_are_replaced():
+    fleet = build_fleet()
+    fleet.turned_away.update(fleet.find_readers()['dc-0'])
+    check_change_arrives(fleet)
+    fleet.run_until(fleet.now + 3)
+    assert not fleet.turned_away & set(fleet.find_readers()['dc-0'])
+
+
+def test_half_of_the_vms_are_turned_away():
+    """Those that are served keep reading; nobody alternates."""
+    fleet = build_fleet()
+    fleet.turned_away.update(sorted(fleet.cores)[::2])
+    check_change_arrives(fleet)
+    fleet.run_until(fleet.now + 6)
+    before = fleet.reads
+    fleet.run_until(fleet.now + 2)
+    assert fleet.reads - before <= 2 * 2 * 11
+    check_change_arrives(fleet)
+
+
+def test_data_centre_cut_off_from_the_others_follows_its_own_readers():
+    fleet = build_fleet()
+    fleet.cut_off('dc-0')
+    check_change_arrives(fleet)
+
+
+def test_change_arrives_when_the_store_is_back():
+    fleet = build_fleet()
+    fleet.turned_away.update(fleet.cores)
+    fleet.run_until(fleet.now + 5)
+    fleet.turned_away.clear()
+    check_change_arrives(fleet, within_s=1.5)
+    fleet.run_until(fleet.now + 8)
+    assert all(count <= 1 for count in count_readers(fleet).values())
+
+
+def test_restart_of_all_vms_reads_at_once():
+    fleet = build_fleet()
+    fleet.change()
+    for name in list(fleet.cores):
+        fleet.kill(name)
+        fleet.start(name)
+    # Engines that are missing at the start may be listed again for 2 s.
+    fleet.run_until(fleet.now + CONFIG_APPLY_S)
+    assert fleet.find_outdated() == set()
+    fleet.run_until(fleet.now + START_S)
+    assert count_readers(fleet) == {'dc-0': 1, 'dc-1': 1}
