Let the first engine in order read a part that no engine has

Cause: VMs hear of parts 0.2 s late through relays; calls with a new part came to many VMs at once, and each sent it to the engine that was the cheapest then. Change: reading a part for the first time is no price at the first engine in order by hash, which is the same at all VMs; elsewhere it is. The test of long prompts takes a rush in which each engine always has a short prompt to read.

--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -175,11 +175,19 @@
     """Return the first engine with capacity whose cost is low, if any.
 
     It is low if it is at most ``tolerance_s`` seconds over that of the cheapest
-    engine, with or without capacity.
+    engine, with or without capacity. A part that no engine has must be read by
+    one: by the first in order, as the other VMs send it there at the same time.
     """
     busy = [each for each in placements if each.backlog_s > _BUSY_BACKLOG_S]
     busy_fraction = len(busy) / max(1, len(placements))
-    costs_s = [_get_cost_s(each, busy_fraction) for each in placements]
+    unavoidable_s = min((each.reread_s for each in placements), default=0)
+    costs_s = []
+    for position, placement in enumerate(placements):
+        reread_s = placement.reread_s
+        if not position or not unavoidable_s:
+            reread_s -= unavoidable_s
+        weight = _get_reread_weight(placement, busy_fraction)
+        costs_s.append(placement.first_event_s + weight * reread_s)
     highest_s = min(costs_s, default=0) + tolerance_s
     for placement, cost_s in zip(placements, costs_s, strict=True):
         if cost_s <= highest_s and _has_capacity(placement):
@@ -187,15 +195,15 @@
     return None
 
 
-def _get_cost_s(placement: Placement, busy_fraction: float) -> float:
-    """Return the seconds that a call takes at an engine, with their price.
+def _get_reread_weight(placement: Placement, busy_fraction: float) -> float:
+    """Return the weight of the time to read shared parts again at an engine.
 
     ``busy_fraction`` is the fraction of engines that are busy.
     """
-    weight = _IDLE_REREAD_WEIGHT
-    if placement.backlog.calls:
-        weight += (_BUSY_REREAD_WEIGHT - weight) * busy_fraction
-    return placement.first_event_s + weight * placement.reread_s
+    if not placement.backlog.calls:
+        return _IDLE_REREAD_WEIGHT
+    extra = _BUSY_REREAD_WEIGHT - _IDLE_REREAD_WEIGHT
+    return _IDLE_REREAD_WEIGHT + extra * busy_fraction
 
 
 def _choose_from_other_group(placements: list[Placement]) -> Placement | None:
--- a/tests/unit/test_routed_selection.py
+++ b/tests/unit/test_routed_selection.py
@@ -315,12 +315,19 @@
     any other call.
     """
     core = RoutedCore(engines=4)
-    for number in range(3):
+    shorts = []
+    for number in range(6):
         short = build_call(f's{number}', parts=(), prompt_tokens=600, now=0.0)
-        assert core.arrive(short, now=0.0) is not None
-    long = build_call('d', own_tokens=10_700, now=0.0)
+        shorts.append(core.arrive(short, now=0.0))
+    for number, send in enumerate(shorts):
+        # Each engine always has a short prompt to read.
+        if number % 2:
+            core.progress(send, now=0.05)
+    long = build_call('d', own_tokens=10_700, now=0.06)
     assert sum(part.tokens for part in long.parts) == 17_000
-    assert core.arrive(long, now=0.0) is not None
+    sends = list_sends(core.handle(CallArrived(long), now=0.06))
+    sends += list_sends(core.handle(Tick(), now=0.1))
+    assert [send.call_id for send in sends] == ['d']
 
 
 def test_calls_go_only_to_engines_with_a_free_slot():
