Cap the numbers that callers state, so that one call ends no heartbeat

What happened: X-Token-Counts with 30 digits made the next heartbeat fail to encode (OverflowError in the tick), one of 5,000 digits raised ValueError in the ingress, and a count above 1e9 made the other VMs reject all envelopes of this one while the call was open. Change: a prompt has at most 1,000,000 tokens, its parts together too; other numbers at most 1e15. Numbers of upstreams beyond 64 bits were already refused as entries.

--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -49,6 +49,10 @@
 _MS_PER_S = 1000
 _MAX_RATE_PER_S = 1e6
 _MAX_PAUSE_S = 3600.0
+_MAX_NUMBER_DIGITS = 15
+_MAX_NUMBER = 10**_MAX_NUMBER_DIGITS
+# No engine has memory for more.
+_MAX_PROMPT_TOKENS = 1_000_000
 
 # These concern a single connection and are not forwarded.
 _HOP_BY_HOP = frozenset(
@@ -297,10 +301,16 @@
 
 
 def _parse_number(raw: bytes | None) -> int | None:
-    """Parse a non-negative decimal integer; None if missing or malformed."""
-    if raw is None or not raw.strip().isdigit():
+    """Parse a non-negative decimal integer; None if missing or malformed.
+
+    Any number above ``_MAX_NUMBER`` counts as that.
+    """
+    digits = b'' if raw is None else raw.strip()
+    if not digits.isdigit():
         return None
-    return int(raw)
+    if len(digits.lstrip(b'0')) > _MAX_NUMBER_DIGITS:
+        return _MAX_NUMBER
+    return int(digits)
 
 
 def _parse_decimal(raw: bytes | None, most: float) -> float | None:
@@ -340,15 +350,21 @@
 
 
 def _parse_token_counts(raw: bytes) -> tuple[int, int]:
-    counts = [_parse_number(part) or 0 for part in raw.split(b',')]
+    counts = [
+        min(_MAX_PROMPT_TOKENS, _parse_number(part) or 0)
+        for part in raw.split(b',')
+    ]
     return counts[0], counts[1] if len(counts) > 1 else 0
 
 
 def _parse_prompt_parts(raw: bytes) -> Iterable[PromptPart]:
+    tokens_left = _MAX_PROMPT_TOKENS
     for entry in raw.split(b','):
         name, colon, tokens = entry.partition(b':')
         count = _parse_number(tokens)
         if colon and count is not None:
+            count = min(count, tokens_left)
+            tokens_left -= count
             yield PromptPart(name.strip().decode('latin-1'), count)
 
 
