Leave slots to urgent calls in a large fleet, and split the choice of engines

Cause: 84 VMs see one another's calls 0.2 s late, so that engines got more manuals than they have slots. Change: in a fleet with relays, calls of routes that are not the most urgent of their service use 0.85 of an engine's slots. Small fleets choose as before.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch of a call: send it, queue it, or end it without an upstream."""
 
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
+from bilberryspoke._internal.core.routing.candidates import Placement
 from bilberryspoke._internal.core.routing.completion import (
     Refusal,
     fail_call,
@@ -22,7 +23,6 @@
 from bilberryspoke._internal.core.routing.promptcache import record_sent_parts
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
 from bilberryspoke._internal.core.routing.selection import (
-    Placement,
     choose_placement,
     has_prefix_affinity,
     list_usable_upstreams,
--- a/src/bilberryspoke/_internal/network/routing/probes.py
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -41,7 +41,8 @@
 def _render_gauges(runtime: Runtime) -> list[str]:
     """Return the gauges of what this VM knows of the others.
 
-    They are the peers that it knows and those heard from lately, the messages
+    They are the peers that it knows and those heard from lately, whether it
+    reads the store (1) or follows another VM (0), the messages
     to peers that were dropped since the start, its part of the reserve of
     each retry budget, the version of its routes, the position of the store as
     of which it knows the upstreams, and the seconds since the store last
@@ -54,6 +55,7 @@
     gauges: dict[str, dict[str, float]] = {
         'known_peers': {'': len(routing.peers)},
         'live_peers': {'': live_peers},
+        'reads_store': {'': int(routing.reads_store)},
         'peer_messages_dropped': {'': runtime.peers.dropped},
         'retry_reserve': {
             service: budget.reserve
--- a/tests/unit/test_routed_selection.py
+++ b/tests/unit/test_routed_selection.py
@@ -347,3 +347,34 @@
             core.progress(send, now=0.0)
     at_engine = Counter(send.instance for send in sends)
     assert max(at_engine.values()) == 2
+
+
+def count_calls_at_engine(core, route, *, relays):
+    """Return how many calls of a route an engine with 20 slots gets."""
+    core.routing.relays = relays
+    listed = (build_upstream('engine-0', slots=20),)
+    core.handle(UpstreamsListed(listed, StorePosition(0, 2)), now=0.0)
+    for number in range(40):
+        call = build_call(f'c{number}', route, parts=(), prompt_tokens=10)
+        send = core.arrive(call, now=0.0)
+        if send is not None:
+            core.progress(send, now=0.0)
+    return len(core.routing.upstreams['engine-0'].sends)
+
+
+@pytest.mark.parametrize(
+    ('route', 'relays', 'calls'),
+    [
+        (TIGHT_GAP_ROUTE, {'levis': 'vm-1'}, 20),
+        (DRAFT_ROUTE, {'levis': 'vm-1'}, 17),
+        (DRAFT_ROUTE, {}, 20),
+    ],
+)
+def test_less_urgent_calls_leave_slots_to_urgent_ones_in_a_large_fleet(
+    route, relays, calls
+):
+    """Urgent calls waited at engines that were overfilled with manuals.
+
+    84 VMs see one another's calls 0.2 s late.
+    """
+    assert count_calls_at_engine(RoutedCore(), route, relays=relays) == calls
