Keep no engines for tight streams where all streams have the same gap limit

What callers would see: in a service whose streams all have one gap limit a quarter of the engines got only prompts of up to 1,000 tokens while other calls waited. The test fails without the change.

--- a/src/bilberryspoke/_internal/core/routing/groups.py
+++ b/src/bilberryspoke/_internal/core/routing/groups.py
@@ -16,7 +16,6 @@
 )
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.tightdemand import (
-    INITIAL_FRACTION,
     EngineCapacity,
     TightLoad,
     count_tight_engines,
@@ -111,7 +110,8 @@
 ) -> int:
     gaps = routing.table.max_event_gaps_of_service.get(service, set())
     if len(gaps) < 2:
-        return max(1, round(len(engines) * INITIAL_FRACTION))
+        # No stream of the service is tighter than the others.
+        return 0
     capacity = EngineCapacity(
         len(engines),
         engines[0].listed.slots,
--- a/src/bilberryspoke/_internal/core/routing/tightdemand.py
+++ b/src/bilberryspoke/_internal/core/routing/tightdemand.py
@@ -15,7 +15,7 @@
 from bilberryspoke._internal.models.routing_messages import TightDemand
 
 # Fraction of engines that are kept while the load is not known yet.
-INITIAL_FRACTION = 0.25
+_INITIAL_FRACTION = 0.25
 # Highest fraction of engines that are kept.
 _MAX_FRACTION = 0.5
 # Prompts of the streams may take this fraction of an engine's time, and the
@@ -93,7 +93,7 @@
             open_calls += reported.calls
     most = max(1, math.floor(capacity.count * _MAX_FRACTION))
     if not load.engines:
-        load.engines = max(1, round(capacity.count * INITIAL_FRACTION))
+        load.engines = max(1, round(capacity.count * _INITIAL_FRACTION))
         load.needed_at = now + _FIRST_SHRINK_DELAY_S - _SHRINK_DELAY_S
     needed = max(
         1,
--- a/tests/unit/test_routed_selection.py
+++ b/tests/unit/test_routed_selection.py
@@ -13,6 +13,7 @@
 from bilberryspoke._internal.models.routing import SendStatus, StorePosition
 from bilberryspoke._internal.models.routing_events import (
     CallArrived,
+    RoutesOffered,
     UpstreamsListed,
 )
 from bilberryspoke._internal.models.routing_messages import (
@@ -21,10 +22,12 @@
 )
 from tests.lib.routedcore import (
     DRAFT_ROUTE,
+    READ_ROUTE,
     SHORT_TARGET_ROUTE,
     TIGHT_GAP_ROUTE,
     RoutedCore,
     build_call,
+    build_table,
     build_upstream,
     find_decision,
     list_sends,
@@ -378,3 +381,17 @@
     84 VMs see one another's calls 0.2 s late.
     """
     assert count_calls_at_engine(RoutedCore(), route, relays=relays) == calls
+
+
+def test_service_with_one_gap_limit_uses_all_its_engines():
+    """A quarter of the engines was kept for streams that did not exist."""
+    core = RoutedCore()
+    table = build_table(2, routes=(DRAFT_ROUTE, READ_ROUTE))
+    core.handle(RoutesOffered(table), now=0.0)
+    sends = [
+        core.arrive(
+            build_call(f'd{each}', parts=(), prompt_tokens=5000), now=0.0
+        )
+        for each in range(8)
+    ]
+    assert len({send.instance for send in sends if send}) == 8
