Give each test run loopback addresses of its own

Cause, in both logs: 'cannot listen on 127.0.1.1:23808: Address already in use', for the ports of each failed test. Both runs used 127.0.1.x; a port that was free when it was looked for was taken by the other run before the process bound it, and the test then waited 20 s for a process that had ended. Change: the addresses of the processes follow the id of the test run.

--- a/tests/functional/test_routed_changes.py
+++ b/tests/functional/test_routed_changes.py
@@ -299,10 +299,7 @@
     'steps',
     [
         check_incomplete_headers_time_out,
-        pytest.param(
-            check_long_headers_are_refused,
-            marks=pytest.mark.xfail(reason='KNOWN-RED.txt, 31', strict=False),
-        ),
+        check_long_headers_are_refused,
         check_incomplete_body_times_out,
         check_idle_connection_is_closed,
     ],
--- a/tests/functional/test_routed_models.py
+++ b/tests/functional/test_routed_models.py
@@ -3,8 +3,6 @@
 import asyncio
 import json
 
-import pytest
-
 from fakes.batching import TOKENS_PER_EVENT
 from fakes.modelengine import REPORT_PATH
 from fakes.upstream import Run, make_event
@@ -58,7 +56,6 @@
     return [upstream.model for upstream in fleet.upstreams.values()]
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 32', strict=False)
 def test_streams_with_tight_gap_limit_get_an_engine_of_their_own():
     async def run():
         async with run_routed_fleet(
@@ -112,7 +109,6 @@
     asyncio.run(run())
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 32', strict=False)
 def test_shared_prefix_is_prefilled_by_one_engine():
     async def run():
         async with run_routed_fleet(
@@ -160,7 +156,6 @@
     asyncio.run(run())
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 32', strict=False)
 def test_engine_load_report_counts_running_requests():
     async def run():
         async with run_routed_fleet(
--- a/tests/functional/test_routed_versions.py
+++ b/tests/functional/test_routed_versions.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 
-import pytest
-
 from fakes.upstream import UpstreamStandIn, make_stream
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
@@ -115,7 +113,6 @@
     asyncio.run(run())
 
 
-@pytest.mark.xfail(reason='KNOWN-RED.txt, 32', strict=False)
 def test_stream_whose_software_version_is_gone_is_refused_as_not_run():
     """It went on at the version that was left."""
 
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -27,6 +27,13 @@
 
 WAIT_TIMEOUT_S = 20
 _POLL_INTERVAL_S = 0.02
+# Test runs beside each other have networks of their own: a port that is free
+# when it is looked for may be taken by the other run before it is bound.
+_NETS_PER_BYTE = 256
+_LOOPBACK_NET = (
+    f'127.{1 + os.getpid() // _NETS_PER_BYTE % 254}'
+    f'.{os.getpid() % _NETS_PER_BYTE}'
+)
 
 
 @dataclass(slots=True)
@@ -301,7 +308,7 @@
     seeds: int | None,
     **bounds: float,
 ) -> list[RouterProcess]:
-    ips = [f'127.0.1.{number + 1}' for number in range(len(stores))]
+    ips = [f'{_LOOPBACK_NET}.{number + 1}' for number in range(len(stores))]
     ports = _find_ports(ips)
     nodes = []
     for number, ip in enumerate(ips):
