Keep event ids of up to 64 bits

The cap of on callers' numbers also capped Last-Event-Id at 1e15, below a time in microseconds: a stream with such ids would have been resumed after the wrong event. Token counts keep their own cap.

--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -49,8 +49,9 @@
 _MS_PER_S = 1000
 _MAX_RATE_PER_S = 1e6
 _MAX_PAUSE_S = 3600.0
-_MAX_NUMBER_DIGITS = 15
-_MAX_NUMBER = 10**_MAX_NUMBER_DIGITS
+# Event ids may be times in nanoseconds.
+_MAX_NUMBER = 9_223_372_036_854_775_807
+_MAX_NUMBER_DIGITS = 19
 # No engine has memory for more.
 _MAX_PROMPT_TOKENS = 1_000_000
 
@@ -308,9 +309,10 @@
     digits = b'' if raw is None else raw.strip()
     if not digits.isdigit():
         return None
-    if len(digits.lstrip(b'0')) > _MAX_NUMBER_DIGITS:
+    significant = digits.lstrip(b'0')
+    if len(significant) > _MAX_NUMBER_DIGITS:
         return _MAX_NUMBER
-    return int(digits)
+    return min(_MAX_NUMBER, int(significant or b'0'))
 
 
 def _parse_decimal(raw: bytes | None, most: float) -> float | None:
--- a/tests/unit/test_routed_numbers.py
+++ b/tests/unit/test_routed_numbers.py
@@ -71,3 +71,11 @@
     entry = build_server_entry(service='llm', address='10.0.0.1:80', slots=-3)
     decoded = decode_upstream('servers/i-1', json.dumps(entry).encode())
     assert decoded.ok.slots == 1
+
+
+@pytest.mark.parametrize('event_id', [1_764_000_000_000_000, 2**63 - 1])
+def test_event_ids_of_64_bits_are_kept(event_id):
+    """A stream whose ids are times in microseconds was resumed elsewhere."""
+    raw = [(b'last-event-id', b'%d' % event_id)]
+    headers = parse_call_headers(raw, keep_authorization=False)
+    assert headers.last_event_id == event_id
