--- a/src/bilberryspoke/_internal/core/routing/stopping.py
+++ b/src/bilberryspoke/_internal/core/routing/stopping.py
@@ -64,9 +64,9 @@
     ages_s = [
         now - each.call.arrived_at
         for each in routing.calls.values()
-        if each.call.route is route and each.attempt
+        if each.call.route.name == route.name and each.attempt
     ]
-    longest_s = max(longest_s, *ages_s, 0)
+    longest_s = max((longest_s, *ages_s))
     expected_s = longest_s * _DURATION_MARGIN_RATIO
     if route.streams:
         expected_s = max(expected_s, route.timeout_s * _MIN_TIMEOUT_FRACTION)
--- a/tests/unit/test_routed_stopping.py
+++ b/tests/unit/test_routed_stopping.py
@@ -111,3 +111,15 @@
     core.handle(StopRequested(), now=10.0)
     late = build_call('late', own_tokens=10, now=12.0)
     assert isinstance(core.arrive(late, now=12.0), RefuseCall)
+
+
+def test_open_streams_count_after_a_change_of_the_routes():
+    """The routes are other objects then, with the same names."""
+    core = RoutedCore()
+    complete_answer(core, DRAFT_ROUTE, seconds=0.5)
+    core.arrive(build_call('open', now=6.0, shared='s1'), now=6.0)
+    core.handle(StopRequested(), now=10.0)
+    reloaded = build_route()
+    assert reloaded is not DRAFT_ROUTE
+    late = build_call('late', reloaded, own_tokens=10, now=12.0)
+    assert isinstance(core.arrive(late, now=12.0), RefuseCall)
