--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -8,10 +8,7 @@
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.confirmation import confirm_routes
-from bilberryspoke._internal.core.routing.entrydigest import (
-    hash_entry,
-    update_upstreams_digest,
-)
+from bilberryspoke._internal.core.routing.entrydigest import toggle_entry
 from bilberryspoke._internal.core.routing.origins import doubt_origins
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import (
@@ -239,11 +236,10 @@
     if listed.leaving and not known.listed.leaving:
         state.emit(LogDecision('upstream_leaving', _describe_upstream(listed)))
     _withdraw_version(state, known, listed.software_version, now)
-    is_changed = hash_entry(known.listed) != hash_entry(listed)
+    toggle_entry(routing, known.listed)
+    toggle_entry(routing, listed)
     known.listed = listed
     known.drop_at = None
-    if is_changed:
-        update_upstreams_digest(state.routing)
 
 
 def _withdraw_version(
@@ -262,13 +258,17 @@
 
 
 def _add_upstream(state: VmState, listed: ListedUpstream) -> None:
-    removed = state.routing.removed.get(listed.instance)
+    routing = state.routing
+    removed = routing.removed.get(listed.instance)
     if removed is not None and not listed.may_follow(removed.listed):
         state.emit(Count('upstream_entries_outdated'))
         return
-    state.routing.removed.pop(listed.instance, None)
-    state.routing.upstreams[listed.instance] = UpstreamState(listed)
-    update_upstreams_digest(state.routing)
+    routing.removed.pop(listed.instance, None)
+    replaced = routing.upstreams.get(listed.instance)
+    if replaced is not None:
+        toggle_entry(routing, replaced.listed)
+    toggle_entry(routing, listed)
+    routing.upstreams[listed.instance] = UpstreamState(listed)
     state.emit(LogDecision('upstream_listed', _describe_upstream(listed)))
 
 
@@ -302,7 +302,7 @@
         if each.removed_at >= now - _REMOVED_RETENTION_S
     }
     routing.removed[instance] = RemovedUpstream(dropped.listed, now)
-    update_upstreams_digest(routing)
+    toggle_entry(routing, dropped.listed)
     version = dropped.listed.software_version
     routing.origins.withdrawn_versions[dropped.listed.service, version] = now
     fields = {'upstream': instance, 'reason': reason}
--- a/src/bilberryspoke/_internal/core/routing/entrydigest.py
+++ b/src/bilberryspoke/_internal/core/routing/entrydigest.py
@@ -2,6 +2,8 @@
 
 Upstreams rewrite their entries continually. What only counts the rewrites is
 left out, so that the digest changes only when calls may be sent differently.
+The digest combines the hashes of the entries by exclusive or: one is taken out
+in the same way as it is put in, and their order does not matter.
 """
 
 from bilberryspoke._internal.core.routing.state import RoutingState
@@ -9,9 +11,9 @@
 from bilberryspoke._internal.utils.hashing import hash_parts
 
 
-def hash_entry(listed: ListedUpstream) -> int:
-    """Return a hash of what an entry says that matters for calls."""
-    return hash_parts(
+def toggle_entry(routing: RoutingState, listed: ListedUpstream) -> None:
+    """Put an entry into the digest, or take it out again."""
+    routing.upstreams_digest ^= hash_parts(
         listed.instance,
         listed.service,
         listed.address,
@@ -21,11 +23,3 @@
         listed.created_ms,
         listed.software_version,
     )
-
-
-def update_upstreams_digest(routing: RoutingState) -> None:
-    """Compute the digest again after an upstream has changed."""
-    hashes = sorted(
-        hash_entry(each.listed) for each in routing.upstreams.values()
-    )
-    routing.upstreams_digest = hash_parts(*hashes)
--- a/tests/unit/test_routed_storereaders.py
+++ b/tests/unit/test_routed_storereaders.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from bilberryspoke._internal.models.routing import StorePosition
+from bilberryspoke._internal.models.routing_events import UpstreamsListed
+from tests.lib.routedcore import RoutedCore, build_upstream
 from tests.lib.storefleet import StoreFleet
 
 # As in the grown and large deployments.
@@ -119,3 +122,28 @@
     assert fleet.find_outdated() == set()
     fleet.run_until(fleet.now + START_S)
     assert count_readers(fleet) == {'dc-0': 1, 'dc-1': 1}
+
+
+def list_upstreams(core, revision, *listed):
+    position = StorePosition(0, revision)
+    core.handle(UpstreamsListed(listed, position), now=float(revision))
+    return core.routing.upstreams_digest
+
+
+def test_digest_tells_what_is_known_and_not_how_it_was_learned():
+    """VMs that know the same would ask each other for snapshots for ever."""
+    core = RoutedCore(engines=0, plain_upstreams=0)
+    first = build_upstream('e-1', created_ms=1, sequence=1)
+    second = build_upstream('e-2', created_ms=1, sequence=1)
+    rewritten = build_upstream('e-1', created_ms=1, sequence=9)
+    leaving = build_upstream('e-1', created_ms=1, sequence=10, leaving=True)
+    restarted = build_upstream('e-1', created_ms=2, sequence=1)
+    both = list_upstreams(core, 2, first, second)
+    assert list_upstreams(core, 3, second, rewritten) == both
+    assert list_upstreams(core, 4, leaving, second) != both
+    list_upstreams(core, 5, second)
+    learned = list_upstreams(core, 6, restarted, second)
+    list_upstreams(core, 7, leaving, restarted, second)
+    fresh = RoutedCore(engines=0, plain_upstreams=0)
+    assert list_upstreams(fresh, 2, second, restarted) == learned
+    assert core.routing.upstreams_digest == learned
