--- a/src/bilberryspoke/_internal/core/routing/backlog.py
+++ b/src/bilberryspoke/_internal/core/routing/backlog.py
@@ -9,8 +9,7 @@
 
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
-from bilberryspoke._internal.core.routing.peerstate import PeerBacklog, PeerView
-from bilberryspoke._internal.core.routing.promptcache import ensure_speed
+from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 
@@ -65,14 +64,22 @@
 
     Peers not heard from within the last ``PEER_TIMEOUT_S`` are left out.
     """
+    return add_peer_backlogs(upstream, list_live_peers(routing, now))
+
+
+def add_peer_backlogs(
+    upstream: UpstreamState, peers: Iterable[PeerView]
+) -> EngineBacklog:
+    """Return the backlog of this VM's calls and those of peers' reports."""
     own = measure_own_backlog(upstream)
-    peer_backlogs = list(
-        _list_peer_backlogs(routing, upstream.listed.instance, now)
-    )
-    return EngineBacklog(
-        own.prefill_tokens + sum(each.prefill_tokens for each in peer_backlogs),
-        own.calls + sum(each.calls for each in peer_backlogs),
-    )
+    prefill_tokens = own.prefill_tokens
+    calls = own.calls
+    for peer in peers:
+        backlog = peer.backlog.get(upstream.listed.instance)
+        if backlog is not None:
+            prefill_tokens += backlog.prefill_tokens
+            calls += backlog.calls
+    return EngineBacklog(prefill_tokens, calls)
 
 
 def estimate_first_event_s(
@@ -104,7 +111,7 @@
     The prefill speed of the service follows it, and so does the latency ratio
     of the upstream, a moving average of measured to expected times, at least 1.
     """
-    speed = ensure_speed(routing, call_state.call.service)
+    speed = routing.prefill_speeds[call_state.call.service]
     speed.record(
         call_state.backlog_tokens + call_state.prefill_tokens,
         now - call_state.sent_at - _IDLE_FIRST_EVENT_S,
@@ -122,17 +129,6 @@
     upstream.latency_ratio += _LATENCY_RATIO_SMOOTHING_FACTOR * delta
 
 
-def _list_peer_backlogs(
-    routing: RoutingState,
-    instance: str,
-    now: float,
-) -> Iterable[PeerBacklog]:
-    for peer in list_live_peers(routing, now):
-        backlog = peer.backlog.get(instance)
-        if backlog is not None:
-            yield backlog
-
-
 def list_live_peers(routing: RoutingState, now: float) -> list[PeerView]:
     """Return the peers whose reports were heard lately.
 
--- a/src/bilberryspoke/_internal/core/routing/candidates.py
+++ b/src/bilberryspoke/_internal/core/routing/candidates.py
@@ -7,14 +7,15 @@
 
 from bilberryspoke._internal.core.routing.backlog import (
     EngineBacklog,
+    add_peer_backlogs,
     estimate_first_event_s,
-    measure_backlog,
+    list_live_peers,
 )
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.promptcache import (
     count_own_tokens,
     count_uncached_shared_tokens,
-    ensure_speed,
+    get_cached_since,
 )
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
@@ -38,7 +39,7 @@
 _LESS_URGENT_SLOT_FRACTION = 0.85
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Placement:
     """A candidate upstream for a call, with the estimates it is judged by.
 
@@ -78,37 +79,44 @@
     if parts:
         hash_key = parts[-2].name if len(parts) > 1 else parts[-1].name
     by_name = {each.listed.instance: each for each in group}
-    return [
-        estimate_placement(routing, by_name[name], call_state, now)
-        for name in rank_members(hash_key, by_name)
-    ]
+    ranked = [by_name[name] for name in rank_members(hash_key, by_name)]
+    return estimate_placements(routing, ranked, call_state.call, now)
 
 
-def estimate_placement(
+def estimate_placements(
     routing: RoutingState,
-    upstream: UpstreamState,
-    call_state: CallState,
+    upstreams: list[UpstreamState],
+    call: RoutedCall,
     now: float,
-) -> Placement:
-    """Return a candidate upstream with its estimates."""
-    call = call_state.call
-    backlog = measure_backlog(routing, upstream, now)
-    uncached_tokens = count_uncached_shared_tokens(routing, upstream, call, now)
-    prefill_tokens = count_own_tokens(call) + uncached_tokens
-    speed = ensure_speed(routing, call.service)
-    first_event_s = estimate_first_event_s(
-        upstream, speed, backlog, prefill_tokens
-    )
-    return Placement(
-        upstream=upstream,
-        slots=upstream.listed.slots * _get_slot_fraction(routing, call),
-        prefill_tokens=prefill_tokens,
-        backlog=backlog,
-        backlog_s=speed.get_prefill_s(backlog.prefill_tokens),
-        prefill_s=speed.get_prefill_s(prefill_tokens),
-        first_event_s=first_event_s,
-        reread_s=speed.get_prefill_s(uncached_tokens),
-    )
+) -> list[Placement]:
+    """Return upstreams as candidates for a call, in the order given."""
+    peers = list_live_peers(routing, now)
+    speed = routing.prefill_speeds[call.service]
+    cached_since = get_cached_since(routing, call.service, now)
+    own_tokens = count_own_tokens(call)
+    slot_fraction = _get_slot_fraction(routing, call)
+    placements = []
+    for upstream in upstreams:
+        backlog = add_peer_backlogs(upstream, peers)
+        uncached_tokens = count_uncached_shared_tokens(
+            upstream, call, cached_since
+        )
+        prefill_tokens = own_tokens + uncached_tokens
+        placements.append(
+            Placement(
+                upstream=upstream,
+                slots=upstream.listed.slots * slot_fraction,
+                prefill_tokens=prefill_tokens,
+                backlog=backlog,
+                backlog_s=speed.get_prefill_s(backlog.prefill_tokens),
+                prefill_s=speed.get_prefill_s(prefill_tokens),
+                first_event_s=estimate_first_event_s(
+                    upstream, speed, backlog, prefill_tokens
+                ),
+                reread_s=speed.get_prefill_s(uncached_tokens),
+            ),
+        )
+    return placements
 
 
 def _get_slot_fraction(routing: RoutingState, call: RoutedCall) -> float:
--- a/src/bilberryspoke/_internal/core/routing/groups.py
+++ b/src/bilberryspoke/_internal/core/routing/groups.py
@@ -10,14 +10,10 @@
 
 from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.callstate import CallState
-from bilberryspoke._internal.core.routing.promptcache import (
-    count_own_tokens,
-    ensure_speed,
-)
+from bilberryspoke._internal.core.routing.promptcache import count_own_tokens
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.tightdemand import (
     EngineCapacity,
-    TightLoad,
     count_tight_engines,
 )
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
@@ -87,7 +83,7 @@
 ) -> None:
     """Count a call that arrived if it is a stream with a tight gap limit."""
     if has_tight_gap_limit(routing, call.route, call.service):
-        load = _ensure_tight_load(routing, call.service)
+        load = routing.tight_loads[call.service]
         load.record_arrival(call.call_id, count_own_tokens(call), now)
 
 
@@ -98,10 +94,6 @@
         load.open_calls.discard(call.call_id)
 
 
-def _ensure_tight_load(routing: RoutingState, service: str) -> TightLoad:
-    return routing.tight_loads.setdefault(service, TightLoad())
-
-
 def _count_tight_engines(
     routing: RoutingState,
     service: str,
@@ -115,10 +107,10 @@
     capacity = EngineCapacity(
         len(engines),
         engines[0].listed.slots,
-        ensure_speed(routing, service),
+        routing.prefill_speeds[service],
     )
     return count_tight_engines(
-        _ensure_tight_load(routing, service),
+        routing.tight_loads[service],
         service,
         list_live_peers(routing, now),
         capacity,
--- a/src/bilberryspoke/_internal/core/routing/promptcache.py
+++ b/src/bilberryspoke/_internal/core/routing/promptcache.py
@@ -5,7 +5,6 @@
 the others know already. Times are in seconds of the boot-time clock.
 """
 
-from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.models.routing import RoutedCall
@@ -17,11 +16,6 @@
 _PARTS_CLEANUP_THRESHOLD = 2000
 
 
-def ensure_speed(routing: RoutingState, service: str) -> PrefillSpeed:
-    """Return the prefill speed of a service, created on first use."""
-    return routing.prefill_speeds.setdefault(service, PrefillSpeed())
-
-
 def count_own_tokens(call: RoutedCall) -> int:
     """Return the prompt tokens of a call that no other call shares.
 
@@ -34,11 +28,20 @@
     return max(0, call.prompt_tokens - shared_tokens, call.parts[-1].tokens)
 
 
+def get_cached_since(routing: RoutingState, service: str, now: float) -> float:
+    """Return since when a part must have been sent to be in a cache now."""
+    conf = routing.table.services.get(service) if routing.table else None
+    engine = None if conf is None else conf.engine
+    return now - routing.prefill_speeds[service].get_retention_s(engine)
+
+
 def count_uncached_shared_tokens(
-    routing: RoutingState, upstream: UpstreamState, call: RoutedCall, now: float
+    upstream: UpstreamState, call: RoutedCall, cached_since: float
 ) -> int:
-    """Return the shared prompt tokens that an engine would have to read."""
-    cached_since = now - _get_retention_s(routing, call.service)
+    """Return the shared prompt tokens that an engine would have to read.
+
+    ``cached_since`` is as from ``get_cached_since``.
+    """
     uncached_tokens = 0
     for part in call.shared_parts:
         sent_at = upstream.parts_sent_at.get(part.name)
@@ -65,14 +68,8 @@
     ]
     sent_at.update(dict.fromkeys(names, now))
     if len(sent_at) > _PARTS_CLEANUP_THRESHOLD:
-        cached_since = now - _get_retention_s(routing, upstream.listed.service)
+        cached_since = get_cached_since(routing, upstream.listed.service, now)
         upstream.parts_sent_at = {
             name: at for name, at in sent_at.items() if at >= cached_since
         }
     return news
-
-
-def _get_retention_s(routing: RoutingState, service: str) -> float:
-    conf = routing.table.services.get(service) if routing.table else None
-    engine = None if conf is None else conf.engine
-    return ensure_speed(routing, service).get_retention_s(engine)
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -8,7 +8,7 @@
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.candidates import (
     Placement,
-    estimate_placement,
+    estimate_placements,
     has_capacity,
     list_costs_s,
     list_placements,
@@ -168,12 +168,10 @@
     if not usable:
         return None
     drawn = hash_parts(call_state.call.call_id, call_state.attempt)
-    first = estimate_placement(
-        routing, usable[drawn % len(usable)], call_state, now
-    )
     second_index = (drawn >> _HALF_HASH_BITS) % len(usable)
-    second = estimate_placement(routing, usable[second_index], call_state, now)
-    return min(first, second, key=_get_relative_load)
+    two = [usable[drawn % len(usable)], usable[second_index]]
+    placements = estimate_placements(routing, two, call_state.call, now)
+    return min(placements, key=_get_relative_load)
 
 
 def _get_relative_load(placement: Placement) -> float:
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -3,7 +3,7 @@
 Times are in seconds of the boot-time clock.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from bilberryspoke._internal.core.routing.callstate import CallState, WaitQueue
@@ -118,8 +118,12 @@
     snapshot_requests: int = 0
     part_news: list[CachedParts] = field(default_factory=list)
     foreign_part_news: list[CachedParts] = field(default_factory=list)
-    tight_loads: dict[str, TightLoad] = field(default_factory=dict)
-    prefill_speeds: dict[str, PrefillSpeed] = field(default_factory=dict)
+    tight_loads: defaultdict[str, TightLoad] = field(
+        default_factory=lambda: defaultdict(TightLoad),
+    )
+    prefill_speeds: defaultdict[str, PrefillSpeed] = field(
+        default_factory=lambda: defaultdict(PrefillSpeed),
+    )
     longest_answer_s: dict[str, float] = field(default_factory=dict)
     unreached_services: set[str] = field(default_factory=set)
     helpers_paused_until: dict[tuple[str, str], float] = field(
