--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -12,6 +12,10 @@
 )
 from bilberryspoke._internal.core.routing.relays import is_relay
 from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.tightdemand import (
+    add_demands,
+    list_reported,
+)
 from bilberryspoke._internal.core.routing.withdrawal import list_leaving
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing import StorePosition
@@ -125,14 +129,12 @@
     return totals
 
 
-def _add_tight_demands(views: Iterable[PeerView]) -> dict[str, TightDemand]:
-    totals: dict[str, TightDemand] = {}
-    for view in views:
-        for service, demand in view.tight_demand.items():
-            total = totals.setdefault(service, TightDemand(0, 0))
-            total.tokens_per_s += demand.tokens_per_s
-            total.calls += demand.calls
-    return totals
+def _add_tight_demands(views: list[PeerView]) -> dict[str, TightDemand]:
+    services = {service for view in views for service in view.tight_demand}
+    return {
+        service: add_demands(list_reported(service, views))
+        for service in services
+    }
 
 
 def _find_most_urgent_ranks(views: Iterable[PeerView]) -> dict[str, int]:
--- a/src/bilberryspoke/_internal/core/routing/tightdemand.py
+++ b/src/bilberryspoke/_internal/core/routing/tightdemand.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
@@ -71,6 +72,24 @@
     speed: PrefillSpeed
 
 
+def list_reported(service: str, peers: Iterable[PeerView]) -> list[TightDemand]:
+    """Return the load at a service that peers report."""
+    return [
+        peer.tight_demand[service]
+        for peer in peers
+        if service in peer.tight_demand
+    ]
+
+
+def add_demands(demands: Iterable[TightDemand]) -> TightDemand:
+    """Return the sum of the load at several VMs."""
+    total = TightDemand(0, 0)
+    for demand in demands:
+        total.tokens_per_s += demand.tokens_per_s
+        total.calls += demand.calls
+    return total
+
+
 def count_tight_engines(
     load: TightLoad,
     service: str,
@@ -83,14 +102,7 @@
     ``peers`` are those whose reports count. The number is at least 1, and falls
     only after fewer have been enough for a while.
     """
-    demand = load.measure(now)
-    tokens_per_s = demand.tokens_per_s
-    open_calls = demand.calls
-    for peer in peers:
-        reported = peer.tight_demand.get(service)
-        if reported is not None:
-            tokens_per_s += reported.tokens_per_s
-            open_calls += reported.calls
+    demand = add_demands([load.measure(now), *list_reported(service, peers)])
     most = max(1, math.floor(capacity.count * _MAX_FRACTION))
     if not load.engines:
         load.engines = max(1, round(capacity.count * _INITIAL_FRACTION))
@@ -98,10 +110,10 @@
     needed = max(
         1,
         math.ceil(
-            capacity.speed.get_prefill_s(tokens_per_s)
+            capacity.speed.get_prefill_s(demand.tokens_per_s)
             / _MAX_PREFILL_UTILIZATION
         ),
-        math.ceil(open_calls / (capacity.slots * _MAX_SLOT_UTILIZATION)),
+        math.ceil(demand.calls / (capacity.slots * _MAX_SLOT_UTILIZATION)),
     )
     if needed >= load.engines:
         load.needed_at = now
