Name one reader instead of a list of one

There has been one reader a data centre since; the lists, their limit and the turns between readers were more than that needs. Two tests of killed readers are one with a parameter, its checks as before; a paused reader and one that gets an older copy of the store are tested too (both passed at once).

--- a/src/bilberryspoke/_internal/core/routing/peers.py
+++ b/src/bilberryspoke/_internal/core/routing/peers.py
@@ -35,7 +35,7 @@
     view_own_state,
 )
 from bilberryspoke._internal.core.routing.storereaders import (
-    record_readers,
+    record_reader,
     review_reading,
 )
 from bilberryspoke._internal.core.routing.withdrawal import apply_leaving
@@ -75,7 +75,7 @@
     apply_stated_limits(state, sender, message.limits, now)
     apply_leaving(state, sender, message.leaving)
     apply_part_news(state, message, now)
-    record_readers(state, sender, message, now)
+    record_reader(state, sender, message, now)
     if message.crash_news is not None:
         apply_crash_news(state, sender, message.crash_news, now)
     if counts_report(state, peer):
--- a/src/bilberryspoke/_internal/core/routing/reports.py
+++ b/src/bilberryspoke/_internal/core/routing/reports.py
@@ -89,7 +89,7 @@
         crash_news=news.crashes,
         leaving=news.leaving,
         cached_parts=news.parts[scope],
-        store_readers=list(routing.store_readers) if is_relay(state) else [],
+        named_reader=routing.store_reader if is_relay(state) else '',
         upstreams_digest=reader.upstreams_digest,
     )
 
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -58,13 +58,14 @@
     and ``relay_chosen_at`` when each was chosen. ``reporters`` are the peers
     whose reports this VM counts, by name. ``crash_ledger`` is what is known of
     calls that crash upstreams, ``origins`` of the software versions of streams.
-    ``reads_store`` is whether this VM reads the store. ``store_readers`` are
-    the VMs of this data centre that do in a large fleet, and
-    ``reader_named_at`` is when its relay named each. ``reader_heard_at`` is
-    when this VM last heard of one that reaches the store. ``upstreams_digest``
-    is equal at VMs that know the same of all upstreams, and ``differs_since``
-    is when a reader first had another one, None if none has.
-    ``snapshot_requests`` counts the requests.
+    ``reads_store`` is whether this VM reads the store. ``store_reader`` is the
+    VM of this data centre that does in a large fleet, empty if none is named,
+    and ``reader_named_at`` is when its relay named each VM last.
+    ``reader_heard_at`` is when this VM last heard of a reader that reaches the
+    store, and ``asks_reader`` whether it last asked that of its data centre for
+    a snapshot. ``upstreams_digest`` is equal at VMs that know the same of all
+    upstreams, and ``differs_since`` is when a reader first had another one,
+    None if none has.
     ``part_news`` and ``foreign_part_news`` are the parts of prompts to name in
     the next heartbeats, from this data centre and from others.
     ``tight_loads`` and ``prefill_speeds`` are by service. ``longest_answer_s``
@@ -110,12 +111,12 @@
     crash_ledger: CrashLedger = field(default_factory=CrashLedger)
     origins: OriginLedger = field(default_factory=OriginLedger)
     reads_store: bool = True
-    store_readers: tuple[str, ...] = ()
+    store_reader: str = ''
     reader_named_at: dict[str, float] = field(default_factory=dict)
     reader_heard_at: float = _NEVER
     upstreams_digest: int = 0
     differs_since: float | None = None
-    snapshot_requests: int = 0
+    asks_reader: bool = False
     part_news: list[CachedParts] = field(default_factory=list)
     foreign_part_news: list[CachedParts] = field(default_factory=list)
     tight_loads: defaultdict[str, TightLoad] = field(
--- a/src/bilberryspoke/_internal/core/routing/storereaders.py
+++ b/src/bilberryspoke/_internal/core/routing/storereaders.py
@@ -1,7 +1,8 @@
 """Which VMs of a large fleet read the store, and how the others follow.
 
-The relay of a data centre names a few readers; the other VMs do not call the
-store. A VM reads by itself as long as it is new, hears no relay, or has heard
+The relay of a data centre names a reader; the other VMs do not call the store.
+While the reader of one data centre is lost, those of the others tell of
+changes. A VM reads by itself as long as it is new, hears no relay, or has heard
 of no VM that reaches the store for a while. In a small fleet all VMs read.
 Times are in seconds of the boot-time clock.
 """
@@ -16,9 +17,6 @@
 
 # Time of what has not happened yet, in seconds of the boot-time clock.
 _NEVER = -1e9
-# While the reader of one data centre is lost, those of the others tell of
-# changes.
-_READERS = 1
 # A new process reads the store for this long, until the others know it.
 _START_READING_S = 2.0
 # A named reader has this time to reach the store, and one that did not is not
@@ -30,12 +28,12 @@
 
 
 def review_reading(state: VmState, now: float) -> None:
-    """Decide whether this VM reads the store, and name readers as the relay."""
+    """Decide whether this VM reads the store; as the relay, name a reader."""
     routing = state.routing
     if routing.relays and is_relay(state):
-        _name_readers(state, now)
+        _name_reader(state, now)
     elif not routing.relays:
-        routing.store_readers = ()
+        routing.store_reader = ''
     reads = _must_read(state, now)
     if reads == routing.reads_store:
         return
@@ -46,38 +44,35 @@
     name = 'store_reading_begun' if reads else 'store_reading_ended'
     state.emit(Count(name))
     fields = {
-        'readers': list(routing.store_readers),
+        'reader': routing.store_reader,
         'relay': routing.relays.get(state.settings.data_centre, ''),
         'heard_s': round(now - routing.reader_heard_at, 3),
     }
     state.emit(LogDecision(name, fields))
 
 
-def record_readers(
+def record_reader(
     state: VmState, sender: str, message: RoutingHeartbeat, now: float
 ) -> None:
-    """Record which readers the relay of this data centre names."""
+    """Record which reader the relay of this data centre names."""
     routing = state.routing
     if sender != routing.relays.get(state.settings.data_centre):
         return
-    if message.store_readers:
-        routing.store_readers = tuple(message.store_readers)
+    routing.store_reader = message.named_reader or routing.store_reader
     if message.store_reachable:
         routing.reader_heard_at = now
 
 
 def choose_source(state: VmState, fallback: str) -> str:
-    """Return the reader to ask for a snapshot.
+    """Return the VM to ask for a snapshot.
 
-    It is one of this data centre and ``fallback`` in turn, in case that those
-    lag behind.
+    It is the reader of this data centre and ``fallback`` in turn, in case that
+    the reader lags behind.
     """
     routing = state.routing
-    routing.snapshot_requests += 1
-    turn = routing.snapshot_requests % (_READERS + 1)
-    others = [each for each in routing.store_readers if each != state.vm]
-    if turn < len(others) and others[turn] in routing.peers:
-        return others[turn]
+    routing.asks_reader = not routing.asks_reader
+    if routing.asks_reader and routing.store_reader in routing.peers:
+        return routing.store_reader
     return fallback
 
 
@@ -87,7 +82,7 @@
         return True
     if now < state.started_at + _START_READING_S:
         return True
-    if state.vm in routing.store_readers:
+    if state.vm == routing.store_reader:
         return True
     if is_relay(state):
         return _lacks_reader(state, now)
@@ -102,8 +97,8 @@
     return now - state.routing.reader_heard_at > _NEWS_TIMEOUT_S
 
 
-def _name_readers(state: VmState, now: float) -> None:
-    """Keep the readers that reach the store, and replace the others."""
+def _name_reader(state: VmState, now: float) -> None:
+    """Keep the reader while it reaches the store, or name the next one."""
     routing = state.routing
     own = state.settings.data_centre
     members = {
@@ -113,18 +108,14 @@
     }
     members[state.vm] = routing.is_store_reader
     named_at = routing.reader_named_at
-    kept = []
-    for name in routing.store_readers:
-        is_new = now - named_at.get(name, _NEVER) < _REACH_TIMEOUT_S
-        if name in members and (members[name] or is_new):
-            kept.append(name)
-    kept = kept[:_READERS]
-    ranked = rank_members(f'store reader {own}', members)
+    reader = routing.store_reader
+    is_new = now - named_at.get(reader, _NEVER) < _REACH_TIMEOUT_S
+    if reader in members and (is_new or members[reader]):
+        return
+    routing.store_reader = ''
     paused_since = now - _FAILED_READER_PAUSE_S
-    for name in ranked:
-        if len(kept) >= _READERS:
-            break
-        if name not in kept and named_at.get(name, _NEVER) < paused_since:
-            kept.append(name)
+    for name in rank_members(f'store reader {own}', members):
+        if named_at.get(name, _NEVER) < paused_since:
+            routing.store_reader = name
             named_at[name] = now
-    routing.store_readers = tuple(kept)
+            return
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -166,8 +166,8 @@
     ``leaving``: listed upstreams that said in an answer that they leave.
     ``cached_parts``: parts of prompts that the VMs in ``scope`` have sent since
     the last heartbeat and that the receiver may not know of.
-    ``store_readers``: VMs of its data centre that a relay names to read the
-    store for the others.
+    ``named_reader``: the VM of its data centre that a relay names to read the
+    store for the others; empty from other senders.
     ``upstreams_digest``: digest of the upstreams that ``store_reader`` knows.
     ``tight_demand``: load by streams with a tight gap limit at the VMs in
     ``scope``, by service.
@@ -192,7 +192,7 @@
     leaving: list[LeavingUpstream] = []
     cached_parts: list[CachedParts] = []
     tight_demand: dict[str, TightDemand] = {}
-    store_readers: list[str] = []
+    named_reader: str = ''
     upstreams_digest: int = 0
 
 
--- a/tests/lib/storefleet.py
+++ b/tests/lib/storefleet.py
@@ -18,19 +18,23 @@
 class StoreFleet(CoreFleet):
     """A fleet with a store that may turn VMs away.
 
-    ``turned_away`` are the VMs that the store does not answer. ``reads`` counts
-    the reads of all VMs.
+    ``turned_away`` are the VMs that the store does not answer, ``behind`` those
+    that it answers with its first state, as an older copy. ``paused`` are VMs
+    that handle nothing. ``reads`` counts the reads of all VMs.
     """
 
     def __init__(self, vms: int, *, data_centres: int) -> None:
         """Start the fleet; VMs read the store from their start on."""
         self.turned_away: set[str] = set()
+        self.behind: set[str] = set()
+        self.paused: set[str] = set()
         self.reads = 0
         self._version = 1
         self._revision = 1
         self._listed = tuple(
             build_upstream(f'engine-{number}') for number in range(8)
         )
+        self._first_listed = self._listed
         super().__init__(vms, data_centres=data_centres)
         self._at(READ_INTERVAL_S, self._read_all)
 
@@ -67,6 +71,8 @@
 
     def handle(self, name: str, event: object) -> list[object]:
         """Submit an event; decode the routes that a peer has sent."""
+        if name in self.paused:
+            return []
         effects = super().handle(name, event)
         for effect in effects:
             if isinstance(effect, DecodeRoutes):
@@ -84,10 +90,13 @@
     def _read(self, name: str) -> None:
         self.reads += 1
         reached = name not in self.turned_away
-        position = StorePosition(0, self._revision)
+        version, revision, listed = self._version, self._revision, self._listed
+        if name in self.behind:
+            version, revision, listed = 1, 1, self._first_listed
+        position = StorePosition(0, revision)
         for watch in StoreWatch:
             report = StoreReachReported(reached, watch, position=position)
             self.handle(name, report)
         if reached:
-            self.handle(name, RoutesOffered(build_table(self._version)))
-            self.handle(name, UpstreamsListed(self._listed, position))
+            self.handle(name, RoutesOffered(build_table(version)))
+            self.handle(name, UpstreamsListed(listed, position))
--- a/tests/unit/test_routed_storereaders.py
+++ b/tests/unit/test_routed_storereaders.py
@@ -55,26 +55,48 @@
     check_change_arrives(fleet, within_s=0.5)
 
 
-def test_readers_that_are_killed_are_replaced():
+@pytest.mark.parametrize('with_relay', [False, True])
+def test_killed_reader_is_replaced(with_relay):
+    """All readers of a data centre are gone at once, and its relay too."""
     fleet = build_fleet()
-    for name in fleet.find_readers()['dc-0']:
+    doomed = set(fleet.find_readers()['dc-1'])
+    if with_relay:
+        routing = next(iter(fleet.cores.values())).state.routing
+        doomed.add(routing.relays['dc-1'])
+    for name in doomed:
         fleet.kill(name)
     check_change_arrives(fleet)
     fleet.run_until(fleet.now + 5)
     assert count_readers(fleet) == {'dc-0': 1, 'dc-1': 1}
 
 
-def test_relay_that_is_killed_with_the_readers_is_replaced():
+def test_paused_reader_is_replaced_and_follows_when_it_wakes_up():
     fleet = build_fleet()
-    routing = next(iter(fleet.cores.values())).state.routing
-    doomed = {*fleet.find_readers()['dc-1'], routing.relays['dc-1']}
-    for name in doomed:
-        fleet.kill(name)
-    check_change_arrives(fleet)
+    fleet.paused.update(fleet.find_readers()['dc-0'])
+    fleet.change()
+    fleet.run_until(fleet.now + CONFIG_APPLY_S)
+    assert fleet.find_outdated() <= fleet.paused
+    fleet.paused.clear()
+    fleet.run_until(fleet.now + CONFIG_APPLY_S)
+    assert fleet.find_outdated() == set()
     fleet.run_until(fleet.now + 5)
     assert count_readers(fleet) == {'dc-0': 1, 'dc-1': 1}
 
 
+def test_reader_of_an_older_copy_holds_up_no_other_vm():
+    """The store answers the reader of one data centre with an old state."""
+    fleet = build_fleet()
+    fleet.behind.update(fleet.find_readers()['dc-0'])
+    fleet.change()
+    fleet.run_until(fleet.now + CONFIG_APPLY_S)
+    assert fleet.find_outdated() <= fleet.behind
+    versions = {
+        name: core.state.routing.table.version
+        for name, core in fleet.cores.items()
+    }
+    assert set(versions.values()) == {2}
+
+
 def test_readers_that_the_store_turns_away_are_replaced():
     fleet = build_fleet()
     fleet.turned_away.update(fleet.find_readers()['dc-0'])
