--- a/review/harness.py
+++ b/review/harness.py
@@ -363,14 +363,21 @@
             'sequence': self._sequence,
             'born': self._born,
         }
-        changed = self._sequence == 1 or self.state != 'ready'
-        self._store.put(f'servers/{self.name}', entry, note=changed)
+        self._store.put(
+            f'servers/{self.name}', entry, note=self._sequence == 1
+        )
 
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(1.2)
             self.write_entry()
 
+    def drain(self) -> None:
+        """Report that it leaves, and go on serving."""
+        self.state = 'draining'
+        self.write_entry()
+        self._record.line('server: drains', self.name)
+
     def end(self) -> None:
         """End as a process does: no more entry, no more connections."""
         if self._beats is None:
@@ -776,6 +783,8 @@
         try:
             for node in machines:
                 await node.start()
+                # All machines start within 0.3 s of each other.
+                await asyncio.sleep(0.3 / nodes)
             await wait_ready(machines)
             clients = Clients(machines, record)
             yield Deployment(record, store, group, machines, clients, ways)
