--- a/review/harness.py
+++ b/review/harness.py
@@ -193,6 +193,14 @@
                 'store: written', key, self.revision, len(raw), shown
             )
 
+    def read_entries(self, prefix: str) -> dict[str, str]:
+        """Return the values under a prefix as text."""
+        return {
+            key: raw.decode()
+            for key, (raw, _) in self._items.items()
+            if key.startswith(prefix)
+        }
+
     def delete(self, key: str) -> None:
         self.revision += 1
         self._items.pop(key)
