--- a/review/harness.py
+++ b/review/harness.py
@@ -358,9 +358,9 @@
         self.write_entry()
         self._beats = asyncio.create_task(self._beat())
 
-    def write_entry(self) -> None:
-        self._sequence += 1
-        entry = {
+    def make_entry(self) -> dict:
+        """Return what it last wrote of itself."""
+        return {
             'service': self.service,
             'address': self.address,
             'zone': 'xela-a',
@@ -371,10 +371,19 @@
             'sequence': self._sequence,
             'born': self._born,
         }
+
+    def write_entry(self) -> None:
+        self._sequence += 1
         self._store.put(
-            f'servers/{self.name}', entry, note=self._sequence == 1
+            f'servers/{self.name}',
+            self.make_entry(),
+            note=self._sequence == 1,
         )
 
+    def stop_writing(self) -> None:
+        """Write no more entries, and go on serving."""
+        self._beats.cancel()
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(1.2)
