--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,9 +21,11 @@
 }
 # Fleets of over 13 machines follow one machine that reads the store.
 MACHINES = 14
-# `config-apply-ms` of the site.
+# `config-apply-ms` of the site, and `max-stretch-ms`, in case that the entry
+# counts as a disruption of the store.
 CONFIG_APPLY_S = 3.0
-WATCHED_S = 12
+MAX_STRETCH_S = 6.0
+WATCHED_S = 16
 
 
 async def case(folder: Path) -> int:
@@ -41,14 +43,14 @@
             await asyncio.sleep(0.5)
         await it.clients.wait(5)
         ran = {run.req_id for server in it.servers for run in server.runs}
-        due_at = acked_at + CONFIG_APPLY_S
+        due_at = acked_at + CONFIG_APPLY_S + MAX_STRETCH_S
         late = [call for call in it.clients.calls if call.sent_at > due_at]
         served = [call for call in late if call.req_id in ran]
         names = sorted({call.node for call in served})
         it.record.line(
             'key-2 was taken away at', round(acked_at, 3), 'and', len(served),
-            'of', len(late), 'requests that used it over', CONFIG_APPLY_S,
-            's later ran', echo=True,
+            'of', len(late), 'requests that used it over',
+            CONFIG_APPLY_S + MAX_STRETCH_S, 's later ran', echo=True,
         )
         it.record.line('at', len(names), 'machines:', *names, echo=True)
         it.record.line('rule', 'broken' if served else 'held', echo=True)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -107,9 +107,9 @@
     # Each client has had a short answer, and keeps its connection.
     await asyncio.gather(*(each.send(SHORT_EVENTS) for each in clients))
     await asyncio.sleep(1)
-    stopped_at = record.now()
     if harness.with_trouble():
         node.signal(signal.SIGTERM)
+    stopped_at = record.now()
     await asyncio.sleep(SENT_LATER_THAN_S + 0.005)
     tasks = []
     for client in clients:
