Log and count what tells apart why calls fail at VMs without links

A refused call names how many upstreams this VM reaches as far as it knows, and the VM to whose more urgent calls it yields; metrics have the first by service.

--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -9,9 +9,15 @@
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.crashes import record_proof
 from bilberryspoke._internal.core.routing.groups import note_call_end
-from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
+from bilberryspoke._internal.core.routing.selection import (
+    list_reached,
+    list_usable_upstreams,
+)
 from bilberryspoke._internal.core.routing.stopping import record_duration
-from bilberryspoke._internal.core.routing.waitqueue import choose_retry_after_s
+from bilberryspoke._internal.core.routing.waitqueue import (
+    choose_retry_after_s,
+    find_more_urgent,
+)
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing import SendStatus
@@ -178,22 +184,25 @@
 ) -> dict[str, object]:
     """Return log fields on the capacity that a waiting call was refused for.
 
-    They are the number of usable upstreams, the fewest prefill tokens and the
-    fewest calls under way at one of them, the number of calls that wait at
-    this VM, and the number of other VMs heard from lately.
+    They are the number of usable upstreams, how many upstreams of the service
+    this VM reaches as far as it knows, the fewest prefill tokens and the
+    fewest calls under way at one of the usable ones, the number of calls that
+    wait at this VM, where a more urgent call waits, and the number of other
+    VMs heard from lately.
     """
     routing = state.routing
-    backlogs = [
-        measure_backlog(routing, upstream, now)
-        for upstream in list_usable_upstreams(routing, call_state, now)
-    ]
+    usable = list_usable_upstreams(routing, call_state, now)
+    backlogs = [measure_backlog(routing, each, now) for each in usable]
+    service = call_state.call.service
     return {
         'usable_upstreams': len(backlogs),
+        'reached_upstreams': len(list_reached(routing, service, now)),
         'min_backlog_tokens': min(
             (each.prefill_tokens for each in backlogs), default=None
         ),
         'min_calls': min((each.calls for each in backlogs), default=None),
         'waiting': len(routing.waiting),
+        'yields_to': find_more_urgent(routing, call_state, now),
         'live_peers': count_live_vms(routing, now),
     }
 
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -155,6 +155,10 @@
             return None
         return upstream
 
+    def list_services(self) -> set[str]:
+        """Return the services of the known upstreams."""
+        return {each.listed.service for each in self.upstreams.values()}
+
     def list_accepting_upstreams(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service that accept new calls."""
         return [
--- a/src/bilberryspoke/_internal/core/routing/waitqueue.py
+++ b/src/bilberryspoke/_internal/core/routing/waitqueue.py
@@ -15,6 +15,8 @@
 from bilberryspoke._internal.models.routing import Route, RoutedCall
 from bilberryspoke._internal.utils.hashing import hash_parts
 
+# Stands for this VM among those at which a more urgent call waits.
+OWN_QUEUE = 'own queue'
 # Minimum time from the send of a call to its first event.
 _MIN_FIRST_EVENT_S = 0.15
 # Time kept for serving a call before its caller gives up or its deadline
@@ -56,24 +58,32 @@
 def must_yield(
     routing: RoutingState, call_state: CallState, now: float
 ) -> bool:
-    """Return whether a more urgent call is waiting for capacity at any VM.
+    """Return whether a more urgent call is waiting for capacity at any VM."""
+    return find_more_urgent(routing, call_state, now) is not None
 
-    Waiting calls of the tight group count for all other calls to the service,
-    because they use the other engines as well when those of their own group
-    are full.
+
+def find_more_urgent(
+    routing: RoutingState, call_state: CallState, now: float
+) -> str | None:
+    """Return where a more urgent call waits for capacity, None if nowhere.
+
+    That is the VM that reported it, or ``OWN_QUEUE``. Waiting calls of the
+    tight group count for all other calls to the service, because they use the
+    other engines as well when those of their own group are full.
     """
     call = call_state.call
     groups = {
         get_group_name(routing, call),
         get_tight_group_name(call.service),
     }
-    urgent_ranks = [peer.waiting for peer in list_live_peers(routing, now)]
-    urgent_ranks.append(routing.waiting.get_most_urgent_ranks())
-    return any(
-        waiting.get(group, call.rank) < call.rank
-        for waiting in urgent_ranks
-        for group in groups
-    )
+    urgent_ranks = {
+        peer.name: peer.waiting for peer in list_live_peers(routing, now)
+    }
+    urgent_ranks[OWN_QUEUE] = routing.waiting.get_most_urgent_ranks()
+    for name, waiting in urgent_ranks.items():
+        if any(waiting.get(each, call.rank) < call.rank for each in groups):
+            return name
+    return None
 
 
 def must_refuse(
--- a/src/bilberryspoke/_internal/network/routing/probes.py
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -6,6 +6,7 @@
 from starlette.routing import Route as AppRoute
 
 from bilberryspoke._internal.core.routing.backlog import count_live_vms
+from bilberryspoke._internal.core.routing.selection import list_reached
 from bilberryspoke._internal.metrics.gauges import render_gauge
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
@@ -47,7 +48,8 @@
     each retry budget, the version of its routes, the position of the store as
     of which it knows the upstreams, and the seconds since the store last
     answered each watch, the limits that upstreams name, with its part of
-    each, and how many fingerprints it blocks.
+    each, how many fingerprints it blocks, and how many upstreams of each
+    service accept calls and how many of these it reaches as far as it knows.
     """
     routing = runtime.core.state.routing
     now = read_boottime()
@@ -71,6 +73,14 @@
             for instance, upstream in routing.upstreams.items()
             if upstream.limit.per_s is not None
         },
+        'accepting_upstreams': {
+            service: len(routing.list_accepting_upstreams(service))
+            for service in routing.list_services()
+        },
+        'reached_upstreams': {
+            service: len(list_reached(routing, service, now))
+            for service in routing.list_services()
+        },
         'blocked_fingerprints': {'': len(routing.crash_ledger.blocks)},
         'routes_version': {'': routing.table.version if routing.table else 0},
         'store_era': {'': routing.position.era},
