Show that VMs of a large fleet without links serve few of their callers

Three tests fail on the code of today: each of many upstreams has to fail a call before any is handed off; lost links are told as crashes; calls that wait for the one engine in reach hold up those of other VMs. The end of a send tells whether its connection was lost, for the log.

--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -186,8 +186,10 @@
     ``detail``: cause for the log.
     ``delivered``: whether the caller already has a part of the answer.
     ``last_event_id``: id of the last event delivered to the caller, if any.
-    ``upstream_crashed``: whether the upstream closed the connection and no
-    longer listens.
+    ``connection_lost``: whether the connection closed before the answer was
+    complete.
+    ``upstream_crashed``: whether the address then refused connections too, as
+    when the upstream crashed.
     """
 
     call_id: str
@@ -196,6 +198,7 @@
     detail: str = ''
     delivered: bool = False
     last_event_id: int | None = None
+    connection_lost: bool = False
     upstream_crashed: bool = False
 
 
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -169,6 +169,7 @@
             detail=result.detail,
             delivered=delivered or exchange.started,
             last_event_id=exchange.last_event_id,
+            connection_lost=result.connection_lost,
             upstream_crashed=crashed,
         )
 
--- a/tests/lib/cutcores.py
+++ b/tests/lib/cutcores.py
@@ -1,6 +1,12 @@
 """Cores of several VMs, some of which reach no upstream."""
 
-from bilberryspoke._internal.models.routing import RoutedCall, SendStatus
+from collections.abc import Iterable
+
+from bilberryspoke._internal.models.routing import (
+    Route,
+    RoutedCall,
+    SendStatus,
+)
 from bilberryspoke._internal.models.routing_effects import (
     HandOff,
     ProbeUpstream,
@@ -10,36 +16,68 @@
 from bilberryspoke._internal.models.routing_events import (
     CallArrived,
     SendEnded,
+    SendProgressed,
     UpstreamProbed,
 )
 from tests.lib.corefleet import MESSAGE_DELAY_S, CoreFleet
 from tests.lib.routedcore import READ_ROUTE, build_call
 
 _RUN_S = 0.03
+# From the send of a stream to its events.
+_EVENT_DELAYS_S = (0.05, 0.2)
+_STREAM_RUN_S = 0.4
+_CONNECT_TIMEOUT_S = 0.4
+# A connection that hangs is closed after this time.
+_USER_TIMEOUT_S = 1.5
 _HANDOFF_PREFIX = 'handoff-'
 
 
 class CutCores(CoreFleet):
-    """A fleet in which the VMs of ``cut`` reach no upstream.
+    """A fleet in which the VMs of ``cut`` reach only upstreams in ``spared``.
 
-    ``served`` and ``refused`` hold the ids of calls by what their callers got,
-    ``handoffs`` counts the calls that VMs handed off.
+    ``how`` says what becomes of their connections. ``refuse``: new ones are
+    refused. ``reset``: so are they, and the one that a VM has to each upstream
+    is reset when it is next used. ``hang``: both get no answer. ``accept``: all
+    connections open and are reset once a call is sent. ``served`` and
+    ``refused`` hold the ids of calls by what their callers got, ``handoffs``
+    counts the calls that VMs handed off, ``helped`` those that each VM got so.
     """
 
-    def __init__(self, vms: int, *, warm_up_s: float) -> None:
+    def __init__(
+        self, vms: int, *, warm_up_s: float, how: str = 'refuse', **sizes: int
+    ) -> None:
         """Run the fleet for ``warm_up_s``, until its VMs know each other."""
-        self.cut: set[str] = set()
+        self.how = how
+        self.spared: set[str] = set()
         self.served: list[str] = []
         self.refused: list[str] = []
         self.handoffs = 0
+        self._cut: set[str] = set()
+        self._pooled: set[tuple[str, str]] = set()
         self._calls: dict[str, RoutedCall] = {}
         self._origin_of: dict[str, tuple[str, HandOff]] = {}
-        super().__init__(vms)
+        super().__init__(vms, **sizes)
         self.run_until(warm_up_s)
 
-    def arrive(self, name: str, call_id: str) -> None:
+    @property
+    def cut(self) -> set[str]:
+        """The VMs whose links are cut."""
+        return self._cut
+
+    @cut.setter
+    def cut(self, names: Iterable[str]) -> None:
+        self._cut = set(names)
+        self._pooled = {
+            (name, upstream.instance)
+            for name in self._cut
+            for upstream in self._upstreams
+        }
+
+    def arrive(
+        self, name: str, call_id: str, route: Route = READ_ROUTE
+    ) -> None:
         """Let a call arrive at a VM."""
-        call = build_call(call_id, READ_ROUTE, now=self.now)
+        call = build_call(call_id, route, now=self.now)
         self._submit_call(name, call)
 
     def handle(self, name: str, event: object) -> list[object]:
@@ -60,14 +98,44 @@
         self._calls[call.call_id] = call
         self.handle(name, CallArrived(call))
 
+    def _is_cut_from(self, name: str, instance: str) -> bool:
+        return name in self.cut and instance not in self.spared
+
     def _send_call(self, name: str, send: Send) -> None:
-        status = SendStatus.finished
-        delay_s = _RUN_S
-        if name in self.cut:
-            status = SendStatus.unsent
-            delay_s = MESSAGE_DELAY_S
-        ended = SendEnded(send.call_id, send.attempt, status)
-        self._at(self.now + delay_s, lambda: self._end(name, ended))
+        if self._is_cut_from(name, send.instance):
+            delay_s, ended = self._fail(name, send)
+            self._at(self.now + delay_s, lambda: self._end(name, ended))
+            return
+        run_s = _RUN_S
+        if self._calls[send.call_id].route.streams:
+            run_s = _STREAM_RUN_S
+            for number, delay_s in enumerate(_EVENT_DELAYS_S):
+                event = SendProgressed(send.call_id, send.attempt, number + 1)
+                self._at(
+                    self.now + delay_s,
+                    lambda each=event: self.handle(name, each),
+                )
+        finished = SendEnded(send.call_id, send.attempt, SendStatus.finished)
+        self._at(self.now + run_s, lambda: self._end(name, finished))
+
+    def _fail(self, name: str, send: Send) -> tuple[float, SendEnded]:
+        """Return when a send over a cut link ends, and how."""
+        link = (name, send.instance)
+        is_lost = self.how == 'accept' or (
+            self.how != 'refuse' and link in self._pooled
+        )
+        self._pooled.discard(link)
+        hangs = self.how == 'hang'
+        delay_s = MESSAGE_DELAY_S
+        if hangs:
+            delay_s = _USER_TIMEOUT_S if is_lost else _CONNECT_TIMEOUT_S
+        return delay_s, SendEnded(
+            send.call_id,
+            send.attempt,
+            SendStatus.broken if is_lost else SendStatus.unsent,
+            connection_lost=is_lost,
+            upstream_crashed=is_lost and self.how == 'reset',
+        )
 
     def _end(self, name: str, ended: SendEnded) -> None:
         self.handle(name, ended)
@@ -78,7 +146,8 @@
         self.handoffs += 1
         call_id = f'{_HANDOFF_PREFIX}{self.handoffs}'
         self._origin_of[call_id] = (name, effect)
-        call = build_call(call_id, READ_ROUTE, now=self.now, handed_off=True)
+        route = self._calls[effect.call_id].route
+        call = build_call(call_id, route, now=self.now, handed_off=True)
         self._at(
             self.now + MESSAGE_DELAY_S,
             lambda: self._submit_call(effect.helper, call),
@@ -95,7 +164,9 @@
         self._at(self.now + MESSAGE_DELAY_S, lambda: self._end(name, ended))
 
     def _probe(self, name: str, effect: ProbeUpstream) -> None:
-        probed = UpstreamProbed(
-            effect.instance, effect.created_ms, name not in self.cut
-        )
-        self._at(self.now + MESSAGE_DELAY_S, lambda: self.handle(name, probed))
+        accepts = not self._is_cut_from(name, effect.instance)
+        delay_s = MESSAGE_DELAY_S
+        if self.how == 'hang' and not accepts:
+            delay_s = _CONNECT_TIMEOUT_S
+        probed = UpstreamProbed(effect.instance, effect.created_ms, accepts)
+        self._at(self.now + delay_s, lambda: self.handle(name, probed))
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -1,5 +1,7 @@
 """VMs that reach no upstream hand their calls off to others."""
 
+import dataclasses
+
 import pytest
 
 from bilberryspoke._internal.models.routing import SendStatus
@@ -10,13 +12,20 @@
 )
 from tests.lib.corefleet import CoreFleet
 from tests.lib.cutcores import CutCores
-from tests.lib.routedcore import READ_ROUTE, build_call, find_decision
+from tests.lib.routedcore import (
+    DRAFT_ROUTE,
+    READ_ROUTE,
+    SHORT_TARGET_ROUTE,
+    build_call,
+    find_decision,
+)
 
 CALLS_PER_VM = 30
 CALL_INTERVAL_S = 0.1
 STABILITY_WINDOW_S = 3.0
 # A new process has retries only after the window of the retry budget.
 BUDGET_WINDOW_S = 12.0
+ONE_ATTEMPT_ROUTE = dataclasses.replace(DRAFT_ROUTE, max_attempts=1)
 
 
 def send_calls(fleet, names, prefix):
@@ -31,6 +40,22 @@
     return served / (CALLS_PER_VM * len(names))
 
 
+def send_at_rate(fleet, names, seconds, per_s, route, prefix):
+    """Let calls arrive at VMs in turn; return the share served at each."""
+    count = round(seconds * per_s)
+    served_before = len(fleet.served)
+    for number in range(count):
+        for name in names:
+            fleet.arrive(name, f'{prefix}/{name}/{number}', route)
+            fleet.run_until(fleet.now + 1 / per_s / len(names))
+    fleet.run_until(fleet.now + 1.0)
+    served = [each.split('/') for each in fleet.served[served_before:]]
+    return {
+        name: sum(each[:2] == [prefix, name] for each in served) / count
+        for name in names
+    }
+
+
 @pytest.mark.parametrize(
     ('vms', 'warm_up_s'), [(8, 2.0), (60, 4.0), (370, 3.0)]
 )
@@ -92,3 +117,56 @@
     effects = fleet.handle('vm-0', refused)
     assert isinstance(find_decision(effects), RefuseCall)
     assert not [each for each in effects if isinstance(each, HandOff)]
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 38')
+@pytest.mark.parametrize('how', ['refuse', 'reset', 'hang', 'accept'])
+@pytest.mark.parametrize(
+    ('route', 'rate_per_s'),
+    [(READ_ROUTE, 2.6), (DRAFT_ROUTE, 2.6), (ONE_ATTEMPT_ROUTE, 5)],
+)
+def test_callers_of_vms_cut_off_from_many_upstreams_are_served(
+    how, route, rate_per_s
+):
+    """Each upstream of many had to fail a call before any was handed off."""
+    fleet = CutCores(24, warm_up_s=4.0, how=how, engines=70, plain_upstreams=70)
+    names = sorted(fleet.cores)
+    fleet.cut = names[:8]
+    send_at_rate(fleet, names, STABILITY_WINDOW_S, rate_per_s, route, 'b')
+    shares = send_at_rate(fleet, names, 4.0, rate_per_s, route, 'c')
+    others = min(shares[name] for name in names[8:])
+    assert others > 2 / 3
+    for name in names[:8]:
+        assert shares[name] >= 2 / 3 * others
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 39')
+@pytest.mark.parametrize('how', ['reset', 'hang', 'accept'])
+def test_lost_links_are_not_blamed_on_calls(how):
+    """VMs told all others that upstreams had crashed; calls were blocked."""
+    fleet = CutCores(24, warm_up_s=4.0, how=how, engines=70)
+    names = sorted(fleet.cores)
+    fleet.cut = names[:8]
+    send_at_rate(fleet, names, 4.0, 5, DRAFT_ROUTE, 'b')
+    for core in fleet.cores.values():
+        assert not core.state.routing.crash_ledger.crashes
+        assert not core.state.routing.crash_ledger.blocks
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 40')
+def test_calls_of_vms_that_reach_one_engine_of_many_hold_up_no_others():
+    """They waited for it, and less urgent calls of all VMs yielded to them."""
+    fleet = CutCores(24, warm_up_s=4.0, engines=24)
+    fleet.spared = {'engine-0'}
+    names = sorted(fleet.cores)
+    fleet.cut = names[:12]
+    urgent = dataclasses.replace(SHORT_TARGET_ROUTE, name='drafts')
+    for number in range(150):
+        for name in names[:12]:
+            fleet.arrive(name, f'urgent-{name}-{number}', urgent)
+        for name in names[12:]:
+            fleet.arrive(name, f'other-{name}-{number}', DRAFT_ROUTE)
+        fleet.run_until(fleet.now + 0.04)
+    fleet.run_until(fleet.now + 1.0)
+    others = [each for each in fleet.served if each.startswith('other')]
+    assert len(others) >= 0.95 * 150 * 12
