Doubt all links once sends are lost at several upstreams in a row

What callers saw: at VMs without links to 70 upstreams 0 to a part of the calls were served, also after the stability window (reset, hang, and connections that open and are reset). Cause: a VM found out one upstream at a time, each at the expense of a call; the hand-off began when the last one was known.

Now two lost sends put the links of a service in doubt: calls are handed off at once, and probes find out which upstreams are left. A lost connection without any answer counts like a failed connect.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -17,7 +17,7 @@
 from bilberryspoke._internal.core.routing.handoff import (
     choose_helper,
     hand_off,
-    reaches_none,
+    must_hand_off,
 )
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.promptcache import record_sent_parts
@@ -68,7 +68,7 @@
         _refuse_blocked(state, call_state, *blocked, now)
         return
     usable = list_usable_upstreams(state.routing, call_state, now)
-    if reaches_none(state.routing, call_state, now):
+    if must_hand_off(state.routing, call_state, now):
         helper = choose_helper(state, call_state, now)
         if helper is not None:
             _count_first_attempt(state, call_state, now)
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -5,6 +5,7 @@
 """
 
 from bilberryspoke._internal.core.routing.callstate import CallState
+from bilberryspoke._internal.core.routing.links import is_doubted
 from bilberryspoke._internal.core.routing.members import is_alive
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.state import RoutingState
@@ -19,13 +20,15 @@
 _HELPER_PAUSE_S = 1.0
 
 
-def reaches_none(
+def must_hand_off(
     routing: RoutingState, call_state: CallState, now: float
 ) -> bool:
-    """Return whether this VM reaches none of the upstreams for a call.
+    """Return whether this VM may reach none of the upstreams for a call.
 
     It is false if there is no upstream for it at all.
     """
+    if is_doubted(routing, call_state.call.service):
+        return True
     service = call_state.call.service
     has_suitable = False
     for upstream in routing.upstreams.values():
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -25,10 +25,12 @@
 )
 from bilberryspoke._internal.core.routing.groups import note_tight_arrival
 from bilberryspoke._internal.core.routing.handoff import record_helper_refusal
+from bilberryspoke._internal.core.routing.links import suspect_link
 from bilberryspoke._internal.core.routing.origins import record_stream_begin
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.resumption import resume_stream
 from bilberryspoke._internal.core.routing.retries import may_retry
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing import (
@@ -170,10 +172,33 @@
     # its previous incarnation.
     if upstream.sends.pop(call_state.call.call_id, None) is None:
         return
-    if event.upstream_crashed and not upstream.health.is_unresponsive(now):
-        upstream.health.record_unreachable(now)
     if event.status is SendStatus.refused:
         upstream.refused_at = now
+    _record_reach(upstream, call_state, event, now)
+    if _is_link_lost(call_state, event):
+        suspect_link(state, upstream, now)
+
+
+def _is_link_lost(call_state: CallState, event: SendEnded) -> bool:
+    """Return whether a send ended without any answer of the upstream."""
+    if event.status is SendStatus.unsent or event.upstream_crashed:
+        return True
+    return event.connection_lost and call_state.last_progress_at is None
+
+
+def _record_reach(
+    upstream: UpstreamState,
+    call_state: CallState,
+    event: SendEnded,
+    now: float,
+) -> None:
+    """Record what the end of a send says of the upstream's health."""
+    if event.upstream_crashed and not upstream.health.is_unresponsive(now):
+        upstream.health.record_unreachable(now)
+    elif event.status is not SendStatus.unsent and (
+        _is_link_lost(call_state, event)
+    ):
+        upstream.health.record_lost_link(now)
     if event.status is SendStatus.unsent:
         upstream.health.record_unreachable(now)
     elif event.status is SendStatus.misdirected:
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/linkreview.py
@@ -0,0 +1,61 @@
+"""What a VM knows of its links to the upstreams of one service.
+
+Times are in seconds of the boot-time clock.
+"""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class LinkReview:
+    """Upstreams of a service that this VM seems to have lost its link to.
+
+    ``suspects`` holds when it lost each, since a link was last proven. While
+    ``is_open`` is true, probes find out which links are left: ``awaited`` are
+    the upstreams whose probe is under way, ``pending`` those that are still to
+    be probed and ``probed`` all that were; ``answered`` and ``failed`` count
+    the ends of probes. ``doubted`` is whether the VM may have lost most links,
+    so that it hands its calls off meanwhile. ``widened`` is whether all
+    upstreams are probed, after one without a lost send did not answer.
+    """
+
+    suspects: dict[str, float] = field(default_factory=dict)
+    is_open: bool = False
+    doubted: bool = False
+    widened: bool = False
+    awaited: set[str] = field(default_factory=set)
+    pending: list[str] = field(default_factory=list)
+    probed: set[str] = field(default_factory=set)
+    answered: int = 0
+    failed: int = 0
+
+    def begin(self, instances: list[str]) -> None:
+        """Begin to probe upstreams, one after the other."""
+        self.is_open = True
+        self.pending = list(instances)
+
+    def widen(self, instances: list[str]) -> None:
+        """Probe these upstreams too, unless they were probed already."""
+        self.widened = True
+        known = self.probed | set(self.pending)
+        self.pending.extend(each for each in instances if each not in known)
+
+    def record_probe(self, *, accepts: bool) -> None:
+        """Count the end of a probe of this review."""
+        if accepts:
+            self.answered += 1
+        else:
+            self.failed += 1
+        self.doubted = self.doubted and self.failed >= self.answered
+
+    def clear(self) -> None:
+        """End the review: each upstream is known to be in reach or not."""
+        self.is_open = False
+        self.doubted = False
+        self.widened = False
+        self.answered = 0
+        self.failed = 0
+        self.suspects.clear()
+        self.probed.clear()
+        self.awaited.clear()
+        self.pending.clear()
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -0,0 +1,139 @@
+"""Whether this VM has lost its links to the upstreams of a service.
+
+Sends that are lost at several upstreams in a row put all links in doubt. Until
+probes have found out which links are left, calls are handed off. Times are in
+seconds of the boot-time clock.
+"""
+
+from bilberryspoke._internal.core.routing.linkreview import LinkReview
+from bilberryspoke._internal.core.routing.state import RoutingState
+from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing_effects import (
+    LogDecision,
+    ProbeUpstream,
+)
+from bilberryspoke._internal.utils.hashing import hash_parts
+
+# Upstreams at which sends have to be lost within the window to doubt all links.
+_MIN_SUSPECTS = 2
+_SUSPICION_WINDOW_S = 2.0
+# Upstreams without a lost send that are probed first.
+_CONTROLS = 3
+# Probes of one review that are under way at the same time.
+_MAX_AWAITED_PROBES = 64
+
+
+def is_doubted(routing: RoutingState, service: str) -> bool:
+    """Return whether this VM may have lost most links to a service."""
+    review = routing.link_reviews.get(service)
+    return review is not None and review.doubted
+
+
+def suspect_link(state: VmState, upstream: UpstreamState, now: float) -> None:
+    """Record a send that was lost, or an upstream without any response."""
+    service = upstream.listed.service
+    review = state.routing.link_reviews.setdefault(service, LinkReview())
+    review.suspects[upstream.listed.instance] = now
+    since = now - _SUSPICION_WINDOW_S
+    for instance, lost_at in list(review.suspects.items()):
+        if lost_at < since:
+            review.suspects.pop(instance)
+    if len(review.suspects) < _MIN_SUSPECTS or review.doubted:
+        return
+    review.doubted = True
+    if not review.is_open:
+        review.begin(_choose_controls(state, service, review, now))
+    fields = {'service': service, 'suspects': sorted(review.suspects)}
+    state.emit(Count('links_doubted', service))
+    state.emit(LogDecision('links_doubted', fields))
+    _proceed(state, service, review, now)
+
+
+def record_probe(
+    state: VmState, upstream: UpstreamState, now: float, *, accepts: bool
+) -> None:
+    """Apply the end of a probe to the review of the service's links."""
+    service = upstream.listed.service
+    review = state.routing.link_reviews.get(service)
+    if review is None:
+        return
+    instance = upstream.listed.instance
+    if instance not in review.awaited:
+        if accepts and not review.is_open:
+            review.clear()
+        return
+    review.awaited.discard(instance)
+    review.record_probe(accepts=accepts)
+    if not accepts:
+        if not upstream.health.unreachable:
+            upstream.health.record_unreachable(now)
+        if not review.widened:
+            review.widen(_list_unsuspected(state.routing, service, now))
+    _proceed(state, service, review, now)
+
+
+def review_links(state: VmState, now: float) -> None:
+    """Begin the probes whose turn it is."""
+    for service, review in state.routing.link_reviews.items():
+        if review.is_open:
+            review.awaited &= state.routing.upstreams.keys()
+            _proceed(state, service, review, now)
+
+
+def _choose_controls(
+    state: VmState, service: str, review: LinkReview, now: float
+) -> list[str]:
+    """Return upstreams to probe first, at random among those in reach."""
+    unsuspected = [
+        each
+        for each in _list_unsuspected(state.routing, service, now)
+        if each not in review.suspects
+    ]
+    unsuspected.sort(key=lambda each: hash_parts(state.vm, each, now))
+    return unsuspected[:_CONTROLS]
+
+
+def _list_unsuspected(
+    routing: RoutingState, service: str, now: float
+) -> list[str]:
+    return [
+        each.listed.instance
+        for each in routing.list_accepting_upstreams(service)
+        if not each.health.is_unresponsive(now)
+    ]
+
+
+def _proceed(
+    state: VmState, service: str, review: LinkReview, now: float
+) -> None:
+    """Begin the next probes, or end the review if there is none left."""
+    routing = state.routing
+    while review.pending and len(review.awaited) < _MAX_AWAITED_PROBES:
+        instance = review.pending.pop(0)
+        upstream = routing.upstreams.get(instance)
+        if upstream is None:
+            continue
+        review.probed.add(instance)
+        review.awaited.add(instance)
+        probe_upstream(state, upstream)
+    if review.awaited or review.pending:
+        return
+    reached = _list_unsuspected(routing, service, now)
+    fields = {
+        'service': service,
+        'probed': len(review.probed),
+        'reached_upstreams': len(reached),
+    }
+    state.emit(LogDecision('links_reviewed', fields))
+    review.clear()
+
+
+def probe_upstream(state: VmState, upstream: UpstreamState) -> None:
+    """Find out whether an upstream answers this VM."""
+    listed = upstream.listed
+    state.emit(Count('probes', listed.service))
+    state.emit(
+        ProbeUpstream(listed.instance, listed.created_ms, listed.address)
+    )
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -15,9 +15,13 @@
 )
 from bilberryspoke._internal.core.routing.handoff import (
     choose_helper,
-    reaches_none,
+    must_hand_off,
 )
 from bilberryspoke._internal.core.routing.lifecycle import finish_or_retry_call
+from bilberryspoke._internal.core.routing.links import (
+    review_links,
+    suspect_link,
+)
 from bilberryspoke._internal.core.routing.origins import review_keepers
 from bilberryspoke._internal.core.routing.ratelimits import review_limits
 from bilberryspoke._internal.core.routing.reach import (
@@ -64,6 +68,7 @@
     drop_missing_upstreams(state, now)
     review_limits(state, now)
     review_brittle_upstreams(state, now)
+    review_links(state, now)
     review_reach(state, now)
     send_probes(state, now)
 
@@ -94,6 +99,7 @@
             'no_response_s': round(get_silence_s(routing, upstream, now), 3),
         }
         state.emit(LogDecision('upstream_silent', fields))
+        suspect_link(state, upstream, now)
     upstream.health.record_silence(now)
 
 
@@ -116,12 +122,11 @@
     if not ensure_budget(state, call.service, now).allows(now):
         return
     usable = list_usable_upstreams(state.routing, call_state, now)
-    if reaches_none(state.routing, call_state, now):
+    has_other = any(
+        each.listed.instance != call_state.instance for each in usable
+    )
+    if must_hand_off(state.routing, call_state, now):
         has_other = choose_helper(state, call_state, now) is not None
-    else:
-        has_other = any(
-            each.listed.instance != call_state.instance for each in usable
-        )
     if has_other:
         state.emit(CancelSend(call.call_id, call_state.attempt))
         finish_or_retry_call(state, ending, now)
--- a/src/bilberryspoke/_internal/core/routing/passivehealth.py
+++ b/src/bilberryspoke/_internal/core/routing/passivehealth.py
@@ -57,7 +57,17 @@
     def record_unreachable(self, now: float) -> None:
         """Record a send or a probe that did not reach the upstream."""
         self.record_misdirected(now)
-        self._expect_probe(self.ejected_until)
+        self.expect_probe(self.ejected_until)
+
+    def expect_probe(self, due_at: float) -> None:
+        """Give the upstream no calls until a probe finds it in reach."""
+        self.unreachable = True
+        self.probe_at = due_at
+
+    def record_lost_link(self, now: float) -> None:
+        """Record a send whose connection was lost before any answer."""
+        if not self.unreachable:
+            self.expect_probe(now)
 
     def record_misdirected(self, now: float) -> None:
         """Record a send that another upstream got, at the same address."""
@@ -71,7 +81,7 @@
         self.ejected_until = max(self.ejected_until, now + _SILENCE_EJECTION_S)
         self.unresponsive_until = self.ejected_until + _PROBATION_S
         if not self.unreachable:
-            self._expect_probe(self.ejected_until)
+            self.expect_probe(self.ejected_until)
 
     def record_connected(self, now: float) -> None:
         """Record that a probe connected to the upstream."""
@@ -103,7 +113,3 @@
             self.ejected_until = max(
                 self.ejected_until, now + _OUTCOME_WINDOW_S / 2
             )
-
-    def _expect_probe(self, due_at: float) -> None:
-        self.unreachable = True
-        self.probe_at = due_at
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -9,6 +9,7 @@
 from bilberryspoke._internal.core.routing.callstate import CallState, WaitQueue
 from bilberryspoke._internal.core.routing.crashledger import CrashLedger
 from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
+from bilberryspoke._internal.core.routing.linkreview import LinkReview
 from bilberryspoke._internal.core.routing.originledger import OriginLedger
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
@@ -73,6 +74,7 @@
     ``unreached_services`` are the services with upstreams of which this VM
     reaches none. ``helpers_paused_until`` is when other VMs may get calls of a
     service from this one again, which they did not serve, by VM and service.
+    ``link_reviews`` are by service.
     """
 
     table: RouteTable | None = None
@@ -130,6 +132,7 @@
     helpers_paused_until: dict[tuple[str, str], float] = field(
         default_factory=dict
     )
+    link_reviews: dict[str, LinkReview] = field(default_factory=dict)
 
     @property
     def ready(self) -> bool:
