Take an answer, not an open connection, as the proof that an upstream is in reach

Cause: a probe was a connection that opens.

A probe asks for an upstream's load on a connection of its own; any answer will do. It has a module of its own, so that sending.py shrinks.

--- a/fakes/links.py
+++ b/fakes/links.py
@@ -15,8 +15,8 @@
 class Link:
     """A TCP relay to ``target`` (``host:port``) that listens at ``address``.
 
-    While it is cut, connections are refused or hang; open ones are reset, hang
-    or live on.
+    While it is cut, connections are refused, hang, or are accepted and fail
+    then; open ones are reset, hang or live on.
     """
 
     target: str
@@ -26,9 +26,12 @@
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _passes: asyncio.Event = field(default_factory=asyncio.Event)
+    _resets: bool = False
 
     async def start(self) -> None:
         """Listen on a free port, or on that of before, and relay all bytes."""
+        if self._server is not None:
+            self._server.close()
         for sock in self._blocked:
             sock.close()
         self._blocked.clear()
@@ -39,6 +42,15 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         self._passes.set()
+        self._resets = False
+
+    def accept_and_reset(self) -> None:
+        """Reset all connections as soon as they carry bytes, new ones too."""
+        self._resets = True
+
+    def accept_and_hang(self) -> None:
+        """Open new connections, and pass no bytes on any."""
+        self._passes.clear()
 
     def refuse(self) -> None:
         """Refuse new connections; open ones live on."""
@@ -106,6 +118,8 @@
     ) -> None:
         try:
             while raw := await reader.read(65536):
+                if self._resets:
+                    raise ConnectionResetError
                 await self._passes.wait()
                 writer.write(raw)
                 await writer.drain()
--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -20,6 +20,8 @@
     'Content-Type': 'text/event-stream',
     'Transfer-Encoding': 'chunked',
 }
+# Answered without running anything, as a model engine does with its load.
+PROBE_PATH = '/-/report'
 # SO_LINGER on with 0 s: closing sends a TCP reset.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
@@ -105,7 +107,7 @@
     ``refused_at`` is when those refused unexecuted arrived, in seconds of the
     monotonic clock. Setting ``release`` lets
     scripts that wait for it go on. ``stated`` are headers that all of its
-    answers carry.
+    answers carry. Probes count as no runs while ``answers_probes`` is true.
     """
 
     instance: str
@@ -117,6 +119,7 @@
     address: str = ''
     stated: Headers = field(default_factory=dict)
     release: asyncio.Event = field(default_factory=asyncio.Event)
+    answers_probes: bool = True
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _reset_on_use: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -196,6 +199,9 @@
             extra_headers = {'X-Instance-Id': self.instance}
             write_whole(writer, run, 421, b'', extra_headers, sealed=False)
             return
+        if run.target == PROBE_PATH and self.answers_probes:
+            write_whole(writer, run, 200, b'{}', sealed=False)
+            return
         name = self.answers.pop(0) if self.answers else self.default
         # The script refuses the call, so it does not count as run.
         if name == 'busy':
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeUpstream:
-    """Check whether an upstream accepts connections from this VM.
+    """Find out whether an upstream answers this VM.
 
     An ``UpstreamProbed`` event follows. ``created_ms`` names the incarnation,
     as in ``ListedUpstream``, ``address`` is ``host:port``.
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -168,7 +168,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamProbed:
-    """A probe ended with or without a connection to an upstream.
+    """A probe ended with or without an answer of an upstream.
 
     ``created_ms``: names its incarnation, as in ``ListedUpstream``.
     """
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -132,7 +132,7 @@
         )
         runtime.submit(SeedsConfigured(seeds))
         sender = CallSender(runtime.submit)
-        runtime.on_probe = sender.start_probe
+        runtime.on_probe = sender.prober.start
         ingress = Ingress(runtime, sender)
         helper_ingresses = []
         if settings.handoff_port is not None:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -15,7 +15,6 @@
 )
 from bilberryspoke._internal.models.routing_effects import (
     HandOff,
-    ProbeUpstream,
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
@@ -42,6 +41,7 @@
     find_not_run_reason,
     make_attempts_header,
 )
+from bilberryspoke._internal.network.routing.linkprobes import LinkProber
 from bilberryspoke._internal.platform.headers import (
     HandoffHeaders,
     RawHeaders,
@@ -107,8 +107,8 @@
         """
         self.connector = KeepAliveConnector()
         self._submit = submit
+        self.prober = LinkProber(submit, self.connector.expire_connections)
         self._check = ListenCheck()
-        self._probes: set[asyncio.Task[None]] = set()
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -123,15 +123,7 @@
         """Close all connections to upstreams."""
         await self._session.close()
         await self._single_use_session.close()
-
-    def start_probe(self, effect: ProbeUpstream) -> None:
-        """Open and close a connection to an upstream, in the background.
-
-        If it does not open, pooled connections to it are not used again.
-        """
-        task = asyncio.create_task(self._probe(effect))
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
+        await self.prober.close()
 
     async def run(
         self, exchange: Exchange, effect: Send | HandOff
@@ -173,14 +165,6 @@
             upstream_crashed=crashed,
         )
 
-    async def _probe(self, effect: ProbeUpstream) -> None:
-        accepts = await self._check.check(effect.address) is Reach.accepted
-        if not accepts:
-            self.connector.expire_connections(effect.address)
-        self._submit(
-            UpstreamProbed(effect.instance, effect.created_ms, accepts)
-        )
-
     async def _send_request(
         self, exchange: Exchange, effect: Send | HandOff
     ) -> _SendResult:
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -9,6 +9,9 @@
 
 RawHeaders = list[tuple[bytes, bytes]]
 
+# Upstreams answer here without running anything.
+PROBE_PATH = '/-/report'
+
 # The request id; despite the header's name, all attempts of a call carry the
 # same one.
 _REQUEST_ID = b'x-attempt-id'
--- a/tests/functional/test_routed_cuts.py
+++ b/tests/functional/test_routed_cuts.py
@@ -27,7 +27,10 @@
 
 
 @pytest.mark.parametrize('cut', [(0,), (0, 1, 2)])
-@pytest.mark.parametrize('how', ['refuse', 'reset', 'hang'])
+@pytest.mark.parametrize(
+    'how',
+    ['refuse', 'reset', 'hang', 'accept_and_reset', 'accept_and_hang'],
+)
 @pytest.mark.parametrize('service', ['app', 'llm'])
 def test_callers_of_processes_cut_off_from_upstreams_are_served(
     how, cut, service
