--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -11,13 +11,17 @@
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing import (
+    NOT_RECEIVED_SEND_STATUSES,
+    SendStatus,
+)
 from bilberryspoke._internal.models.routing_effects import HandOff, LogDecision
 from bilberryspoke._internal.utils.hashing import hash_parts
 
 _MAX_HELPERS_PER_CALL = 3
-# A helper that could not serve a call gets no other of that service for this
-# time.
-_HELPER_PAUSE_S = 1.0
+# With fewer proven helpers, one call in the interval goes to another VM.
+_ENOUGH_HELPERS = 3
+_EXPLORATION_INTERVAL = 4
 # A VM that reaches less than this fraction of a service's upstreams hands off
 # the calls that go beyond its share of them.
 MIN_REACHED_FRACTION = 0.5
@@ -63,26 +67,32 @@
 ) -> PeerView | None:
     """Return the VM that a call is handed off to, None if there is none.
 
-    One in this data centre is preferred, unless another there could not help
-    lately: the links of a whole data centre may be cut.
+    Those that served a call lately are preferred. So are those in this data
+    centre, unless another there could not help lately: the links of a whole
+    data centre may be cut.
     """
     call = call_state.call
     if call.handed_off or state.settings.handoff_port is None:
         return None
     if len(call_state.tried_helpers) >= _MAX_HELPERS_PER_CALL:
         return None
-    paused = _list_paused(state, call.service, now)
+    memory = state.routing.helpers[call.service]
+    failed = memory.list_failed(now)
     able = [
         peer
         for peer in state.routing.peers.values()
         if peer.name not in call_state.tried_helpers
-        and peer.name not in paused
+        and peer.name not in failed
         and is_alive(state, peer, now)
     ]
+    proven = memory.list_proven(now)
+    if not _explores(call_state, proven):
+        able = [each for each in able if each.name in proven] or able
     own = state.settings.data_centre
     peers = state.routing.peers
-    failed = [peers[name].data_centre for name in paused if name in peers]
-    prefers_own = own not in failed
+    prefers_own = own not in {
+        peers[name].data_centre for name in failed if name in peers
+    }
 
     def rank(peer: PeerView) -> tuple[bool, int]:
         drawn = hash_parts(call.call_id, peer.name)
@@ -91,6 +101,17 @@
     return min(able, key=rank, default=None)
 
 
+def _explores(call_state: CallState, proven: set[str]) -> bool:
+    """Return whether a call may go to a helper that is not proven.
+
+    Few of them would get all calls of this VM otherwise.
+    """
+    if len(proven) >= _ENOUGH_HELPERS or call_state.tried_helpers:
+        return False
+    drawn = hash_parts('helper', call_state.call.call_id)
+    return not drawn % _EXPLORATION_INTERVAL
+
+
 def hand_off(
     state: VmState, call_state: CallState, helper: PeerView, now: float
 ) -> None:
@@ -125,21 +146,18 @@
     )
 
 
-def record_helper_refusal(
-    state: VmState, call_state: CallState, now: float
+def record_helper_end(
+    state: VmState, call_state: CallState, status: SendStatus, now: float
 ) -> None:
-    """Record that a helper did not serve a call, which did not run there."""
-    helper = call_state.helper
-    call_state.tried_helpers.append(helper)
+    """Record whether a helper served a call."""
     service = call_state.call.service
-    state.routing.helpers_paused_until[helper, service] = now + _HELPER_PAUSE_S
-    state.emit(Count('handoffs_refused', service))
-
-
-def _list_paused(state: VmState, service: str, now: float) -> set[str]:
-    """Return the VMs that could not serve a call of a service lately."""
-    paused_until = state.routing.helpers_paused_until
-    for key, until in list(paused_until.items()):
-        if now >= until:
-            paused_until.pop(key)
-    return {name for name, paused in paused_until if paused == service}
+    memory = state.routing.helpers[service]
+    helper = call_state.helper
+    if status in NOT_RECEIVED_SEND_STATUSES:
+        call_state.tried_helpers.append(helper)
+        memory.record_failure(helper, now)
+        state.emit(Count('handoffs_refused', service))
+    elif status is SendStatus.broken:
+        memory.record_failure(helper, now)
+    elif status is SendStatus.finished:
+        memory.record_service(helper, now)
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -24,7 +24,7 @@
     list_fingerprints,
 )
 from bilberryspoke._internal.core.routing.groups import note_tight_arrival
-from bilberryspoke._internal.core.routing.handoff import record_helper_refusal
+from bilberryspoke._internal.core.routing.handoff import record_helper_end
 from bilberryspoke._internal.core.routing.links import (
     check_upstream,
     suspect_link,
@@ -156,8 +156,7 @@
     now: float,
 ) -> None:
     if call_state.helper:
-        if event.status in NOT_RECEIVED_SEND_STATUSES:
-            record_helper_refusal(state, call_state, now)
+        record_helper_end(state, call_state, event.status, now)
         return
     upstream = state.routing.upstreams.get(call_state.instance)
     if event.status in NOT_RECEIVED_SEND_STATUSES:
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -9,6 +9,7 @@
 from bilberryspoke._internal.core.routing.callstate import CallState, WaitQueue
 from bilberryspoke._internal.core.routing.crashledger import CrashLedger
 from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
+from bilberryspoke._internal.core.routing.helpermemory import HelperMemory
 from bilberryspoke._internal.core.routing.linkreview import LinkReview
 from bilberryspoke._internal.core.routing.originledger import OriginLedger
 from bilberryspoke._internal.core.routing.peerstate import PeerView
@@ -72,9 +73,7 @@
     ``tight_loads`` and ``prefill_speeds`` are by service. ``longest_answer_s``
     is how long complete answers lately took at most, by route.
     ``unreached_services`` are the services with upstreams of which this VM
-    reaches none. ``helpers_paused_until`` is when other VMs may get calls of a
-    service from this one again, which they did not serve, by VM and service.
-    ``link_reviews`` are by service.
+    reaches none. ``helpers`` and ``link_reviews`` are by service.
     """
 
     table: RouteTable | None = None
@@ -129,8 +128,8 @@
     )
     longest_answer_s: dict[str, float] = field(default_factory=dict)
     unreached_services: set[str] = field(default_factory=set)
-    helpers_paused_until: dict[tuple[str, str], float] = field(
-        default_factory=dict
+    helpers: defaultdict[str, HelperMemory] = field(
+        default_factory=lambda: defaultdict(HelperMemory),
     )
     link_reviews: dict[str, LinkReview] = field(default_factory=dict)
 
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -167,3 +167,18 @@
     fleet.run_until(fleet.now + 1.0)
     others = [each for each in fleet.served if each.startswith('other')]
     assert len(others) >= 0.95 * 150 * 12
+
+
+@pytest.mark.parametrize('how', ['reset', 'hang'])
+@pytest.mark.parametrize(('vms', 'whole'), [(24, 6), (24, 2), (60, 4)])
+def test_callers_are_served_while_most_vms_are_cut_off(how, vms, whole):
+    """Each call tried three helpers, which were cut off as well."""
+    fleet = CutCores(vms, warm_up_s=4.0, how=how, engines=8, plain_upstreams=40)
+    names = sorted(fleet.cores)
+    fleet.cut = names[whole:]
+    send_at_rate(fleet, names, STABILITY_WINDOW_S, 2.6, READ_ROUTE, 'b')
+    shares = send_at_rate(fleet, names, 4.0, 2.6, READ_ROUTE, 'c')
+    others = sum(shares[name] for name in names[:whole]) / whole
+    cut_off = sum(shares[name] for name in names[whole:]) / (vms - whole)
+    assert others > 2 / 3
+    assert cut_off >= 2 / 3 * others
