Reset connections to upstreams when they are closed, so that no call goes on alone

Cause: a send that is cancelled closes its connection in order, so that the kernel goes on to deliver what a cut holds up, and the upstream gets the call once the cut is over. Evidence: test_call_whose_caller_left_reaches_no_upstream_once_links_are_back failed without the option and passes with it. The stand-in for a link drops what it holds up if the sender resets.

SO_LINGER of 0 s makes closing a reset; the upstream drops the call as before.

--- a/fakes/links.py
+++ b/fakes/links.py
@@ -121,6 +121,9 @@
                 if self._resets:
                     raise ConnectionResetError
                 await self._passes.wait()
+                if reader.exception() is not None:
+                    # A reset of the sender drops what was held up.
+                    raise ConnectionResetError
                 writer.write(raw)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import socket
+import struct
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import Any
@@ -21,6 +22,9 @@
 # The kernel closes a connection whose sent bytes stay unacknowledged for this
 # long.
 _TCP_USER_TIMEOUT_MS = 1500
+# SO_LINGER on with 0 s: closing resets the connection. Otherwise the kernel
+# would go on to deliver a call whose caller has left, once a cut is over.
+_LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,4 +166,5 @@
         _TCP_USER_TIMEOUT_MS,
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
     return sock
--- a/tests/functional/test_routed_cuts.py
+++ b/tests/functional/test_routed_cuts.py
@@ -98,3 +98,22 @@
                     assert not runs or answer.status == 502
 
     asyncio.run(run())
+
+
+def test_call_whose_caller_left_reaches_no_upstream_once_links_are_back():
+    """What a cut held up was delivered seconds after the caller had left."""
+
+    async def run():
+        async with run_cut_fleet(nodes=2, upstreams=1) as cuts:
+            await cuts.send_calls(0.5, per_s=CALLS_PER_S, prefix='a')
+            cuts.cut([0], 'accept_and_hang')
+            call = cuts.fleet.call('/safe/', 'left', method='POST')
+            task = asyncio.create_task(call)
+            await asyncio.sleep(0.3)
+            task.cancel()
+            await asyncio.sleep(0.3)
+            await cuts.mend([0])
+            await cuts.send_calls(1.0, per_s=CALLS_PER_S, prefix='b')
+            assert not cuts.upstreams[0].count_runs('left')
+
+    asyncio.run(run())
