Probe an upstream that joins while none of its service is in reach

What callers saw: in a release during a cut, calls of a VM without links were sent to each new upstream, and hung for 0.4 s. Cause: a new upstream counted as in reach. Evidence: the test test_upstream_that_joins_during_a_cut_costs_no_call failed before, and passes: the new upstream gets a probe first.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -228,7 +228,7 @@
     if known is None or known.listed.created_ms < listed.created_ms:
         if known is not None:
             _withdraw_version(state, known, listed.software_version, now)
-        _add_upstream(state, listed)
+        _add_upstream(state, listed, now)
         return
     if listed.is_older_than(known.listed):
         state.emit(Count('upstream_entries_outdated'))
@@ -257,7 +257,7 @@
     doubt_origins(state, list(upstream.sends.values()), now)
 
 
-def _add_upstream(state: VmState, listed: ListedUpstream) -> None:
+def _add_upstream(state: VmState, listed: ListedUpstream, now: float) -> None:
     routing = state.routing
     removed = routing.removed.get(listed.instance)
     if removed is not None and not listed.may_follow(removed.listed):
@@ -268,7 +268,11 @@
     if replaced is not None:
         toggle_entry(routing, replaced.listed)
     toggle_entry(routing, listed)
-    routing.upstreams[listed.instance] = UpstreamState(listed)
+    added = UpstreamState(listed)
+    if listed.service in routing.unreached_services:
+        # It is likely to be out of reach as well.
+        added.health.expect_probe(now)
+    routing.upstreams[listed.instance] = added
     state.emit(LogDecision('upstream_listed', _describe_upstream(listed)))
 
 
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -9,6 +9,7 @@
 from bilberryspoke._internal.models.routing_events import (
     CallArrived,
     SendEnded,
+    UpstreamChanged,
 )
 from tests.lib.corefleet import CoreFleet
 from tests.lib.cutcores import CutCores
@@ -17,6 +18,7 @@
     READ_ROUTE,
     SHORT_TARGET_ROUTE,
     build_call,
+    build_upstream,
     find_decision,
 )
 
@@ -182,3 +184,20 @@
     cut_off = sum(shares[name] for name in names[whole:]) / (vms - whole)
     assert others > 2 / 3
     assert cut_off >= 2 / 3 * others
+
+
+def test_upstream_that_joins_during_a_cut_costs_no_call():
+    """Calls were sent to each new upstream of a release, and hung."""
+    fleet = CutCores(8, warm_up_s=4.0, how='hang')
+    fleet.cut = {'vm-0'}
+    send_at_rate(fleet, ['vm-0'], STABILITY_WINDOW_S, 5, READ_ROUTE, 'b')
+    joining = build_upstream('app-new', service='app', slots=6)
+    fleet.handle('vm-0', UpstreamChanged('app-new', joining))
+    handoffs_before = fleet.handoffs
+    for number in range(CALLS_PER_VM):
+        fleet.arrive('vm-0', f'call-{number}')
+    assert fleet.handoffs == handoffs_before + CALLS_PER_VM
+    fleet.cut = set()
+    fleet.run_until(fleet.now + 0.5)
+    upstreams = fleet.cores['vm-0'].state.routing.upstreams
+    assert not upstreams['app-new'].health.is_unresponsive(fleet.now)
