Do not take streams up by an outdated list of upstreams

Cause: a VM that knew one version only did not ask the keepers of the stream, and took its own list for current: for up to 2.5 s after it lost the store, and after a pause without any limit. Evidence: test_stream_is_not_taken_up_at_another_version_by_a_vm_out_of_step failed in 3 of 3 cases, and passes.

The keepers are always asked now. What the list of upstreams says counts only if a keeper answered, the store or its reader did within 3 s, and the VM has not stood still within 3 s; else the call is refused as not run.

--- a/src/bilberryspoke/_internal/core/routing/resumption.py
+++ b/src/bilberryspoke/_internal/core/routing/resumption.py
@@ -11,6 +11,9 @@
     Refusal,
     refuse_call,
 )
+from bilberryspoke._internal.core.routing.discoverylag import (
+    knows_current_upstreams,
+)
 from bilberryspoke._internal.core.routing.dispatch import dispatch_or_queue
 from bilberryspoke._internal.core.routing.members import send_to_peer
 from bilberryspoke._internal.core.routing.originledger import (
@@ -45,8 +48,6 @@
         return
     key = hash_stream(call)
     origin = state.routing.origins.find(key)
-    if origin is None and state.routing.store_reachable:
-        origin = _find_only_origin(state, call_state, now)
     if origin is not None:
         _resume_at(state, call_state, origin, now)
         return
@@ -132,7 +133,11 @@
     if now < lookup.ends_at and (may_know or not knows_members):
         return
     for call_state in _end_lookup(state, key):
-        _resume_at_only_version(state, call_state, now)
+        if lookup.denied_by or not state.routing.peers:
+            _resume_at_only_version(state, call_state, now)
+        else:
+            # Nobody says that it does not know the origin.
+            _resume_at(state, call_state, StreamOrigin(None), now)
 
 
 def _end_lookup(state: VmState, key: int) -> list[CallState]:
@@ -142,18 +147,13 @@
     return [each for each in found if each is not None]
 
 
-def _find_only_origin(
-    state: VmState, call_state: CallState, now: float
-) -> StreamOrigin | None:
-    version = find_only_version(state, call_state.call, now)
-    return None if version is None else StreamOrigin(version)
-
-
 def _resume_at_only_version(
     state: VmState, call_state: CallState, now: float
 ) -> None:
-    origin = _find_only_origin(state, call_state, now)
-    _resume_at(state, call_state, origin or StreamOrigin(None), now)
+    version = None
+    if knows_current_upstreams(state, now):
+        version = find_only_version(state, call_state.call, now)
+    _resume_at(state, call_state, StreamOrigin(version), now)
 
 
 def _resume_at(
--- a/src/bilberryspoke/_internal/core/routing/stalls.py
+++ b/src/bilberryspoke/_internal/core/routing/stalls.py
@@ -28,11 +28,16 @@
     Silence is measured from when this VM resumed, if that is later, because it
     could receive nothing during the pause.
     """
-    if now - routing.reviewed_at > _PAUSE_THRESHOLD_S:
+    if was_paused(routing, now):
         routing.resumed_at = now
     routing.reviewed_at = now
 
 
+def was_paused(routing: RoutingState, now: float) -> bool:
+    """Return whether this VM stood still since its last review."""
+    return now - routing.reviewed_at > _PAUSE_THRESHOLD_S
+
+
 def is_silent(
     routing: RoutingState,
     upstream: UpstreamState,
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -20,6 +20,8 @@
 from bilberryspoke._internal.models.routing_events import (
     RoutesOffered,
     SeedsConfigured,
+    StoreReachReported,
+    StoreWatch,
     UpstreamProbed,
     UpstreamsListed,
 )
@@ -30,6 +32,7 @@
 MESSAGE_DELAY_S = 0.002
 CONNECT_DELAY_S = 0.005
 START_SPREAD_S = 0.3
+STORE_ANSWER_INTERVAL_S = 1.0
 RETRY_RESERVE = 160
 RETRY_SHARE = 0.2
 
@@ -41,7 +44,8 @@
     receiver is not open yet, and the sender notices the end of a VM whose
     connection was open. ``now`` and ``connect_delay_s``, which a connection
     takes to open, are in seconds. ``sent_messages`` counts the
-    messages by sender.
+    messages by sender. The VMs of ``isolated`` exchange none, and the store
+    does not answer them; those of ``frozen`` stand still besides.
     """
 
     def __init__(
@@ -53,12 +57,15 @@
         plain_upstreams: int = 4,
         software_versions: Sequence[str] = ('v1',),
         hands_off: bool = True,
+        store_answers: bool = False,
     ) -> None:
         """Start the VMs within ``START_SPREAD_S``.
 
         The engines run the ``software_versions`` in turn. The VMs hand calls
-        off to one another if ``hands_off`` is true.
+        off to one another if ``hands_off`` is true, and the store answers their
+        watches if ``store_answers`` is.
         """
+        self._store_answers = store_answers
         self._hands_off = hands_off
         self.now = 0.0
         self.connect_delay_s = CONNECT_DELAY_S
@@ -86,6 +93,8 @@
         self._heap: list[tuple[float, int, Callable[[], object]]] = []
         self._order = itertools.count()
         self._incarnations: Counter[str] = Counter()
+        self.isolated: set[str] = set()
+        self.frozen: set[str] = set()
         self._cut_off: str | None = None
         self._open_at: dict[tuple[str, str], float] = {}
         self._address_of: dict[tuple[str, str], str] = {}
@@ -121,6 +130,8 @@
         self.handle(name, RoutesOffered(build_table()))
         self.handle(name, UpstreamsListed(self._upstreams, StorePosition(0, 1)))
         self.handle(name, SeedsConfigured(tuple(self.data_centre_of)[:3]))
+        if self._store_answers:
+            self._answer_from_store(name, self._incarnations[name])
         self._tick(name, self._incarnations[name])
 
     def kill(self, name: str) -> None:
@@ -169,11 +180,26 @@
     def _tick(self, name: str, incarnation: int) -> None:
         if name not in self.cores or self._incarnations[name] != incarnation:
             return
-        self.handle(name, Tick())
+        if name not in self.frozen:
+            self.handle(name, Tick())
         self._at(
             self.now + TICK_INTERVAL_S, lambda: self._tick(name, incarnation)
         )
 
+    def _answer_from_store(self, name: str, incarnation: int) -> None:
+        """Let the store answer a VM's watch, without a change."""
+        if name not in self.cores or self._incarnations[name] != incarnation:
+            return
+        if name not in self.isolated | self.frozen:
+            answer = StoreReachReported(
+                True, StoreWatch.upstreams, position=StorePosition(0, 1)
+            )
+            self.handle(name, answer)
+        self._at(
+            self.now + STORE_ANSWER_INTERVAL_S,
+            lambda: self._answer_from_store(name, incarnation),
+        )
+
     def _is_cut(self, name: str, other: str) -> bool:
         inside = [
             self.data_centre_of[each] == self._cut_off for each in (name, other)
@@ -202,6 +228,8 @@
         receiver = self._address_of.get(link)
         if receiver not in self.cores or self._is_cut(name, receiver):
             return
+        if {name, receiver} & (self.isolated | self.frozen):
+            return
         if self.now < self._open_at.setdefault(
             link, self.now + self.connect_delay_s
         ):
--- a/tests/lib/streamcores.py
+++ b/tests/lib/streamcores.py
@@ -34,7 +34,9 @@
         self.sends: dict[str, list[Send]] = {}
         self.refusals: dict[str, RefuseCall] = {}
         self._numbers = itertools.count()
-        super().__init__(vms, software_versions=software_versions)
+        super().__init__(
+            vms, software_versions=software_versions, store_answers=True
+        )
         self.version_of = {
             each.instance: each.software_version for each in self._upstreams
         }
--- a/tests/unit/test_routed_versions.py
+++ b/tests/unit/test_routed_versions.py
@@ -147,3 +147,28 @@
             fleet.handle('vm-0', UpstreamChanged(instance, None))
     fleet.handle('vm-0', SendEnded(call.call_id, 1, SendStatus.unsent))
     assert len(fleet.find_versions(call)) == 2
+
+
+@pytest.mark.parametrize('how', ['isolated', 'frozen', 'isolated for good'])
+def test_stream_is_not_taken_up_at_another_version_by_a_vm_out_of_step(how):
+    """Its engines began to run a version of which the VM knew nothing."""
+    fleet = StreamCores(8, warm_up_s=20.0, software_versions=('v1',))
+    stale = fleet.frozen if how == 'frozen' else fleet.isolated
+    stale.add('vm-7')
+    fleet.version_of['engine-new'] = 'v2'
+    joining = build_upstream('engine-new', software_version='v2')
+    for name in fleet.cores.keys() - {'vm-7'}:
+        fleet.handle(name, UpstreamChanged('engine-new', joining))
+        for number in range(8):
+            fleet.handle(name, UpstreamChanged(f'engine-{number}', None))
+    begun = [fleet.begin('vm-0') for _ in range(STREAMS)]
+    assert fleet.find_versions(*begun) == {'v2'}
+    fleet.run_until(fleet.now + NOTICE_S)
+    fleet.kill('vm-0')
+    if how != 'isolated for good':
+        stale.clear()
+    calls = take_up_streams(fleet, begun, ['vm-7'])
+    for call in calls:
+        refused = fleet.refusals.get(call.call_id)
+        assert refused is None or refused.not_run
+    assert fleet.find_versions(*calls) <= {'v2'}
