Read deeply nested entries of the store as unusable

Cause: the JSON decoder raises RecursionError, which nobody caught; the end of the task that follows the store ends the process. The same holds for the routes and the store's own replies.

--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -1,6 +1,7 @@
 """Decoding of records of the platform's store into the project's types."""
 
 from collections.abc import Mapping
+from typing import Any
 
 import msgspec
 from expression import Error, Ok, Result
@@ -134,10 +135,10 @@
     A ``max-attempts`` below 1 is read as 1. The error says what was expected
     and where.
     """
-    try:
-        config = msgspec.json.decode(raw, type=_Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(str(exc))
+    decoded = _decode_json(raw, _Config)
+    if decoded.is_error():
+        return Error(decoded.error)
+    config = decoded.ok
     known_kinds = {_STREAMING, _SAFE, _NON_IDEMPOTENT}
     for index, route in enumerate(config.routes):
         if route.kind not in known_kinds:
@@ -159,10 +160,10 @@
     A number of slots below 1 is read as 1. The error says what was expected
     and where.
     """
-    try:
-        server = msgspec.json.decode(raw, type=_Server)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(str(exc))
+    decoded = _decode_json(raw, _Server)
+    if decoded.is_error():
+        return Error(decoded.error)
+    server = decoded.ok
     if server.state not in {_READY, _DRAINING}:
         return Error(
             f'unknown server state {server.state}, expected ready or draining'
@@ -189,6 +190,16 @@
     )
 
 
+def _decode_json(raw: bytes, record_type: type) -> Result[Any, str]:
+    """Decode a record; any bytes may be stored under its key."""
+    try:
+        return Ok(msgspec.json.decode(raw, type=record_type))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return Error(str(exc))
+    except RecursionError:
+        return Error('nested too deeply')
+
+
 def _is_address(address: str) -> bool:
     host, colon, port = address.rpartition(':')
     return bool(host and colon and port.isdigit())
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -200,7 +200,7 @@
 def _decode_reply(raw: bytes, reply_type: type, key_or_prefix: str):
     try:
         return msgspec.json.decode(raw, type=reply_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise PlatformUnavailableError(key_or_prefix, str(exc)) from exc
 
 
--- /dev/null
+++ b/tests/functional/test_routed_odd_entries.py
@@ -0,0 +1,49 @@
+"""Entries of other writers among those of the upstreams."""
+
+import asyncio
+
+import pytest
+
+from tests.lib.platformdata import build_config
+from tests.lib.routedfleet import run_routed_fleet, wait_until
+
+# Longer than it takes processes to read a change of the store.
+SETTLE_S = 2.0
+CALLS_PER_S = 30
+NESTED = b'{"extra":' + b'[' * 20_000
+
+
+async def count_failed(fleet, prefix):
+    answers = await fleet.send_calls(1.0, per_s=CALLS_PER_S, prefix=prefix)
+    return sum(answer.status != 200 for answer in answers)
+
+
+def has_ended(node):
+    return node.process.returncode is not None
+
+
+@pytest.mark.parametrize('entry', [NESTED], ids=['nested'])
+def test_processes_go_on_beside_an_odd_entry(entry):
+    """One unreadable entry ended all processes, again after each start."""
+
+    async def run():
+        async with run_routed_fleet(scripted_engines=0, nodes=3) as fleet:
+            fleet.store.put('servers/i-odd', entry)
+            await asyncio.sleep(SETTLE_S)
+            assert not await count_failed(fleet, 'a')
+            assert not any(map(has_ended, fleet.nodes))
+            # The processes still follow what changes.
+            fleet.store.put('op/config', build_config(version=9))
+            await wait_until(
+                lambda: all(
+                    node.list_events('routes_adopted')[-1]['version'] == 9
+                    for node in fleet.nodes
+                )
+            )
+            restarted = fleet.nodes[0]
+            await restarted.stop()
+            await restarted.start()
+            await fleet.wait_ready()
+            assert not await count_failed(fleet, 'b')
+
+    asyncio.run(run())
