Refuse entries of the store with values that VMs can't pass on

Numbers and texts of an entry have limits at the border. A message that can't be encoded is dropped alone, with a line in the log.

--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable
 
 import msgspec
+import structlog
 import zmq
 
 from bilberryspoke._internal.exceptions import AddressBindError
 from bilberryspoke._internal.models.messages import Envelope, PeerMessage
 
+logger = structlog.get_logger()
+
 _MIN_RECONNECT_INTERVAL_MS = 50
 _MAX_RECONNECT_INTERVAL_MS = 100
 # For each socket.
@@ -27,10 +30,10 @@
     """One PULL socket for incoming messages and a PUSH socket for each peer.
 
     Messages to a peer that are sent in one iteration of the event loop go
-    into one envelope. A message to a peer that is not connected, or whose
-    queue is full, is dropped and counted in ``dropped``: every exchange
-    between VMs recovers from lost messages. ``rejected`` counts incoming
-    ZeroMQ messages that are not valid envelopes.
+    into one envelope. A message to a peer that is not connected or whose queue
+    is full, or that can't be encoded, is dropped and counted in ``dropped``:
+    every exchange between VMs recovers from lost messages. ``rejected`` counts
+    incoming ZeroMQ messages that are not valid envelopes.
     """
 
     def __init__(
@@ -175,7 +178,14 @@
             return
         envelope = Envelope(self._vm, self._incarnation, messages)
         try:
-            socket.send(self._encoder.encode(envelope), zmq.NOBLOCK)
+            encoded = self._encoder.encode(envelope)
+        except (OverflowError, ValueError) as exc:
+            # The messages to other peers must not be lost with these.
+            self.dropped += len(messages)
+            logger.error('messages_not_encodable', peer=peer, cause=str(exc))
+            return
+        try:
+            socket.send(encoded, zmq.NOBLOCK)
         except zmq.Again:
             self.dropped += len(messages)
 
--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -1,7 +1,7 @@
 """Decoding of records of the platform's store into the project's types."""
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from expression import Error, Ok, Result
@@ -31,6 +31,15 @@
 _DRAINING = 'draining'
 
 
+# VMs pass entries on to one another, in messages of limited size and with
+# numbers of 64 bits.
+_MAX_NUMBER = 9_223_372_036_854_775_807
+_MAX_TEXT_LENGTH = 200
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Text = Annotated[str, msgspec.Meta(max_length=_MAX_TEXT_LENGTH)]
+_MAX_WARMUP_MS = 1e10
+
+
 class _Record(msgspec.Struct, rename='kebab'):
     """Base of all records; unknown fields are ignored."""
 
@@ -101,7 +110,7 @@
 
 
 class _Config(_Record):
-    version: int
+    version: _Count
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -118,15 +127,15 @@
     ``version``: that of its software, not of the weights that it serves.
     """
 
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: Annotated[int, msgspec.Meta(le=_MAX_NUMBER)]
     state: str
-    version: str
-    cold_remaining_ms: float = 0
-    born: int = 0
-    sequence: int = 0
+    version: _Text
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)] = 0
+    born: _Count = 0
+    sequence: _Count = 0
 
 
 def decode_route_table(raw: bytes) -> Result[RouteTable, str]:
--- a/tests/functional/test_routed_odd_entries.py
+++ b/tests/functional/test_routed_odd_entries.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.lib.platformdata import build_config
+from tests.lib.platformdata import build_config, build_server_entry
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 # Longer than it takes processes to read a change of the store.
@@ -22,7 +22,21 @@
     return node.process.returncode is not None
 
 
-@pytest.mark.parametrize('entry', [NESTED], ids=['nested'])
+def build_odd_entry(**changes):
+    return build_server_entry(service='elsewhere', **changes)
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [
+        NESTED,
+        build_odd_entry(slots=10**30),
+        build_odd_entry(sequence=10**30),
+        build_odd_entry(born=10**30),
+        build_odd_entry(**{'cold-remaining-ms': 1e308}),
+    ],
+    ids=['nested', 'slots', 'sequence', 'born', 'warm-up'],
+)
 def test_processes_go_on_beside_an_odd_entry(entry):
     """One unreadable entry ended all processes, again after each start."""
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's settings, records and headers."""
 
+import asyncio
 import json
 
 import pytest
@@ -7,6 +8,8 @@
 from hypothesis import strategies as st
 
 from bilberryspoke._internal.models.routing import RetrySafety
+from bilberryspoke._internal.models.routing_messages import StoreSnapshot
+from bilberryspoke._internal.network.peers import PeerTransport
 from bilberryspoke._internal.network.routing.eventstream import EventSplitter
 from bilberryspoke._internal.platform.boot import (
     parse_boot_settings,
@@ -118,6 +121,46 @@
     assert decode_upstream('servers/i-1', encode(build_server_entry())).is_ok()
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': 10**30},
+        {'sequence': 10**30},
+        {'born': 10**30},
+        {'cold-remaining-ms': 1e12},
+        {'service': 'x' * 1_000_000},
+    ],
+)
+def test_entry_that_other_vms_could_not_read_is_unusable(change):
+    """A VM that passed such an entry on reached no other VM any more."""
+    raw = encode(build_server_entry(**change))
+    assert decode_upstream('servers/i-1', raw).is_error()
+
+
+def test_message_that_can_not_be_encoded_holds_up_no_other():
+    """Messages to other VMs in the same turn were lost with it."""
+
+    async def run():
+        receiver = PeerTransport('b', 1)
+        address = receiver.bind('127.0.0.1', 0)
+        received = asyncio.Queue()
+        receiver.start_receiving(received.put_nowait)
+        sender = PeerTransport('a', 1)
+        sender.connect_peer('c', address)
+        sender.connect_peer('b', address)
+        async with asyncio.timeout(5):
+            while received.empty():
+                sender.send('c', StoreSnapshot(10**30, 1, b'', []))
+                sender.send('b', StoreSnapshot(7, 1, b'', []))
+                await asyncio.sleep(0.05)
+        envelope = received.get_nowait()
+        assert envelope.messages[0].version == 7
+        sender.close()
+        receiver.close()
+
+    asyncio.run(run())
+
+
 def test_router_headers_are_never_copied_from_caller():
     raw = [
         (b'host', b'calls.example'),
