Refuse entries whose address no connection can be opened to

Cause: the port was any digits. Evidence: test_processes_go_on_beside_an_odd_entry failed for 'port too large' and 'port no number' before, and passes.

--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -26,6 +26,7 @@
     SnapshotUpstream,
     StoreSnapshot,
 )
+from bilberryspoke._internal.utils.addresses import is_address
 from bilberryspoke._internal.utils.compression import compress
 
 _SNAPSHOT_REQUEST_INTERVAL_S = 0.3
@@ -120,7 +121,12 @@
     }
     state.emit(LogDecision('snapshot_applied', fields, important=False))
     routing.position = message.position
-    upstreams = [_decode_upstream(each) for each in message.upstreams]
+    # A VM of an older release passes on addresses that it can't connect to.
+    upstreams = [
+        _decode_upstream(each)
+        for each in message.upstreams
+        if is_address(each.address)
+    ]
     replace_upstreams(state, upstreams, now)
 
 
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import aiohttp
-from yarl import URL
 
 from bilberryspoke._internal.models.routing_effects import ProbeUpstream
 from bilberryspoke._internal.models.routing_events import UpstreamProbed
@@ -62,7 +61,7 @@
 
     async def _answers(self, address: str) -> bool:
         """Return whether any answer comes; its status does not matter."""
-        url = URL(f'http://{address}{PROBE_PATH}', encoded=True)
+        url = f'http://{address}{PROBE_PATH}'
         try:
             async with self._session.get(url, allow_redirects=False):
                 return True
--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -17,6 +17,7 @@
     Service,
     Target,
 )
+from bilberryspoke._internal.utils.addresses import is_address
 
 # Keys in the platform's store: that of the configuration record, and the
 # prefix of the upstreams' keys, which is followed by the instance id.
@@ -178,7 +179,7 @@
             f'unknown server state {server.state}, expected ready or draining'
             f' - at `$.state`'
         )
-    if not _is_address(server.address):
+    if not is_address(server.address):
         return Error(
             f'expected an address HOST:PORT, got {server.address}'
             f' - at `$.address`'
@@ -209,11 +210,6 @@
         return Error('nested too deeply')
 
 
-def _is_address(address: str) -> bool:
-    host, colon, port = address.rpartition(':')
-    return bool(host and colon and port.isdigit())
-
-
 def _make_route_table(config: _Config, raw: bytes) -> RouteTable:
     limits = config.limits
     return RouteTable(
--- a/tests/functional/test_routed_odd_entries.py
+++ b/tests/functional/test_routed_odd_entries.py
@@ -34,8 +34,22 @@
         build_odd_entry(sequence=10**30),
         build_odd_entry(born=10**30),
         build_odd_entry(**{'cold-remaining-ms': 1e308}),
+        build_server_entry(address='127.0.0.1:70000'),
+        build_server_entry(address='127.0.0.1:0'),
+        build_server_entry(address='127.0.0.1:\u00b2'),
+        build_server_entry(address='a/b c:80'),
+    ],
+    ids=[
+        'nested',
+        'slots',
+        'sequence',
+        'born',
+        'warm-up',
+        'port too large',
+        'port 0',
+        'port no number',
+        'host no name',
     ],
-    ids=['nested', 'slots', 'sequence', 'born', 'warm-up'],
 )
 def test_processes_go_on_beside_an_odd_entry(entry):
     """One unreadable entry ended all processes, again after each start."""
