Refuse entries that lack a field, as they may be another writer's

Cause: sequence and the warm-up had defaults, and an entry that does not say its place counts as later than any other.

--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -124,7 +124,7 @@
     ``slots``: number of calls it works on at the same time.
     ``cold_remaining_ms``: time for which it is still slow after its start.
     ``born``: Unix time of its creation, in milliseconds.
-    ``sequence``: counts what it has written since its start.
+    ``sequence``: counts what it has written since its start, from 1.
     ``version``: that of its software, not of the weights that it serves.
     """
 
@@ -134,9 +134,9 @@
     slots: Annotated[int, msgspec.Meta(le=_MAX_NUMBER)]
     state: str
     version: _Text
-    cold_remaining_ms: Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)] = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)]
+    sequence: Annotated[int, msgspec.Meta(ge=1, le=_MAX_NUMBER)]
     born: _Count = 0
-    sequence: _Count = 0
 
 
 def decode_route_table(raw: bytes) -> Result[RouteTable, str]:
--- a/tests/functional/test_routed_odd_entries.py
+++ b/tests/functional/test_routed_odd_entries.py
@@ -10,6 +10,9 @@
 # Longer than it takes processes to read a change of the store.
 SETTLE_S = 2.0
 CALLS_PER_S = 30
+# The deployment allows no call to an upstream later than this after its entry
+# was removed.
+DRAIN_S = 2.0
 NESTED = b'{"extra":' + b'[' * 20_000
 
 
@@ -75,3 +78,27 @@
             assert not await count_failed(fleet, 'b')
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('field', ['sequence', 'cold-remaining-ms', 'version'])
+def test_entry_without_a_field_does_not_bring_back_an_upstream_that_left(
+    field,
+):
+    """It counted as later than the last entry, and got its share of calls."""
+
+    async def run():
+        async with run_routed_fleet(scripted_engines=0, nodes=3) as fleet:
+            left = fleet.upstreams['i-app0']
+            entry = build_server_entry(
+                address=left.address, sequence=2, born=1_700_000_000_001
+            )
+            fleet.store.delete('servers/i-app0')
+            await asyncio.sleep(DRAIN_S)
+            entry.pop(field)
+            fleet.store.put('servers/i-app0', entry)
+            await asyncio.sleep(SETTLE_S)
+            runs_before = len(left.runs)
+            assert not await count_failed(fleet, 'a')
+            assert len(left.runs) == runs_before
+
+    asyncio.run(run())
