--- a/tests/unit/test_routed_stopping.py
+++ b/tests/unit/test_routed_stopping.py
@@ -57,6 +57,15 @@
     assert isinstance(decision, Send if is_served else RefuseCall)
 
 
+def test_stream_that_comes_as_the_servers_close_must_fit_by_its_deadline():
+    """Streams that took longer than those before were cut off."""
+    core = RoutedCore()
+    complete_answer(core, DRAFT_ROUTE, seconds=1.0)
+    decision = arrive_while_stopping(core, DRAFT_ROUTE, since_s=3.005)
+    assert isinstance(decision, RefuseCall)
+    assert decision.not_run
+
+
 def test_refusal_of_stopping_vm_sends_the_caller_elsewhere_at_once():
     core = RoutedCore()
     complete_answer(core, TIGHT_GAP_ROUTE, seconds=7.0)
