--- a/fakes/links.py
+++ b/fakes/links.py
@@ -27,6 +27,7 @@
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _passes: asyncio.Event = field(default_factory=asyncio.Event)
     _resets: bool = False
+    _silent: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen on a free port, or on that of before, and relay all bytes."""
@@ -52,6 +53,10 @@
         """Open new connections, and pass no bytes on any."""
         self._passes.clear()
 
+    def silence(self) -> None:
+        """Pass nothing on any connection that is open now; new ones work."""
+        self._silent.update(self._writers)
+
     def refuse(self) -> None:
         """Refuse new connections; open ones live on."""
         if self._server is not None:
@@ -124,6 +129,8 @@
                 if reader.exception() is not None:
                     # A reset of the sender drops what was held up.
                     raise ConnectionResetError
+                if writer in self._silent:
+                    continue
                 writer.write(raw)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -37,12 +37,12 @@
 
 logger = structlog.get_logger()
 
-_CONFIG_WATCH_TIMEOUT_S = 2.0
-_UPSTREAM_WATCH_TIMEOUT_S = 2.0
+# A watch whose connection goes silent is noticed when it should have ended.
+WATCH_TIMEOUT_S = 1.6
 # Upstreams rewrite their entries continually: the next watch starts after this
 # interval, so that it returns many changes at once.
 _BATCH_INTERVAL_S = 0.6
-_RETRY_INTERVAL_S = 0.25
+RETRY_INTERVAL_S = 0.25
 _READING_POLL_INTERVAL_S = 0.1
 # Number of different jitter fractions.
 _JITTER_STEPS = 100
@@ -72,7 +72,7 @@
         """Keep the route table up to date until cancelled."""
         await self._watch_prefix(
             prefix=CONFIG_KEY,
-            wait_s=_CONFIG_WATCH_TIMEOUT_S,
+            wait_s=WATCH_TIMEOUT_S,
             batch_interval_s=0,
         )
 
@@ -80,7 +80,7 @@
         """Keep the list of upstreams up to date until cancelled."""
         await self._watch_prefix(
             prefix=UPSTREAM_PREFIX,
-            wait_s=_UPSTREAM_WATCH_TIMEOUT_S,
+            wait_s=WATCH_TIMEOUT_S,
             batch_interval_s=_BATCH_INTERVAL_S,
         )
 
@@ -112,10 +112,10 @@
                 self._runtime.submit(
                     StoreReachReported(False, _WATCHES[prefix], str(exc))
                 )
-                await self._sleep_with_jitter(_RETRY_INTERVAL_S)
+                await self._sleep_with_jitter(RETRY_INTERVAL_S)
                 continue
             if not position.revision:
-                await self._sleep_with_jitter(_RETRY_INTERVAL_S)
+                await self._sleep_with_jitter(RETRY_INTERVAL_S)
             elif batch_interval_s:
                 await asyncio.sleep(batch_interval_s)
 
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -16,7 +16,7 @@
 
 _READ_TIMEOUT_S = 1.0
 # Time for the answer to arrive after the store has ended a watch by itself.
-_WATCH_TIMEOUT_MARGIN_S = 0.5
+WATCH_TIMEOUT_MARGIN_S = 0.5
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -87,7 +87,9 @@
     """Reads values of the store and waits for changes.
 
     All methods raise PlatformUnavailableError if the store does not answer in
-    time or not as expected. ``calls`` counts the HTTP requests to the store.
+    time or not as expected. Each request has a connection of its own: one that
+    was idle may have gone silent without a sign. ``calls`` counts the HTTP
+    requests to the store.
     """
 
     def __init__(self, address: str, local_host: str) -> None:
@@ -99,7 +101,9 @@
         self.calls = 0
         self._base_url = f'http://{address}'
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, local_addr=(local_host, 0)),
+            connector=aiohttp.TCPConnector(
+                limit=0, local_addr=(local_host, 0), force_close=True
+            ),
             middlewares=(forbid_resending,),
         )
 
@@ -157,7 +161,7 @@
             'after': str(after),
             'wait-ms': str(round(wait_s * _MS_PER_S)),
         }
-        timeout_s = wait_s + _WATCH_TIMEOUT_MARGIN_S
+        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
         answer = await self._get('/-/kv-watch', query, timeout_s)
         reply = _decode_reply(answer.raw or b'', _WatchReply, prefix)
         values = tuple(_decode_item(item) for item in reply.events)
