Tell an upstream's own entries from another writer's under its id

Cause: the start alone decides which entry is the later one. Evidence: test_upstream_is_used_after_another_writer_ overwrote_its_entry and ..._was_read_first failed before, and pass.

An entry that moves an upstream to a service that is none is ignored, and one of a configured service replaces it.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -225,6 +225,13 @@
     """
     routing = state.routing
     known = routing.upstreams.get(listed.instance)
+    if known is not None and _replaces_other_writer(routing, known, listed):
+        _drop_upstream(state, listed.instance, 'of another writer', now)
+        routing.removed.pop(listed.instance)
+        known = None
+    elif known is not None and _is_of_other_writer(routing, known, listed):
+        state.emit(Count('upstream_entries_of_others'))
+        return
     if known is None or known.listed.created_ms < listed.created_ms:
         if known is not None:
             _withdraw_version(state, known, listed.software_version, now)
@@ -242,6 +249,26 @@
     known.drop_at = None
 
 
+def _is_of_other_writer(
+    routing: RoutingState, known: UpstreamState, listed: ListedUpstream
+) -> bool:
+    """Return whether an entry moves an upstream to a service that is none.
+
+    An upstream stays with its service.
+    """
+    if routing.table is None or listed.service == known.listed.service:
+        return False
+    return listed.service not in routing.table.services
+
+
+def _replaces_other_writer(
+    routing: RoutingState, known: UpstreamState, listed: ListedUpstream
+) -> bool:
+    """Return whether an upstream's own entry follows another writer's."""
+    services = {} if routing.table is None else routing.table.services
+    return known.listed.service not in services and listed.service in services
+
+
 def _withdraw_version(
     state: VmState, upstream: UpstreamState, successor: str, now: float
 ) -> None:
--- a/tests/unit/test_routed_discovery.py
+++ b/tests/unit/test_routed_discovery.py
@@ -160,3 +160,30 @@
     core.handle(StoreReachReported(True, StoreWatch.upstreams), now=9.0)
     core.handle(UpstreamsListed((), StorePosition(0, 10)), now=9.0)
     assert len(core.routing.list_accepting_upstreams('llm')) == 4
+
+
+def test_upstream_is_used_after_another_writer_overwrote_its_entry():
+    """Its own entries counted as older than that, and it was never used."""
+    core = RoutedCore(engines=1)
+    own = build_upstream('engine-0', created_ms=5, sequence=2)
+    other = build_upstream('engine-0', service='elsewhere', created_ms=9)
+    core.handle(UpstreamChanged('engine-0', own), now=1.0)
+    core.handle(UpstreamChanged('engine-0', other), now=2.0)
+    send = core.arrive(build_call('a', now=2.0), now=2.0)
+    assert send.instance == 'engine-0'
+    core.end(send, SendStatus.finished, now=2.0)
+    again = build_upstream('engine-0', created_ms=5, sequence=3)
+    core.handle(UpstreamChanged('engine-0', again), now=3.0)
+    send = core.arrive(build_call('b', now=3.0), now=3.0)
+    assert send.instance == 'engine-0'
+
+
+def test_upstream_is_used_after_another_writer_was_read_first():
+    """A process that starts then knows the other writer's entry only."""
+    core = RoutedCore(engines=0)
+    other = build_upstream('engine-0', service='elsewhere', created_ms=9)
+    core.handle(UpstreamChanged('engine-0', other), now=1.0)
+    own = build_upstream('engine-0', created_ms=5, sequence=3)
+    core.handle(UpstreamChanged('engine-0', own), now=2.0)
+    send = core.arrive(build_call('a', now=2.0), now=2.0)
+    assert send.instance == 'engine-0'
