Go on with a stream only at an answer that has its next event

What callers saw (report of other operators): a stream had begun and broke off, and the next engine answered with an error under status 200: a text with a blank line, an event without an id, or nothing at all. They found the text in their stream, or a stream that ended as if it were complete. Other statuses, bytes that are no head and a head within the body were not passed on before either. Cause: the ids of events are compared where there are any, and an answer without events counted as the end.

The first event of an answer that goes on with a stream has to have the next id; else the send counts as broken.

--- a/src/bilberryspoke/_internal/network/routing/eventstream.py
+++ b/src/bilberryspoke/_internal/network/routing/eventstream.py
@@ -16,10 +16,13 @@
     Ids must increase by one from event to event. ``last_id`` is the id of the
     last complete event, or None before the first. ``broken`` is true once an
     event was missing, repeated or too long. ``remainder`` holds the bytes
-    received after the last complete event.
+    received after the last complete event. While ``expects_next`` is true the
+    first event must have the next id: that of an answer which goes on with a
+    stream, and may be a failure instead.
     """
 
     last_id: int | None = None
+    expects_next: bool = False
     broken: bool = False
     remainder: bytes = b''
 
@@ -37,9 +40,16 @@
         end += len(_EVENT_DELIMITER)
         self.remainder = joined[end:]
         complete_events = joined[:end]
+        if self.expects_next:
+            self._check_first(complete_events)
         self._check_ids(complete_events)
         return b'' if self.broken else complete_events
 
+    def _check_first(self, complete_events: bytes) -> None:
+        first, _, _ = complete_events.partition(_EVENT_DELIMITER)
+        self.broken = _EVENT_ID.search(first) is None
+        self.expects_next = False
+
     def _check_ids(self, complete_events: bytes) -> None:
         for match in _EVENT_ID.finditer(complete_events):
             event_id = int(match.group(1))
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -324,7 +324,8 @@
         effect: Send | HandOff,
         body: '_ResponseBody',
     ) -> _SendResult:
-        splitter = EventSplitter(exchange.last_event_id)
+        goes_on = exchange.started and exchange.last_event_id is not None
+        splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
         async for chunk in body.resp.content.iter_any():
             complete_events = splitter.feed(chunk)
             if splitter.broken:
@@ -345,6 +346,10 @@
                     effect.call_id, effect.attempt, splitter.last_id
                 ),
             )
+        if splitter.expects_next:
+            return _SendResult(
+                SendStatus.broken, 'no event to go on with in the answer'
+            )
         if splitter.remainder or not body.is_complete():
             return _SendResult(
                 SendStatus.broken,
