--- a/fakes/modelengine.py
+++ b/fakes/modelengine.py
@@ -40,6 +40,8 @@
     leaving: bool = False
     _step_task: asyncio.Task[None] | None = None
     _progressed: dict[str, asyncio.Event] = field(default_factory=dict)
+    # Its script answers with the load of the model.
+    answers_probes: bool = False
     _reports: deque[tuple[float, dict[str, int]]] = field(default_factory=deque)
 
     def __post_init__(self) -> None:
