--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -3,13 +3,18 @@
 Times are in seconds of the boot-time clock.
 """
 
-from collections import Counter
 from collections.abc import Iterable
 
 from bilberryspoke._internal.core.reducer import on_event
 from bilberryspoke._internal.core.routing.confirmation import confirm_routes
 from bilberryspoke._internal.core.routing.entrydigest import toggle_entry
 from bilberryspoke._internal.core.routing.origins import doubt_origins
+from bilberryspoke._internal.core.routing.relisting import (
+    RELIST_TIMEOUT_S,
+    count_upstreams,
+    expect_relisting,
+    may_be_relisted,
+)
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.routing.upstreamstate import (
     RemovedUpstream,
@@ -36,18 +41,9 @@
     UpstreamsListed,
 )
 
-# Entries that expired in an outage of the store are written again by their
-# upstreams within this time after it is back.
-_RELIST_TIMEOUT_S = 2.0
 # A store that was restored from a copy may list an upstream that was removed up
 # to this long ago.
 _REMOVED_RETENTION_S = 60.0
-# Entries do not expire in a shorter outage of the store.
-_MIN_EXPIRY_OUTAGE_S = 2.0
-# After an outage, a missing upstream is kept for the time to relist it if
-# without it the service would have fewer upstreams than this fraction of their
-# number when the store was lost or back, whichever is higher.
-_MIN_REMAINING_FRACTION = 0.5
 
 
 @on_event(RoutesOffered)
@@ -93,11 +89,11 @@
     if lost_at is None:
         routing.lost_watches[event.watch] = now
         if event.watch is StoreWatch.upstreams:
-            routing.counts_around_outage = _count_upstreams(routing)
+            routing.counts_around_outage = count_upstreams(routing)
     else:
         routing.lost_watches.pop(event.watch)
         if event.watch is StoreWatch.upstreams:
-            _expect_relisting(routing, now, now - lost_at)
+            expect_relisting(routing, now, now - lost_at)
     name = 'store_back' if event.store_reachable else 'store_lost'
     state.emit(Count(name))
     state.emit(LogDecision(name, {'watch': event.watch, 'cause': event.cause}))
@@ -166,29 +162,6 @@
             )
 
 
-def _expect_relisting(
-    routing: RoutingState, now: float, outage_s: float
-) -> None:
-    """Record that the store answers about upstreams again after an outage.
-
-    The upstreams of each service are counted to recognize afterwards whether
-    their entries expired in the outage. Those that a peer's list removed since
-    the store was lost may have expired too, so that they count as well.
-    """
-    routing.store_back_at = now
-    routing.store_outage_s = outage_s
-    routing.counts_around_outage |= _count_upstreams(routing)
-
-
-def _count_upstreams(routing: RoutingState) -> Counter[str]:
-    """Return the number of upstreams by service, without leaving ones."""
-    return Counter(
-        upstream.listed.service
-        for upstream in routing.upstreams.values()
-        if not upstream.is_leaving
-    )
-
-
 def _record_answer(
     state: VmState, event: StoreReachReported, now: float
 ) -> None:
@@ -312,9 +285,9 @@
     upstream = routing.upstreams.get(instance)
     if upstream is None or upstream.drop_at is not None:
         return
-    if _may_be_relisted(routing, upstream, now):
+    if may_be_relisted(routing, upstream, now):
         returned_at = max(routing.store_back_at, routing.store_restored_at)
-        upstream.drop_at = returned_at + _RELIST_TIMEOUT_S
+        upstream.drop_at = returned_at + RELIST_TIMEOUT_S
         state.emit(
             LogDecision('upstream_entry_missing', {'upstream': instance})
         )
@@ -340,35 +313,6 @@
     state.emit(LogDecision('upstream_dropped', fields))
 
 
-def _may_be_relisted(
-    routing: RoutingState,
-    upstream: UpstreamState,
-    now: float,
-) -> bool:
-    """Return whether a missing entry may have expired in a store outage.
-
-    It may also be missing in the copy from which the store was restored.
-    If only this VM was cut off from the store, few entries are missing
-    afterwards: those that were really removed. If the store itself was down,
-    all entries expired, so that most upstreams of a service are missing. The
-    upstream in question is not counted among the remaining ones.
-    """
-    if upstream.is_leaving:
-        return False
-    if now < routing.store_restored_at + _RELIST_TIMEOUT_S:
-        return True
-    if routing.store_outage_s < _MIN_EXPIRY_OUTAGE_S:
-        return False
-    if now >= routing.store_back_at + _RELIST_TIMEOUT_S:
-        return False
-    service = upstream.listed.service
-    remaining = len(routing.list_accepting_upstreams(service)) - 1
-    return (
-        remaining
-        < routing.counts_around_outage[service] * _MIN_REMAINING_FRACTION
-    )
-
-
 def _describe_position(position: StorePosition | None) -> dict[str, object]:
     if position is None:
         return {}
