--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -26,7 +26,6 @@
     SendProgressed,
     UpstreamProbed,
 )
-from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
@@ -39,19 +38,16 @@
 )
 from bilberryspoke._internal.network.routing.handoff import (
     find_not_run_reason,
-    make_attempts_header,
 )
 from bilberryspoke._internal.network.routing.linkprobes import LinkProber
+from bilberryspoke._internal.network.routing.outgoing import (
+    make_headers,
+    make_session,
+)
 from bilberryspoke._internal.platform.headers import (
-    HandoffHeaders,
-    RawHeaders,
     ResponseHeaders,
-    SendHeaders,
-    make_handoff_headers,
-    make_send_headers,
     parse_response_headers,
 )
-from bilberryspoke._internal.utils.resending import forbid_resending
 
 logger = structlog.get_logger()
 
@@ -59,7 +55,6 @@
 # Responses up to this size are relayed only once they are complete, so that the
 # call can be sent again if its connection breaks.
 _MAX_BUFFERED_BYTES = 1_048_576
-_MAX_HEADER_BYTES = 65_536
 _CONTENT_LENGTH = b'content-length'
 # Calls with these methods that may run only once use a connection of their own.
 _SINGLE_USE_METHODS = frozenset(
@@ -113,8 +108,8 @@
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
         )
-        self._session = _make_session(self.connector, timeout)
-        self._single_use_session = _make_session(
+        self._session = make_session(self.connector, timeout)
+        self._single_use_session = make_session(
             KeepAliveConnector(force_close=True),
             timeout,
         )
@@ -175,7 +170,7 @@
                 encoded=True,
             ),
             data=exchange.body or None,
-            headers=_make_headers(exchange, effect),
+            headers=make_headers(exchange, effect),
             allow_redirects=False,
             skip_auto_headers=_AUTO_HEADERS,
         ) as resp:
@@ -389,58 +384,5 @@
         )
 
 
-def _make_session(
-    connector: aiohttp.TCPConnector,
-    timeout: aiohttp.ClientTimeout,
-) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        timeout=timeout,
-        auto_decompress=False,
-        middlewares=(forbid_resending,),
-        max_line_size=_MAX_HEADER_BYTES,
-        max_field_size=_MAX_HEADER_BYTES,
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-
-
-def _make_headers(
-    exchange: Exchange, effect: Send | HandOff
-) -> list[tuple[str, str]]:
-    raw = (
-        _make_upstream_headers(exchange, effect)
-        if isinstance(effect, Send)
-        else _make_helper_headers(exchange, effect)
-    )
-    return [
-        (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
-    ]
-
-
-def _make_upstream_headers(exchange: Exchange, effect: Send) -> RawHeaders:
-    added = SendHeaders(
-        instance=effect.instance,
-        wait_s=effect.upstream_deadline_at - read_boottime(),
-        priority=effect.priority,
-        workspace=exchange.call.workspace,
-        last_event_id=effect.last_event_id,
-    )
-    return make_send_headers(exchange.forwarded, added)
-
-
-def _make_helper_headers(exchange: Exchange, effect: HandOff) -> RawHeaders:
-    call = exchange.call
-    added = HandoffHeaders(
-        wait_s=effect.deadline_at - read_boottime(),
-        key=exchange.key,
-        last_event_id=effect.last_event_id,
-        resumed_req_id=call.stream_req_id,
-    )
-    return [
-        *make_handoff_headers(exchange.forwarded, added),
-        make_attempts_header(effect.max_attempts),
-    ]
-
-
 def _drop_content_length(headers: ResponseHeaders) -> list[tuple[bytes, bytes]]:
     return [pair for pair in headers.forwarded if pair[0] != _CONTENT_LENGTH]
