Probe all upstreams only if one without a lost send does not answer

On reading the change once more: the probe of the upstream that crashed counted as one more that is lost, so that each crash had all upstreams of the service probed by each VM that saw it. And an answered probe after a review cleared what the held crash was to be judged by. test_crash_of_one_upstream_is_found_out_with_few_probes failed before, and passes: four probes.

--- a/src/bilberryspoke/_internal/core/routing/links.py
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -98,13 +98,13 @@
     instance = upstream.listed.instance
     if instance not in review.awaited:
         if accepts and not review.is_open:
-            review.clear()
+            review.suspects.clear()
         return
     review.record_probe(instance, accepts=accepts)
     if not accepts:
         if not upstream.health.unreachable:
             upstream.health.record_unreachable(now)
-        if not review.widened:
+        if not review.widened and instance not in review.suspects:
             review.widen(_list_unsuspected(state.routing, service, now))
     _proceed(state, service, review, now)
 
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -8,13 +8,19 @@
 from bilberryspoke._internal.core.routing.suspicion import find_culprits
 from bilberryspoke._internal.models.events import Tick
 from bilberryspoke._internal.models.routing import PromptPart, SendStatus
-from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
+from bilberryspoke._internal.models.routing_effects import (
+    ProbeUpstream,
+    RefuseCall,
+    Send,
+)
+from bilberryspoke._internal.models.routing_events import UpstreamProbed
 from tests.lib.crashcores import CrashCores
 from tests.lib.routedcore import DRAFT_ROUTE, RoutedCore, build_call
 
 WINDOW_S = 3.0
 ALLOWED_CRASHES = 5
 ALLOWED_LATE_SENDS = 3
+MAX_PROBES_PER_CRASH = 4
 GUILTY, BESIDE, OTHER = 1, 2, 3
 
 
@@ -25,6 +31,13 @@
     return dataclasses.replace(call, parts=tuple(parts), prompt_tokens=2000)
 
 
+def list_probed(effects):
+    """Return the upstreams that are to be probed."""
+    return [
+        each.instance for each in effects if isinstance(each, ProbeUpstream)
+    ]
+
+
 def has_part(name):
     return lambda call: any(part.name == name for part in call.parts)
 
@@ -289,3 +302,19 @@
         send = next(each for each in effects if isinstance(each, Send))
     core.handle(Tick(), now=3.0)
     assert not core.routing.crash_ledger.crashes
+
+
+def test_crash_of_one_upstream_is_found_out_with_few_probes():
+    """All others of the service were probed, each time one crashed."""
+    core = RoutedCore(engines=70)
+    send = core.arrive(build_call('d'), now=0.0)
+    effects = core.end(send, SendStatus.broken, now=0.2, upstream_crashed=True)
+    probed = list_probed(effects)
+    assert send.instance in probed
+    for instance in probed:
+        accepts = instance != send.instance
+        effects = core.handle(UpstreamProbed(instance, 0, accepts), now=0.21)
+        probed += list_probed(effects)
+    probed += list_probed(core.handle(Tick(), now=0.25))
+    assert len(probed) <= MAX_PROBES_PER_CRASH
+    assert len(core.routing.crash_ledger.crashes) == 1
