--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -4,6 +4,7 @@
 does not hand it off again. Times are in seconds of the boot-time clock.
 """
 
+from bilberryspoke._internal.core.routing.backlog import count_live_vms
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.links import is_doubted
 from bilberryspoke._internal.core.routing.members import is_alive
@@ -34,7 +35,9 @@
     """Return the fraction of the upstreams for a call that this VM reaches.
 
     It is 1 if there is no upstream for it at all, and 0 while all links to
-    them are in doubt.
+    them are in doubt. A VM that does not hear most of the others is cut off
+    together with its data centre, where no other reaches more: it uses what it
+    reaches, so that the fraction is 1 unless it reaches none.
     """
     service = call_state.call.service
     suitable = [
@@ -44,9 +47,13 @@
     ]
     if not suitable:
         return 1.0
+    reached = [each for each in suitable if not each.is_unresponsive(now)]
+    if not reached:
+        return 0.0
+    if 2 * count_live_vms(routing, now) < len(routing.peers):
+        return 1.0
     if is_doubted(routing, service):
         return 0.0
-    reached = [each for each in suitable if not each.is_unresponsive(now)]
     return len(reached) / len(suitable)
 
 
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -201,3 +201,24 @@
     fleet.run_until(fleet.now + 0.5)
     upstreams = fleet.cores['vm-0'].state.routing.upstreams
     assert not upstreams['app-new'].health.is_unresponsive(fleet.now)
+
+
+@pytest.mark.parametrize('vms', [8, 60])
+def test_vms_of_a_data_centre_that_is_cut_off_keep_their_calls(vms):
+    """They passed most calls on to one another, though none reaches more."""
+    fleet = CutCores(
+        vms, warm_up_s=4.0, how='hang', engines=8, plain_upstreams=8
+    )
+    fleet.spared = {'app-0', 'app-1'}
+    inside = [
+        name
+        for name, data_centre in fleet.data_centre_of.items()
+        if data_centre == 'dc-0'
+    ]
+    fleet.cut = inside
+    fleet.cut_off('dc-0')
+    send_at_rate(fleet, inside, STABILITY_WINDOW_S, 5, READ_ROUTE, 'b')
+    handoffs_before = fleet.handoffs
+    shares = send_at_rate(fleet, inside, 4.0, 5, READ_ROUTE, 'c')
+    assert fleet.handoffs == handoffs_before
+    assert min(shares.values()) == 1
