Doubt links only while no answer of the service arrives

Cause: in a burst engines fall silent and VMs are busy. Two silent engines put all links in doubt though answers arrived; waiting calls were handed off (1,110 in 14 s) and lost their place; probes of busy VMs timed out after 0.4 s, so that one VM took 16 of 17 engines for lost. An upstream heard within 0.3 s counts as in reach, and a probe has a second.

--- a/src/bilberryspoke/_internal/core/routing/links.py
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -1,7 +1,8 @@
 """Whether this VM has lost its links to the upstreams of a service.
 
-Sends that are lost at several upstreams in a row put all links in doubt. Until
-probes have found out which links are left, calls are handed off. Times are in
+Sends that are lost at several upstreams in a row, while no answer arrives, put
+all links in doubt. Until probes have found out which links are left, calls are
+handed off. Times are in
 seconds of the boot-time clock.
 """
 
@@ -19,6 +20,8 @@
 # Upstreams at which sends have to be lost within the window to doubt all links.
 _MIN_SUSPECTS = 2
 _SUSPICION_WINDOW_S = 2.0
+# Upstreams whose answers arrived within this time are in reach.
+_HEARING_WINDOW_S = 0.3
 # More upstreams than these that are lost at once did not crash under calls.
 _MAX_LOST_ALONE = 2
 # Upstreams without a lost send that are probed first.
@@ -44,9 +47,12 @@
             review.suspects.pop(instance)
     if len(review.suspects) < _MIN_SUSPECTS or review.doubted:
         return
-    review.doubted = True
     if not review.is_open:
         review.begin(_choose_controls(state, service, review, now))
+    if _hears_any(state.routing, service, now):
+        _proceed(state, service, review, now)
+        return
+    review.doubted = True
     fields = {'service': service, 'suspects': sorted(review.suspects)}
     state.emit(Count('links_doubted', service))
     state.emit(LogDecision('links_doubted', fields))
@@ -100,6 +106,8 @@
         if accepts and not review.is_open:
             review.suspects.clear()
         return
+    # A VM that is busy itself may read the answer to a probe too late.
+    accepts = accepts or _is_heard(upstream, now)
     review.record_probe(instance, accepts=accepts)
     if not accepts:
         if not upstream.health.unreachable:
@@ -117,6 +125,19 @@
             _proceed(state, service, review, now)
 
 
+def _is_heard(upstream: UpstreamState, now: float) -> bool:
+    return now - upstream.last_heard_at <= _HEARING_WINDOW_S
+
+
+def _hears_any(routing: RoutingState, service: str, now: float) -> bool:
+    """Return whether answers of a service arrive, so that links work."""
+    return any(
+        _is_heard(upstream, now)
+        for upstream in routing.upstreams.values()
+        if upstream.listed.service == service
+    )
+
+
 def _choose_controls(
     state: VmState, service: str, review: LinkReview, now: float
 ) -> list[str]:
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -11,7 +11,7 @@
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 # From the first packet of a probe to the head of its answer.
-_TIMEOUT_S = 0.4
+_TIMEOUT_S = 1.0
 
 
 class LinkProber:
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -222,3 +222,13 @@
     shares = send_at_rate(fleet, inside, 4.0, 5, READ_ROUTE, 'c')
     assert fleet.handoffs == handoffs_before
     assert min(shares.values()) == 1
+
+
+def test_lost_upstreams_put_no_links_in_doubt_while_others_answer():
+    """In a burst waiting calls were passed on, and lost their place."""
+    fleet = CutCores(8, warm_up_s=4.0, plain_upstreams=16)
+    fleet.spared = {f'app-{number}' for number in range(4, 16)}
+    send_calls(fleet, ['vm-0'], 'a')
+    fleet.cut = {'vm-0'}
+    assert send_calls(fleet, ['vm-0'], 'b') == 1
+    assert not fleet.handoffs
