Derive what the review of links kept twice, and name upstreams in reach in one place

On reading the change once more; no change of behaviour. The number of failed probes is that of the lost upstreams; a review that ends is replaced instead of reset field by field; crashes with and without the held ones have one method; that of upstreams in reach stood in four places, and is RoutingState.list_reached_upstreams now; both ways to begin a review share one.

--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -9,10 +9,7 @@
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.crashes import record_proof
 from bilberryspoke._internal.core.routing.groups import note_call_end
-from bilberryspoke._internal.core.routing.selection import (
-    list_reached,
-    list_usable_upstreams,
-)
+from bilberryspoke._internal.core.routing.selection import list_usable_upstreams
 from bilberryspoke._internal.core.routing.stopping import record_duration
 from bilberryspoke._internal.core.routing.waitqueue import (
     choose_retry_after_s,
@@ -196,7 +193,7 @@
     service = call_state.call.service
     return {
         'usable_upstreams': len(backlogs),
-        'reached_upstreams': len(list_reached(routing, service, now)),
+        'reached_upstreams': len(routing.list_reached_upstreams(service, now)),
         'min_backlog_tokens': min(
             (each.prefill_tokens for each in backlogs), default=None
         ),
--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -159,11 +159,7 @@
     ledger = state.routing.crash_ledger
     return not any(
         crashes_in_sequence(
-            [
-                *ledger.list_crashes_blaming(each),
-                *ledger.list_held_blaming(each),
-            ],
-            each,
+            ledger.list_crashes_blaming(each, with_held=True), each
         )
         for each in call_state.fingerprints
         if each not in ledger.blocks
--- a/src/bilberryspoke/_internal/core/routing/crashledger.py
+++ b/src/bilberryspoke/_internal/core/routing/crashledger.py
@@ -83,8 +83,7 @@
     calls of which it is not known yet whether they are some, by id too.
     ``proven_at`` is when an answer under a fingerprint was last seen to go
     well, at any VM. ``shared_proofs`` holds the proofs to pass on, and since
-    when. ``unreviewed`` is whether crashes changed
-    since the last review.
+    when. ``unreviewed`` is whether crashes changed since the last review.
     """
 
     crashes: dict[int, Crash] = field(default_factory=dict)
@@ -141,24 +140,19 @@
             if fingerprint in crash.suspects
         ]
 
-    def list_crashes_blaming(self, fingerprint: int) -> list[Crash]:
+    def list_crashes_blaming(
+        self, fingerprint: int, *, with_held: bool = False
+    ) -> list[Crash]:
         """Return the crashes of which no proof clears a fingerprint."""
+        crashes = self.list_crashes_under(fingerprint)
+        if with_held:
+            crashes += [
+                held.crash
+                for held in self.held.values()
+                if fingerprint in held.crash.suspects
+            ]
         proven_at = self.proven_at.get(fingerprint)
-        return [
-            crash
-            for crash in self.list_crashes_under(fingerprint)
-            if not crash.is_cleared_by(proven_at)
-        ]
-
-    def list_held_blaming(self, fingerprint: int) -> list[Crash]:
-        """Return the held crashes of which no proof clears a fingerprint."""
-        proven_at = self.proven_at.get(fingerprint)
-        return [
-            held.crash
-            for held in self.held.values()
-            if fingerprint in held.crash.suspects
-            and not held.crash.is_cleared_by(proven_at)
-        ]
+        return [each for each in crashes if not each.is_cleared_by(proven_at)]
 
     def record_proof(self, fingerprint: int, proven_at: float) -> bool:
         """Record when an answer went well; return whether that is newer."""
--- a/src/bilberryspoke/_internal/core/routing/groups.py
+++ b/src/bilberryspoke/_internal/core/routing/groups.py
@@ -61,11 +61,9 @@
     some of its calls stays in its group.
     """
     service = call_state.call.service
-    listed = routing.list_accepting_upstreams(service)
-    accepting = [
-        each for each in listed if not each.health.is_unresponsive(now)
-    ]
-    accepting = accepting or listed
+    accepting = routing.list_reached_upstreams(
+        service, now
+    ) or routing.list_accepting_upstreams(service)
     if len(accepting) < 2:
         return accepting, []
     ranked = sorted(
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -197,19 +197,19 @@
     now: float,
 ) -> None:
     """Record what the end of a send says of the upstream's health."""
-    if event.upstream_crashed and not upstream.health.is_unresponsive(now):
-        upstream.health.record_unreachable(now)
-    elif event.status is not SendStatus.unsent and (
-        _is_link_lost(call_state, event)
-    ):
-        upstream.health.record_lost_link(now)
+    health = upstream.health
     if event.status is SendStatus.unsent:
-        upstream.health.record_unreachable(now)
-    elif event.status is SendStatus.misdirected:
-        upstream.health.record_misdirected(now)
+        health.record_unreachable(now)
+        return
+    if event.upstream_crashed and not health.is_unresponsive(now):
+        health.record_unreachable(now)
+    elif _is_link_lost(call_state, event):
+        health.record_lost_link(now)
+    if event.status is SendStatus.misdirected:
+        health.record_misdirected(now)
     elif event.status is not SendStatus.cancelled:
         succeeded = event.status is SendStatus.finished
-        upstream.health.record_outcome(now, succeeded=succeeded)
+        health.record_outcome(now, succeeded=succeeded)
 
 
 def _log_undelivered_send(
--- a/src/bilberryspoke/_internal/core/routing/linkreview.py
+++ b/src/bilberryspoke/_internal/core/routing/linkreview.py
@@ -13,13 +13,12 @@
     ``suspects`` holds when it lost each, since a link was last proven. While
     ``is_open`` is true, probes find out which links are left: ``awaited`` are
     the upstreams whose probe is under way, ``pending`` those that are still to
-    be probed and ``probed`` all that were; ``lost`` are those
-    that did not answer, and ``answered`` and ``failed`` count the ends of
-    probes. ``lost_last`` and ``answered_last`` are the upstreams
-    that were lost according to the last review, and the number of those that
-    answered it. ``doubted`` is whether the VM may have lost most links,
-    so that it hands its calls off meanwhile. ``widened`` is whether all
+    be probed and ``probed`` all that were. ``lost`` are those that did not
+    answer, ``answered`` counts those that did. ``widened`` is whether all
     upstreams are probed, after one without a lost send did not answer.
+    ``doubted`` is whether the VM may have lost most links, so that it hands its
+    calls off meanwhile. ``lost_last`` and ``answered_last`` are what the review
+    before found: the lost upstreams and the number of those that answered.
     """
 
     suspects: dict[str, float] = field(default_factory=dict)
@@ -31,7 +30,6 @@
     probed: set[str] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
     answered: int = 0
-    failed: int = 0
     lost_last: frozenset[str] = frozenset()
     answered_last: int = 0
 
@@ -53,21 +51,12 @@
             self.answered += 1
             self.suspects.pop(instance, None)
         else:
-            self.failed += 1
             self.lost.add(instance)
-        self.doubted = self.doubted and self.failed >= self.answered
-
-    def clear(self) -> None:
-        """End the review: each upstream is known to be in reach or not."""
-        self.lost_last = frozenset(self.lost.union(self.suspects))
-        self.answered_last = self.answered
-        self.is_open = False
-        self.doubted = False
-        self.widened = False
-        self.answered = 0
-        self.failed = 0
-        self.lost.clear()
-        self.suspects.clear()
-        self.probed.clear()
-        self.awaited.clear()
-        self.pending.clear()
+        self.doubted = self.doubted and len(self.lost) >= self.answered
+
+    def make_next(self) -> 'LinkReview':
+        """Return what is left of the review once it has ended."""
+        return LinkReview(
+            lost_last=frozenset(self.lost.union(self.suspects)),
+            answered_last=self.answered,
+        )
--- a/src/bilberryspoke/_internal/core/routing/links.py
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -2,8 +2,7 @@
 
 Sends that are lost at several upstreams in a row, while no answer arrives, put
 all links in doubt. Until probes have found out which links are left, calls are
-handed off. Times are in
-seconds of the boot-time clock.
+handed off. Times are in seconds of the boot-time clock.
 """
 
 from bilberryspoke._internal.core.routing.linkreview import LinkReview
@@ -39,7 +38,7 @@
 def suspect_link(state: VmState, upstream: UpstreamState, now: float) -> None:
     """Record a send that was lost, or an upstream without any response."""
     service = upstream.listed.service
-    review = state.routing.link_reviews.setdefault(service, LinkReview())
+    review = _get_review(state.routing, service)
     review.suspects[upstream.listed.instance] = now
     since = now - _SUSPICION_WINDOW_S
     for instance, lost_at in list(review.suspects.items()):
@@ -47,24 +46,20 @@
             review.suspects.pop(instance)
     if len(review.suspects) < _MIN_SUSPECTS or review.doubted:
         return
-    if not review.is_open:
-        review.begin(_choose_controls(state, service, review, now))
-    if _hears_any(state.routing, service, now):
-        _proceed(state, service, review, now)
-        return
-    review.doubted = True
-    fields = {'service': service, 'suspects': sorted(review.suspects)}
-    state.emit(Count('links_doubted', service))
-    state.emit(LogDecision('links_doubted', fields))
+    if not _hears_any(state.routing, service, now):
+        review.doubted = True
+        fields = {'service': service, 'suspects': sorted(review.suspects)}
+        state.emit(Count('links_doubted', service))
+        state.emit(LogDecision('links_doubted', fields))
+    _probe_controls(state, service, review, now)
     _proceed(state, service, review, now)
 
 
 def check_upstream(state: VmState, upstream: UpstreamState, now: float) -> None:
     """Find out whether an upstream is lost, and whether others are too."""
     service = upstream.listed.service
-    review = state.routing.link_reviews.setdefault(service, LinkReview())
-    if not review.is_open:
-        review.begin(_choose_controls(state, service, review, now))
+    review = _get_review(state.routing, service)
+    _probe_controls(state, service, review, now)
     if upstream.listed.instance not in review.probed:
         review.pending.append(upstream.listed.instance)
     _proceed(state, service, review, now)
@@ -113,7 +108,7 @@
         if not upstream.health.unreachable:
             upstream.health.record_unreachable(now)
         if not review.widened and instance not in review.suspects:
-            review.widen(_list_unsuspected(state.routing, service, now))
+            review.widen(_list_reached(state.routing, service, now))
     _proceed(state, service, review, now)
 
 
@@ -138,26 +133,29 @@
     )
 
 
-def _choose_controls(
+def _get_review(routing: RoutingState, service: str) -> LinkReview:
+    return routing.link_reviews.setdefault(service, LinkReview())
+
+
+def _probe_controls(
     state: VmState, service: str, review: LinkReview, now: float
-) -> list[str]:
-    """Return upstreams to probe first, at random among those in reach."""
+) -> None:
+    """Begin the review, unless it has begun, with a few upstreams at random."""
+    if review.is_open:
+        return
     unsuspected = [
         each
-        for each in _list_unsuspected(state.routing, service, now)
+        for each in _list_reached(state.routing, service, now)
         if each not in review.suspects
     ]
     unsuspected.sort(key=lambda each: hash_parts(state.vm, each, now))
-    return unsuspected[:_CONTROLS]
+    review.begin(unsuspected[:_CONTROLS])
 
 
-def _list_unsuspected(
-    routing: RoutingState, service: str, now: float
-) -> list[str]:
+def _list_reached(routing: RoutingState, service: str, now: float) -> list[str]:
     return [
         each.listed.instance
-        for each in routing.list_accepting_upstreams(service)
-        if not each.health.is_unresponsive(now)
+        for each in routing.list_reached_upstreams(service, now)
     ]
 
 
@@ -176,14 +174,14 @@
         probe_upstream(state, upstream)
     if review.awaited or review.pending:
         return
-    reached = _list_unsuspected(routing, service, now)
+    reached = _list_reached(routing, service, now)
     fields = {
         'service': service,
         'probed': len(review.probed),
         'reached_upstreams': len(reached),
     }
     state.emit(LogDecision('links_reviewed', fields))
-    review.clear()
+    routing.link_reviews[service] = review.make_next()
 
 
 def probe_upstream(state: VmState, upstream: UpstreamState) -> None:
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -50,17 +50,6 @@
     return _exclude_tried_and_ejected(accepting, call_state, now)
 
 
-def list_reached(
-    routing: RoutingState, service: str, now: float
-) -> list[UpstreamState]:
-    """Return the accepting upstreams that this VM is not known not to reach."""
-    return [
-        upstream
-        for upstream in routing.list_accepting_upstreams(service)
-        if not upstream.health.is_unresponsive(now)
-    ]
-
-
 def choose_placement(
     routing: RoutingState,
     call_state: CallState,
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -161,6 +161,16 @@
         """Return the services of the known upstreams."""
         return {each.listed.service for each in self.upstreams.values()}
 
+    def list_reached_upstreams(
+        self, service: str, now: float
+    ) -> list[UpstreamState]:
+        """Return the accepting upstreams that are not known to be lost."""
+        return [
+            upstream
+            for upstream in self.list_accepting_upstreams(service)
+            if not upstream.health.is_unresponsive(now)
+        ]
+
     def list_accepting_upstreams(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service that accept new calls."""
         return [
--- a/src/bilberryspoke/_internal/network/routing/probes.py
+++ b/src/bilberryspoke/_internal/network/routing/probes.py
@@ -6,7 +6,6 @@
 from starlette.routing import Route as AppRoute
 
 from bilberryspoke._internal.core.routing.backlog import count_live_vms
-from bilberryspoke._internal.core.routing.selection import list_reached
 from bilberryspoke._internal.metrics.gauges import render_gauge
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
@@ -78,7 +77,7 @@
             for service in routing.list_services()
         },
         'reached_upstreams': {
-            service: len(list_reached(routing, service, now))
+            service: len(routing.list_reached_upstreams(service, now))
             for service in routing.list_services()
         },
         'blocked_fingerprints': {'': len(routing.crash_ledger.blocks)},
