--- a/src/bilberryspoke/_internal/core/routing/links.py
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -101,13 +101,14 @@
         if accepts and not review.is_open:
             review.suspects.clear()
         return
+    is_suspect = instance in review.suspects
     # A VM that is busy itself may read the answer to a probe too late.
-    accepts = accepts or _is_heard(upstream, now)
+    accepts = accepts or (not is_suspect and _is_heard(upstream, now))
     review.record_probe(instance, accepts=accepts)
     if not accepts:
         if not upstream.health.unreachable:
             upstream.health.record_unreachable(now)
-        if not review.widened and instance not in review.suspects:
+        if not review.widened and not is_suspect:
             review.widen(_list_reached(state.routing, service, now))
     _proceed(state, service, review, now)
 
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -318,3 +318,23 @@
     probed += list_probed(core.handle(Tick(), now=0.25))
     assert len(probed) <= MAX_PROBES_PER_CRASH
     assert len(core.routing.crash_ledger.crashes) == 1
+
+
+def test_crash_just_after_an_answer_began_is_blamed():
+    """The answer counted as a proof that the upstream was still in reach."""
+    core = RoutedCore()
+    send = core.arrive(build_call('d'), now=0.0)
+    core.progress(send, now=0.15)
+    effects = core.end(
+        send,
+        SendStatus.broken,
+        now=0.2,
+        delivered=True,
+        connection_lost=True,
+        upstream_crashed=True,
+    )
+    for instance in list_probed(effects):
+        accepts = instance != send.instance
+        core.handle(UpstreamProbed(instance, 0, accepts), now=0.21)
+    core.handle(Tick(), now=0.25)
+    assert len(core.routing.crash_ledger.crashes) == 1
