Test the size of fleet that showed the incident, and links that live on

63 VMs, 70 engines; a data centre or 40 VMs cut off; connections that open and are reset, that hang, and open ones that live on while new ones fail.

--- a/tests/lib/cutcores.py
+++ b/tests/lib/cutcores.py
@@ -37,9 +37,10 @@
     ``how`` says what becomes of their connections. ``refuse``: new ones are
     refused. ``reset``: so are they, and the one that a VM has to each upstream
     is reset when it is next used. ``hang``: both get no answer. ``accept``: all
-    connections open and are reset once a call is sent. ``served`` and
+    connections open and are reset once a call is sent. ``live``: so are new
+    ones, while the one that a VM has to each upstream works on. ``served`` and
     ``refused`` hold the ids of calls by what their callers got, ``handoffs``
-    counts the calls that VMs handed off, ``helped`` those that each VM got so.
+    counts the calls that VMs handed off.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.handoffs = 0
         self._cut: set[str] = set()
         self._pooled: set[tuple[str, str]] = set()
+        self._busy: set[tuple[str, str]] = set()
         self._calls: dict[str, RoutedCall] = {}
         self._origin_of: dict[str, tuple[str, HandOff]] = {}
         super().__init__(vms, **sizes)
@@ -107,10 +109,13 @@
         return name in self.cut and instance not in self.spared
 
     def _send_call(self, name: str, send: Send) -> None:
-        if self._is_cut_from(name, send.instance):
+        link = (name, send.instance)
+        is_live = self.how == 'live' and link not in self._busy
+        if self._is_cut_from(name, send.instance) and not is_live:
             delay_s, ended = self._fail(name, send)
             self._at(self.now + delay_s, lambda: self._end(name, ended))
             return
+        self._busy.add(link)
         run_s = _RUN_S
         delays_s: tuple[float, ...] = (_RUN_S,)
         if self._calls[send.call_id].route.streams:
@@ -123,12 +128,16 @@
                 lambda each=event: self.handle(name, each),
             )
         finished = SendEnded(send.call_id, send.attempt, SendStatus.finished)
-        self._at(self.now + run_s, lambda: self._end(name, finished))
+        self._at(self.now + run_s, lambda: self._finish(link, finished))
+
+    def _finish(self, link: tuple[str, str], finished: SendEnded) -> None:
+        self._busy.discard(link)
+        self._end(link[0], finished)
 
     def _fail(self, name: str, send: Send) -> tuple[float, SendEnded]:
         """Return when a send over a cut link ends, and how."""
         link = (name, send.instance)
-        is_lost = self.how == 'accept' or (
+        is_lost = self.how in {'accept', 'live'} or (
             self.how != 'refuse' and link in self._pooled
         )
         self._pooled.discard(link)
--- a/tests/unit/test_routed_cuts.py
+++ b/tests/unit/test_routed_cuts.py
@@ -232,3 +232,18 @@
     fleet.cut = {'vm-0'}
     assert send_calls(fleet, ['vm-0'], 'b') == 1
     assert not fleet.handoffs
+
+
+@pytest.mark.parametrize('cut', [13, 40])
+@pytest.mark.parametrize('how', ['accept', 'hang', 'live'])
+def test_callers_are_served_at_the_size_that_showed_the_incident(how, cut):
+    """63 VMs and 70 engines; a data centre or most of the fleet is cut off."""
+    fleet = CutCores(63, warm_up_s=4.0, how=how, engines=70, data_centres=5)
+    names = sorted(fleet.cores, key=lambda each: fleet.data_centre_of[each])
+    fleet.cut = names[:cut]
+    send_at_rate(fleet, names, STABILITY_WINDOW_S, 2.6, DRAFT_ROUTE, 'b')
+    shares = send_at_rate(fleet, names, 3.0, 2.6, DRAFT_ROUTE, 'c')
+    others = sum(shares[name] for name in names[cut:]) / (63 - cut)
+    cut_off = sum(shares[name] for name in names[:cut]) / cut
+    assert others > 2 / 3
+    assert cut_off >= 2 / 3 * others
