Soak of real processes: random disturbances, callers and a verdict

Callers try again only after a promise or without a connection. It finds calls that ran twice or after a promise, streams at two engines, and processes that ended by themselves.

--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -30,7 +30,7 @@
 # Test runs beside each other have networks of their own: a port that is free
 # when it is looked for may be taken by the other run before it is bound.
 _NETS_PER_BYTE = 256
-_LOOPBACK_NET = (
+LOOPBACK_NET = (
     f'127.{1 + os.getpid() // _NETS_PER_BYTE % 254}'
     f'.{os.getpid() % _NETS_PER_BYTE}'
 )
@@ -294,7 +294,7 @@
         yield fleet
 
 
-def _find_ports(ips: Sequence[str]) -> list[int]:
+def find_ports(ips: Sequence[str]) -> list[int]:
     """Return free ports; the last three are the range between processes."""
     while True:
         ports = find_free_ports(6, ips)
@@ -308,8 +308,8 @@
     seeds: int | None,
     **bounds: float,
 ) -> list[RouterProcess]:
-    ips = [f'{_LOOPBACK_NET}.{number + 1}' for number in range(len(stores))]
-    ports = _find_ports(ips)
+    ips = [f'{LOOPBACK_NET}.{number + 1}' for number in range(len(stores))]
+    ports = find_ports(ips)
     nodes = []
     for number, ip in enumerate(ips):
         boot = build_boot_settings(
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,202 @@
+"""Callers of the soak, who try again only where the pages allow it."""
+
+import asyncio
+import itertools
+import random
+import time
+from dataclasses import dataclass, field
+
+from tests.soak.machines import Machine
+
+# Statuses that promise that the call did not run and never will.
+PROMISES = frozenset((408, 421, 429, 503))
+_CONNECT_TIMEOUT_S = 1.0
+_MAX_TRIES = 3
+_MAX_IDLE_S = 12.0
+# Path, method and the caller's patience in seconds of each kind of call.
+_KINDS = (
+    ('/once/', 'POST', 1.6),
+    ('/once/', 'POST', 1.6),
+    ('/once/', 'PUT', 1.6),
+    ('/safe/', 'GET', 1.6),
+    ('/stream/', 'POST', 4.0),
+    ('/resume/', 'POST', 4.0),
+)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a caller, by its own request id, and its outcome.
+
+    The outcome is a status, with ``cut off`` behind it if the answer was not
+    whole, or says why there is none.
+    """
+
+    req_id: str
+    path: str
+    machine: str
+    reused: bool
+    sent_at: float
+    outcome: str = 'open'
+    status: int = 0
+    ended_at: float = 0.0
+
+    @property
+    def promised(self) -> bool:
+        """Whether the answer says that it did not run and never will."""
+        return self.status in PROMISES
+
+
+@dataclass(slots=True)
+class _Connection:
+    machine: Machine
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    idle_since: float = 0.0
+
+
+@dataclass(slots=True)
+class Callers:
+    """Callers that send calls at a rate, over new and kept connections."""
+
+    machines: list[Machine]
+    source: random.Random
+    attempts: list[Attempt] = field(default_factory=list)
+    _numbers: itertools.count = field(default_factory=itertools.count)
+    _kept: list[_Connection] = field(default_factory=list)
+    _tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def send_calls(self, seconds: float, per_s: float) -> None:
+        """Send calls for some seconds, without waiting for their answers."""
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            task = asyncio.create_task(self._make_call())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.source.expovariate(per_s))
+
+    async def wait(self, seconds: float) -> None:
+        """Wait for the open calls, at most so long."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=seconds)
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for connection in self._kept:
+            connection.writer.close()
+        self._kept.clear()
+
+    async def _make_call(self) -> None:
+        number = next(self._numbers)
+        path, method, patience_s = self.source.choice(_KINDS)
+        deadline_at = time.monotonic() + patience_s
+        for tries in range(_MAX_TRIES):
+            attempt = Attempt(
+                f'c{number}.{tries}', path, '', False, time.monotonic()
+            )
+            self.attempts.append(attempt)
+            retry_after_s = await self._try(attempt, method, deadline_at)
+            attempt.ended_at = time.monotonic()
+            if retry_after_s is None:
+                return
+            await asyncio.sleep(retry_after_s)
+            if time.monotonic() >= deadline_at:
+                return
+
+    async def _try(
+        self, attempt: Attempt, method: str, deadline_at: float
+    ) -> float | None:
+        """Send a call; return when to try again, None if not at all."""
+        connection = None
+        try:
+            connection = await self._connect(attempt)
+        except (OSError, TimeoutError):
+            attempt.outcome = 'no connection'
+            return 0.05
+        try:
+            async with asyncio.timeout_at(
+                deadline_at
+                - time.monotonic()
+                + asyncio.get_running_loop().time()
+            ):
+                return await self._exchange(
+                    attempt, connection, method, deadline_at
+                )
+        except TimeoutError:
+            attempt.outcome = 'gave up'
+        except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
+            attempt.outcome = f'{type(exc).__name__} {attempt.status}'
+            attempt.status = 0
+        connection.writer.transport.abort()
+        return None
+
+    async def _connect(self, attempt: Attempt) -> _Connection:
+        now = time.monotonic()
+        while self._kept and self.source.random() < 0.7:
+            index = self.source.randrange(len(self._kept))
+            connection = self._kept.pop(index)
+            if (
+                now - connection.idle_since > _MAX_IDLE_S
+                or connection.reader.at_eof()
+                or connection.writer.is_closing()
+            ):
+                connection.writer.close()
+                continue
+            attempt.machine = connection.machine.name
+            attempt.reused = True
+            return connection
+        ready = [each for each in self.machines if each.in_rotation]
+        machine = self.source.choice(ready or self.machines)
+        attempt.machine = machine.name
+        async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                machine.ip, machine.entry_port
+            )
+        return _Connection(machine, reader, writer)
+
+    async def _exchange(
+        self,
+        attempt: Attempt,
+        connection: _Connection,
+        method: str,
+        deadline_at: float,
+    ) -> float | None:
+        wait_ms = max(1, int((deadline_at - time.monotonic()) * 1000))
+        body = b'' if method == 'GET' else b'x' * 300
+        head = (
+            f'{method} {attempt.path} HTTP/1.1\r\nHost: calls.example\r\n'
+            f'X-Attempt-Id: {attempt.req_id}\r\nX-Deadline-Ms: {wait_ms}\r\n'
+            f'Authorization: Bearer key-1\r\nContent-Length: {len(body)}\r\n'
+            f'X-Token-Counts: 200,40\r\n\r\n'
+        )
+        connection.writer.write(head.encode() + body)
+        reader = connection.reader
+        raw = await reader.readuntil(b'\r\n\r\n')
+        lines = raw.decode('latin-1').split('\r\n')
+        attempt.status = int(lines[0].split()[1])
+        headers = dict(
+            line.lower().split(': ', 1) for line in lines[1:] if ': ' in line
+        )
+        await _read_body(reader, headers)
+        attempt.outcome = str(attempt.status)
+        if headers.get('connection') == 'close':
+            connection.writer.close()
+        else:
+            connection.idle_since = time.monotonic()
+            self._kept.append(connection)
+        if attempt.promised:
+            return min(0.5, float(headers.get('retry-after', 0)))
+        return None
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str]
+) -> None:
+    if 'chunked' not in headers.get('transfer-encoding', ''):
+        await reader.readexactly(int(headers.get('content-length', 0)))
+        return
+    while True:
+        size = int(await reader.readuntil(b'\r\n'), 16)
+        await reader.readexactly(size + 2)
+        if not size:
+            return
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,189 @@
+"""The fleet of the soak: stores, links, upstreams, machines and callers."""
+
+import asyncio
+import contextlib
+import json
+import random
+import tempfile
+import time
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from fakes.links import Link
+from fakes.store import StoreStandIn
+from tests.lib.platformdata import (
+    build_boot_settings,
+    build_config,
+    build_route_entries,
+    build_server_entry,
+)
+from tests.lib.routedfleet import LOOPBACK_NET, find_ports
+from tests.soak.callers import Callers
+from tests.soak.machines import Machine
+from tests.soak.upstreams import SoakUpstream, WorkRecord
+
+_READY_TIMEOUT_S = 120.0
+_APP_SLOTS = 6
+_ENGINE_SLOTS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSize:
+    """How large a fleet is; machines of a data centre share their links."""
+
+    machines: int = 6
+    data_centres: int = 2
+    app_upstreams: int = 4
+    engines: int = 4
+
+
+@dataclass(slots=True)
+class SoakFleet:
+    """A running fleet; ``links`` are those of each data centre, by upstream.
+
+    ``records`` holds all runs of calls at upstreams.
+    """
+
+    stores: list[StoreStandIn]
+    links: list[dict[str, Link]]
+    upstreams: list[SoakUpstream] = field(default_factory=list)
+    services: dict[str, str] = field(default_factory=dict)
+    machines: list[Machine] = field(default_factory=list)
+    records: list[WorkRecord] = field(default_factory=list)
+    callers: Callers | None = None
+    burst_per_s: float = 100.0
+    version: int = 1
+
+    def relist(self, upstream: SoakUpstream, before: str) -> None:
+        """Write the entry of an upstream that is back, at its address now."""
+        key = before.partition('.')[0]
+        for links, store in zip(self.links, self.stores, strict=True):
+            links[key].target = upstream.address
+            if before != upstream.instance:
+                store.values.pop(f'servers/{upstream.instance}', None)
+                with contextlib.suppress(KeyError):
+                    store.delete(f'servers/{before}')
+            self._write_entry(store, links[key], upstream)
+
+    def write_config(self) -> None:
+        """Write the next version of the configuration to all stores."""
+        self.version += 1
+        config = _make_config(self.version)
+        for store in self.stores:
+            store.put('op/config', config)
+
+    def _write_entry(
+        self, store: StoreStandIn, link: Link, upstream: SoakUpstream
+    ) -> None:
+        entry = build_server_entry(
+            service=self.services[upstream.instance.partition('.')[0]],
+            address=link.address,
+            slots=upstream.slots,
+            born=int(time.time() * 1000),
+        )
+        store.put(f'servers/{upstream.instance}', entry)
+
+
+def _make_config(version: int) -> dict:
+    routes = build_route_entries()
+    for route in routes:
+        if route['name'] == 'once':
+            route['timeout-ms'] = 800
+            route['target-latency-ms'] = 150
+    return build_config(version, routes=routes)
+
+
+@contextlib.asynccontextmanager
+async def run_soak_fleet(
+    size: SoakSize,
+    source: random.Random,
+    log_folder: Path | None = None,
+    build_roots: Sequence[Path] = (),
+) -> AsyncIterator[SoakFleet]:
+    """Run a fleet whose machines are all in rotation.
+
+    ``build_roots`` are checkouts of other builds; machines run them in turn.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        folder = Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+            if log_folder is None
+            else log_folder
+        )
+        stores = []
+        for _ in range(size.data_centres):
+            store = StoreStandIn()
+            await store.start()
+            stack.push_async_callback(store.stop)
+            store.put('op/config', _make_config(1))
+            stores.append(store)
+        fleet = SoakFleet(stores, [{} for _ in stores])
+        await _add_upstreams(fleet, size, source, stack)
+        fleet.machines = _make_machines(fleet, size, folder, build_roots)
+        fleet.callers = Callers(fleet.machines, source)
+        stack.callback(fleet.callers.close)
+        for machine in fleet.machines:
+            stack.push_async_callback(machine.close)
+            machine.start()
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while not all(each.in_rotation for each in fleet.machines):
+                await asyncio.sleep(0.1)
+        yield fleet
+
+
+async def _add_upstreams(
+    fleet: SoakFleet,
+    size: SoakSize,
+    source: random.Random,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    for service, count, slots in (
+        ('app', size.app_upstreams, _APP_SLOTS),
+        ('llm', size.engines, _ENGINE_SLOTS),
+    ):
+        for number in range(count):
+            name = f'i-{service}{number}'
+            upstream = SoakUpstream(
+                name, records=fleet.records, source=source, slots=slots
+            )
+            await upstream.start()
+            stack.push_async_callback(upstream.stop)
+            fleet.upstreams.append(upstream)
+            fleet.services[name] = service
+            for links in fleet.links:
+                links[name] = Link(upstream.address)
+                await links[name].start()
+                stack.push_async_callback(links[name].stop)
+            fleet.relist(upstream, name)
+
+
+def _make_machines(
+    fleet: SoakFleet,
+    size: SoakSize,
+    folder: Path,
+    build_roots: Sequence[Path],
+) -> list[Machine]:
+    ips = [f'{LOOPBACK_NET}.{number + 1}' for number in range(size.machines)]
+    ports = find_ports(ips)
+    machines = []
+    for number, ip in enumerate(ips):
+        group = number % size.data_centres
+        name = f'front-{group}-{number}'
+        boot = build_boot_settings(
+            node=name,
+            ip=ip,
+            ports=ports,
+            seeds=ips[:3],
+            store=fleet.stores[group].address,
+            zone=f'zone-{group}',
+        )
+        path = folder / f'{name}.yaml'
+        path.write_text(json.dumps(boot), encoding='utf-8')
+        machine = Machine(
+            name, ip, ports[0], ports[1], path, folder / f'{name}.log'
+        )
+        if build_roots:
+            machine.build_root = build_roots[number % len(build_roots)]
+        machines.append(machine)
+    return machines
