Ignore SIGHUP until the daemon handles it

Callers saw connections reset: a process that got SIGHUP while it started ended by it (FAULT), was started again, and may have got the next one.

Cause: the handler is installed after the imports; the default action of the signal ends the process.

deploy/node.py ignores the signal before any import, run_node before it reads the settings, so that no change of the settings is missed.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,9 +1,14 @@
 """Runs the routing process from a checkout, without an installed package."""
 
 import gc
+import signal
 import sys
 from pathlib import Path
 
+# A SIGHUP during the imports would end the process; run_node does the same,
+# but they come before it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Imports create no garbage, so collection would only delay the start.
 # run_node turns it on again.
 gc.disable()
--- a/src/bilberryspoke/_internal/cli/node.py
+++ b/src/bilberryspoke/_internal/cli/node.py
@@ -8,6 +8,7 @@
 import dataclasses
 import gc
 import os
+import signal
 import socket
 import sys
 from collections.abc import Sequence
@@ -43,6 +44,8 @@
         metrics_port: port of the metrics on this VM's address; by default
             the last port of internal-ports in the settings.
     """
+    # Until the daemon has its handler, SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = Path(str(settings) or os.environ.get(BOOT_VARIABLE, ''))
     read_result = read_boot_settings(path)
     if read_result.is_error():
