Answer 502 where an upstream ran a call and answers 503, 429 or 408

Callers of routes that run once got such an answer unchanged and took its status for the promise that the call had not run: they sent it again (REFUSED, then twice). Cause: 'not run' was read from X-Not-Executed and 421 alone, but the status was passed on, and to callers the status is the promise.

The call counts as broken now, as after any other answer that says nothing of its run; safe calls get the answer as it is.

--- a/fakes/scripts.py
+++ b/fakes/scripts.py
@@ -65,6 +65,18 @@
     write_whole(writer, run, 503, b'', extra_headers, sealed=False)
 
 
+def register_status_script(status: int) -> None:
+    """Register ``status N``: run the call and answer with that status."""
+
+    @register_script(f'status {status}')
+    async def answer_status(
+        upstream: UpstreamStandIn,
+        run: Run,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        write_whole(writer, run, status, b'failed')
+
+
 @register_script('truncated')
 async def answer_truncated(
     upstream: UpstreamStandIn,
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -181,8 +181,10 @@
                 raise
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
-        at_most_once = exchange.call.route.repeats is RetrySafety.never
-        if at_most_once and exchange.method in _SINGLE_USE_METHODS:
+        if (
+            _runs_at_most_once(exchange)
+            and exchange.method in _SINGLE_USE_METHODS
+        ):
             return self._single_use_session
         return self._session
 
@@ -229,6 +231,10 @@
                 f' without an x-response-seal header'
             )
             return _SendResult(SendStatus.broken, detail)
+        if headers.looks_not_run and _runs_at_most_once(exchange):
+            resp.close()
+            detail = f'status {resp.status} of a call that may have run'
+            return _SendResult(SendStatus.broken, detail)
         body = _ResponseBody(
             resp, headers, connection.close_future if connection else None
         )
@@ -384,5 +390,9 @@
         )
 
 
+def _runs_at_most_once(exchange: Exchange) -> bool:
+    return exchange.call.route.repeats is RetrySafety.never
+
+
 def _drop_content_length(headers: ResponseHeaders) -> list[tuple[bytes, bytes]]:
     return [pair for pair in headers.forwarded if pair[0] != _CONTENT_LENGTH]
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -49,6 +49,8 @@
 _BEARER = b'bearer '
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
+# Callers take these as a promise that the call did not run and never will.
+_PROMISE_STATUSES = frozenset((408, _STATUS_MISDIRECTED, 429, 503))
 _MS_PER_S = 1000
 _MAX_RATE_PER_S = 1e6
 _MAX_PAUSE_S = 3600.0
@@ -165,6 +167,8 @@
     ``req_id`` is the request id in the response, or None if it has none.
     ``not_run`` is the upstream's assurance that it did not run the call,
     ``misdirected`` that it is another instance than the expected one.
+    ``looks_not_run`` is whether callers would read that assurance from the
+    status alone.
     ``has_seal`` is whether the upstream marked the response as its own,
     ``has_content_encoding`` whether the body is encoded, for instance
     compressed. ``has_length`` is whether the end of the body is known from its
@@ -183,6 +187,7 @@
     req_id: str | None
     not_run: bool
     misdirected: bool
+    looks_not_run: bool
     has_seal: bool
     has_content_encoding: bool
     has_length: bool
@@ -288,6 +293,7 @@
         req_id=None if req_id is None else req_id.decode('latin-1'),
         not_run=misdirected or _NOT_EXECUTED in by_name,
         misdirected=misdirected,
+        looks_not_run=status in _PROMISE_STATUSES,
         has_seal=_RESPONSE_SEAL in by_name,
         has_content_encoding=_CONTENT_ENCODING in by_name,
         has_length=b'content-length' in by_name
