Believe a refusal of a call that runs once only if it names the call

Callers were told 'not run' of a call that ran, if an answer with X-Not-Executed and without an id arrived on its connection. Cause: only the id of another call was refused. Upstreams echo the id; without it a refusal may be that of another request.

What an answer's head proves of a send stands in a module of its own now, as the rule was spread over the sender.

--- a/fakes/scripts.py
+++ b/fakes/scripts.py
@@ -65,6 +65,19 @@
     write_whole(writer, run, 503, b'', extra_headers, sealed=False)
 
 
+@register_script('unnamed refusal')
+async def answer_unnamed_refusal(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Run the call, while a refusal without any id arrives for it."""
+    writer.write(
+        b'HTTP/1.1 503 Scripted\r\nX-Not-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n'
+    )
+
+
 def register_status_script(status: int) -> None:
     """Register ``status N``: run the call and answer with that status."""
 
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -0,0 +1,95 @@
+"""What the head of an answer alone says of the send that it ends.
+
+This is the one place that decides which answers prove that a call did not run.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bilberryspoke._internal.models.routing import (
+    NO_ROOM,
+    RetrySafety,
+    RoutedCall,
+    SendStatus,
+)
+from bilberryspoke._internal.models.routing_effects import HandOff, Send
+from bilberryspoke._internal.network.routing.handoff import (
+    find_not_run_reason,
+)
+from bilberryspoke._internal.platform.headers import ResponseHeaders
+
+
+@dataclass(frozen=True, slots=True)
+class SendResult:
+    """How a send ended; the core gets it as part of ``SendEnded``.
+
+    ``connection_lost`` is whether the upstream closed the connection before
+    its answer was complete.
+    """
+
+    status: SendStatus
+    detail: str = ''
+    connection_lost: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer, as received and decoded."""
+
+    status: int
+    raw: Iterable[tuple[bytes, bytes]]
+    headers: ResponseHeaders
+
+
+def judge_head(
+    call: RoutedCall, effect: Send | HandOff, head: AnswerHead
+) -> SendResult | None:
+    """Return how a send ended, None if its answer is to be relayed.
+
+    The body of a refusal is to be read, so that its connection can be used
+    again, and the connection of a broken answer is to be closed.
+    """
+    headers = head.headers
+    if headers.req_id not in {None, call.req_id}:
+        return _break('response has the id of another call')
+    if isinstance(effect, HandOff):
+        reason = find_not_run_reason(head.raw)
+        if reason is not None:
+            return _judge_helper_refusal(reason)
+    if headers.not_run:
+        return _judge_refusal(call, head)
+    if headers.has_content_encoding or not headers.has_seal:
+        return _break(
+            f'status {head.status} with a content-encoding header or'
+            f' without an x-response-seal header'
+        )
+    if headers.looks_not_run and runs_at_most_once(call):
+        return _break(f'status {head.status} of a call that may have run')
+    return None
+
+
+def runs_at_most_once(call: RoutedCall) -> bool:
+    """Return whether a call must not run a second time."""
+    return call.route.repeats is RetrySafety.never
+
+
+def _judge_helper_refusal(reason: str) -> SendResult:
+    status = SendStatus.refused if reason == NO_ROOM else SendStatus.unsent
+    return SendResult(status, f'helper: {reason}')
+
+
+def _judge_refusal(call: RoutedCall, head: AnswerHead) -> SendResult:
+    """Return the result of an answer that says that a call did not run.
+
+    An answer without an id may belong to another request.
+    """
+    if not head.headers.req_id and runs_at_most_once(call):
+        return _break('refusal without the id of the call')
+    status = SendStatus.refused
+    if head.headers.misdirected:
+        status = SendStatus.misdirected
+    return SendResult(status, f'status {head.status}, not run')
+
+
+def _break(detail: str) -> SendResult:
+    return SendResult(SendStatus.broken, detail)
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -8,11 +8,7 @@
 import structlog
 from yarl import URL
 
-from bilberryspoke._internal.models.routing import (
-    NO_ROOM,
-    RetrySafety,
-    SendStatus,
-)
+from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_effects import (
     HandOff,
     Send,
@@ -27,6 +23,12 @@
     UpstreamProbed,
 )
 from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
+from bilberryspoke._internal.network.routing.answerheads import (
+    AnswerHead,
+    SendResult,
+    judge_head,
+    runs_at_most_once,
+)
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
     call_connection,
@@ -36,9 +38,6 @@
     BufferedResponse,
     Exchange,
 )
-from bilberryspoke._internal.network.routing.handoff import (
-    find_not_run_reason,
-)
 from bilberryspoke._internal.network.routing.linkprobes import LinkProber
 from bilberryspoke._internal.network.routing.outgoing import (
     make_headers,
@@ -64,19 +63,6 @@
 _AUTO_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
 
-@dataclass(frozen=True, slots=True)
-class _SendResult:
-    """How a send ended; the core gets it as part of ``SendEnded``.
-
-    ``connection_lost`` is whether the upstream closed the connection before
-    its answer was complete.
-    """
-
-    status: SendStatus
-    detail: str = ''
-    connection_lost: bool = False
-
-
 class CallSender:
     """Sends calls over keep-alive connections and relays the responses."""
 
@@ -137,13 +123,11 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
-            result = _SendResult(SendStatus.unsent, str(exc))
+            result = SendResult(SendStatus.unsent, str(exc))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
             self.connector.expire_connections(effect.address)
             detail = f'{type(exc).__name__}: {exc}'
-            result = _SendResult(
-                SendStatus.broken, detail, connection_lost=True
-            )
+            result = SendResult(SendStatus.broken, detail, connection_lost=True)
         crashed = (
             result.connection_lost
             and isinstance(effect, Send)
@@ -162,7 +146,7 @@
 
     async def _send_request(
         self, exchange: Exchange, effect: Send | HandOff
-    ) -> _SendResult:
+    ) -> SendResult:
         async with self._choose_session(exchange).request(
             exchange.method,
             URL(
@@ -181,10 +165,8 @@
                 raise
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
-        if (
-            _runs_at_most_once(exchange)
-            and exchange.method in _SINGLE_USE_METHODS
-        ):
+        at_most_once = runs_at_most_once(exchange.call)
+        if at_most_once and exchange.method in _SINGLE_USE_METHODS:
             return self._single_use_session
         return self._session
 
@@ -193,48 +175,24 @@
         exchange: Exchange,
         effect: Send | HandOff,
         resp: aiohttp.ClientResponse,
-    ) -> _SendResult:
+    ) -> SendResult:
         headers = parse_response_headers(resp.status, resp.raw_headers)
         connection = call_connection.get()
         if connection is not None:
             self.connector.record_keep_alive(
                 connection.protocol, headers.keep_alive_s
             )
-        if headers.req_id not in {None, exchange.call.req_id}:
-            resp.close()
-            return _SendResult(
-                SendStatus.broken, 'response has the id of another call'
-            )
-        if isinstance(effect, HandOff):
-            reason = find_not_run_reason(resp.raw_headers)
-            if reason is not None:
-                await resp.read()
-                return _SendResult(
-                    SendStatus.refused
-                    if reason == NO_ROOM
-                    else SendStatus.unsent,
-                    f'helper: {reason}',
-                )
-        else:
+        result = judge_head(
+            exchange.call,
+            effect,
+            AnswerHead(resp.status, resp.raw_headers, headers),
+        )
+        is_own = headers.req_id in {None, exchange.call.req_id}
+        if isinstance(effect, Send) and is_own:
             self._report_statements(effect, headers)
-        if headers.not_run:
-            detail = f'status {resp.status}, not run'
-            await resp.read()
-            refused = SendStatus.refused
-            if headers.misdirected:
-                refused = SendStatus.misdirected
-            return _SendResult(refused, detail)
-        if headers.has_content_encoding or not headers.has_seal:
-            resp.close()
-            detail = (
-                f'status {resp.status} with a content-encoding header or'
-                f' without an x-response-seal header'
-            )
-            return _SendResult(SendStatus.broken, detail)
-        if headers.looks_not_run and _runs_at_most_once(exchange):
-            resp.close()
-            detail = f'status {resp.status} of a call that may have run'
-            return _SendResult(SendStatus.broken, detail)
+        if result is not None:
+            await _discard_body(resp, result)
+            return result
         body = _ResponseBody(
             resp, headers, connection.close_future if connection else None
         )
@@ -287,10 +245,10 @@
         exchange: Exchange,
         effect: Send | HandOff,
         body: '_ResponseBody',
-    ) -> _SendResult:
+    ) -> SendResult:
         status = body.resp.status
         if exchange.started:
-            return _SendResult(
+            return SendResult(
                 SendStatus.broken,
                 f'status {status} instead of the rest of the stream',
             )
@@ -303,7 +261,7 @@
                 await exchange.write(bytes(held))
                 held.clear()
         if not body.is_complete():
-            return _SendResult(
+            return SendResult(
                 SendStatus.broken,
                 'response ended before it was complete',
                 connection_lost=True,
@@ -311,26 +269,26 @@
         response = BufferedResponse(status, body.headers.forwarded, bytes(held))
         if status >= 500 and not exchange.started:
             exchange.held = response
-            return _SendResult(SendStatus.failed, f'status {status}')
+            return SendResult(SendStatus.failed, f'status {status}')
         if exchange.started:
             await exchange.finish(response.body)
         else:
             self._submit(SendProgressed(effect.call_id, effect.attempt))
             await exchange.send_response(response)
-        return _SendResult(SendStatus.finished, f'status {status}')
+        return SendResult(SendStatus.finished, f'status {status}')
 
     async def _relay_events(
         self,
         exchange: Exchange,
         effect: Send | HandOff,
         body: '_ResponseBody',
-    ) -> _SendResult:
+    ) -> SendResult:
         goes_on = exchange.started and exchange.last_event_id is not None
         splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
         async for chunk in body.resp.content.iter_any():
             complete_events = splitter.feed(chunk)
             if splitter.broken:
-                return _SendResult(
+                return SendResult(
                     SendStatus.broken,
                     'event missing, repeated or too long in the stream',
                 )
@@ -348,11 +306,11 @@
                 ),
             )
         if splitter.expects_next:
-            return _SendResult(
+            return SendResult(
                 SendStatus.broken, 'no event to go on with in the answer'
             )
         if splitter.remainder or not body.is_complete():
-            return _SendResult(
+            return SendResult(
                 SendStatus.broken,
                 'stream ended before it was complete',
                 connection_lost=True,
@@ -360,7 +318,7 @@
         if not exchange.started:
             await exchange.start(200, _drop_content_length(body.headers))
         await exchange.finish()
-        return _SendResult(SendStatus.finished, 'status 200')
+        return SendResult(SendStatus.finished, 'status 200')
 
 
 @dataclass(slots=True)
@@ -390,8 +348,14 @@
         )
 
 
-def _runs_at_most_once(exchange: Exchange) -> bool:
-    return exchange.call.route.repeats is RetrySafety.never
+async def _discard_body(
+    resp: aiohttp.ClientResponse, result: SendResult
+) -> None:
+    """Read the body of a refusal, or close the connection of another answer."""
+    if result.status is SendStatus.broken:
+        resp.close()
+    else:
+        await resp.read()
 
 
 def _drop_content_length(headers: ResponseHeaders) -> list[tuple[bytes, bytes]]:
--- a/tests/functional/test_routed_promises.py
+++ b/tests/functional/test_routed_promises.py
@@ -29,3 +29,16 @@
             assert safe.headers['x-response-seal'] == 'seal-of-p2'
 
     asyncio.run(run())
+
+
+def test_refusal_that_names_no_call_is_no_promise():
+    # A refusal without the id of the call may belong to another request.
+    async def run():
+        async with run_routed_fleet(scripted_engines=0) as fleet:
+            for upstream in fleet.upstreams.values():
+                upstream.default = 'unnamed refusal'
+            resp = await fleet.call('/once/', 'p1', method='POST')
+            assert resp.status == 502
+            assert fleet.count_runs('p1') == 1
+
+    asyncio.run(run())
