Do not begin a send that was cancelled while it was queued

Cause: the cancellation looked at the running task only.

The own interface did this already; the routed calls had no twin of it.

--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -43,10 +43,10 @@
 
 @handles_effect(CancelSend)
 def cancel_send(runtime: Runtime, effect: CancelSend) -> None:
-    """Cancel the running send of a call; its connection is closed."""
+    """Cancel a send of a call; its connection is closed, if it has one."""
     exchange = runtime.calls.get(effect.call_id)
-    if exchange is not None and exchange.task is not None:
-        exchange.task.cancel()
+    if exchange is not None:
+        exchange.cancel_send(effect.attempt)
 
 
 @handles_effect(LogDecision)
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -36,10 +36,11 @@
     key, ``send`` the ASGI send callable. ``close_connection`` asks the caller
     to open a new connection for its next call. ``commands`` holds decisions of
     the core; None ends the exchange. ``task`` is the running send to an
-    upstream. ``held`` is the last failure response of an upstream, kept in case
-    the core relays it. ``last_event_id`` is the id of the last event that the
-    caller has. ``started`` is true once the status line was sent, ``complete``
-    once the whole response was.
+    upstream, ``cancelled_attempt`` the last one that was cancelled, and ``held``
+    the last failure response of an upstream, kept in case the core relays
+    it. ``last_event_id`` is the id of the last event that the caller has.
+    ``started`` is true once the status line was sent, ``complete`` once the
+    whole response was.
     """
 
     call: RoutedCall
@@ -50,13 +51,30 @@
     send: Any
     key: str | None = None
     close_connection: bool = False
-    commands: asyncio.Queue[Command] = field(default_factory=asyncio.Queue)
+    commands: asyncio.Queue[Command | None] = field(
+        default_factory=asyncio.Queue
+    )
     task: asyncio.Task[Any] | None = None
+    cancelled_attempt: int = 0
     held: BufferedResponse | None = None
     last_event_id: int | None = None
     started: bool = False
     complete: bool = False
 
+    async def next_command(self) -> Command | None:
+        """Wait for the next command but sends that were cancelled."""
+        while True:
+            command = await self.commands.get()
+            is_send = isinstance(command, Send | HandOff)
+            if not is_send or command.attempt > self.cancelled_attempt:
+                return command
+
+    def cancel_send(self, attempt: int) -> None:
+        """Cancel a send, also if it has not begun."""
+        self.cancelled_attempt = attempt
+        if self.task is not None:
+            self.task.cancel()
+
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Send the status line and the headers to the caller."""
         self.started = True
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -220,7 +220,7 @@
 
     async def _run_commands(self, exchange: Exchange) -> None:
         while True:
-            command = await exchange.commands.get()
+            command = await exchange.next_command()
             if command is None:
                 return
             if isinstance(command, Send | HandOff):
