--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -36,9 +36,9 @@
     key, ``send`` the ASGI send callable. ``close_connection`` asks the caller
     to open a new connection for its next call. ``commands`` holds decisions of
     the core; None ends the exchange. ``task`` is the running send to an
-    upstream, ``cancelled_attempt`` the last one that was cancelled, and ``held``
-    the last failure response of an upstream, kept in case the core relays
-    it. ``last_event_id`` is the id of the last event that the caller has.
+    upstream, ``cancelled_attempt`` the last one that was cancelled.
+    ``held`` is the last failure response of an upstream, kept in case the core
+    relays it. ``last_event_id`` is the id of the last event that the caller has.
     ``started`` is true once the status line was sent, ``complete`` once the
     whole response was.
     """
