Let plain calls fit a stop by their deadline too, as the servers close

Cause: the rule that a late call must fit by its deadline was for streams only; a plain call was expected to take what the ones before took. Test: failed before for a route that may be repeated and one that may not.

--- a/src/bilberryspoke/_internal/core/routing/stopping.py
+++ b/src/bilberryspoke/_internal/core/routing/stopping.py
@@ -21,8 +21,8 @@
 # A stream is expected to take at least this fraction of its timeout: the
 # longest ones have not ended yet when the load is young.
 _MIN_TIMEOUT_FRACTION = 0.4
-# Streams that come later than this after the begin of the stop must have the
-# time until their deadline: nothing is sent to this VM any more by then but on
+# Calls that come later than this after the begin of the stop must have the time
+# until their deadline: nothing is sent to this VM any more by then but on
 # connections that were idle, and their answers may be longer than those before.
 _UNCERTAIN_ANSWERS_S = 2.9
 # Fraction by which the longest duration of a route is lowered at each shorter
@@ -51,7 +51,7 @@
     call = call_state.call
     ends_at = now + _expect_duration_s(state.routing, call.route, now)
     stopped_for_s = now - state.stopping_since
-    if call.route.streams and stopped_for_s > _UNCERTAIN_ANSWERS_S:
+    if stopped_for_s > _UNCERTAIN_ANSWERS_S:
         ends_at = call.deadline_at
     return ends_at > state.stopping_since + limit_s
 
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -38,7 +38,7 @@
     the core; None ends the exchange. ``task`` is the running send to an
     upstream, ``cancelled_attempt`` the last one that was cancelled.
     ``held`` is the last failure response of an upstream, kept in case the core
-    relays it. ``last_event_id`` is the id of the last event that the caller has.
+    relays it. ``last_event_id`` is the id of the last event of the caller.
     ``started`` is true once the status line was sent, ``complete`` once the
     whole response was.
     """
