Ask callers whose calls were open at a SIGTERM to close their connections

Such a caller kept its connection, and its next call came late in the stop on a connection that is about to close. Cause: whether an answer asks to close was fixed when its call arrived. The test got no such header before; answers that begin after the SIGTERM all have it now.

--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -204,6 +204,8 @@
         logger.info('stopping', calls_open=len(components.runtime.calls))
         for ingress in components.ingresses:
             ingress.stopping = True
+        for exchange in components.runtime.calls.values():
+            exchange.close_connection = True
         components.runtime.submit(StopRequested())
         await asyncio.sleep(min(_DEREGISTRATION_DELAY_S, limit_s))
         for server in components.servers:
--- a/tests/functional/test_routed_changes.py
+++ b/tests/functional/test_routed_changes.py
@@ -148,6 +148,27 @@
     asyncio.run(run())
 
 
+def test_answer_that_ends_in_a_stop_closes_its_connection():
+    # A caller whose call was open at the SIGTERM kept its connection.
+    async def run():
+        async with run_routed_fleet(
+            app_upstreams=1, scripted_engines=0
+        ) as fleet:
+            node = fleet.nodes[0]
+            upstream = fleet.upstreams['i-app0']
+            upstream.answers[:] = ['hold']
+            call = asyncio.create_task(fleet.call('/safe/', 'o1'))
+            await wait_until(lambda: upstream.runs)
+            node.signal(TERM)
+            await wait_until(lambda: node.list_events('stopping'))
+            upstream.release.set()
+            resp = await call
+            assert resp.status == 200
+            assert resp.headers['connection'] == 'close'
+
+    asyncio.run(run())
+
+
 def test_reload_keeps_open_calls():
     async def run():
         async with run_routed_fleet(
