Test that an answer that ends within its head is never passed on as whole

Other operators told of a 200 with an empty or short body, framed as whole, after an engine had stopped within its head. Tried here at each byte of the head of a plain answer and of a stream, closed by the engine: no caller got a whole 200.

--- a/fakes/scripts.py
+++ b/fakes/scripts.py
@@ -78,6 +78,34 @@
     )
 
 
+def register_cut_head_script(length: int, *, streams: bool) -> str:
+    """Register an answer whose head ends after some bytes; return its name."""
+    name = f'head cut after {length}, {streams}'
+
+    @register_script(name)
+    async def answer_cut_head(
+        upstream: UpstreamStandIn,
+        run: Run,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(make_head(run, streams=streams)[:length])
+        writer.close()
+
+    return name
+
+
+def make_head(run: Run, *, streams: bool) -> bytes:
+    """Return the head of an answer of 16 bytes, or of a stream."""
+    framing = 'Transfer-Encoding: chunked' if streams else 'Content-Length: 16'
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'X-Attempt-Id: {run.req_id}',
+        f'X-Response-Seal: seal-of-{run.req_id}',
+        framing,
+    )
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
 def register_status_script(status: int) -> None:
     """Register ``status N``: run the call and answer with that status."""
 
--- a/tests/functional/test_routed_promises.py
+++ b/tests/functional/test_routed_promises.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from fakes.scripts import register_status_script
+from fakes.scripts import (
+    make_head,
+    register_cut_head_script,
+    register_status_script,
+)
+from fakes.upstream import Run
 from tests.lib.platformdata import build_config, build_server_entry
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
@@ -47,6 +52,26 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize('path', ['/safe/', '/stream/'])
+def test_answer_that_ends_within_its_head_is_never_passed_on(path):
+    # Other operators saw a 200 with an empty body, framed as whole.
+    async def run():
+        async with run_routed_fleet(
+            app_upstreams=1, scripted_engines=1
+        ) as fleet:
+            streams = path == '/stream/'
+            sample = Run('POST', path, {'x-attempt-id': 'h100'}, b'')
+            for length in range(len(make_head(sample, streams=streams)) + 1):
+                name = register_cut_head_script(length, streams=streams)
+                for upstream in fleet.upstreams.values():
+                    upstream.default = name
+                req_id = f'h{100 + length}'
+                resp = await fleet.call(path, req_id, method='POST')
+                assert resp.status != 200 or not resp.whole, length
+
+    asyncio.run(run())
+
+
 async def open_deaf_upstream(fleet):
     """Return a listening socket that the only upstream's entry names."""
     listener = socket.socket()
