Limit the exponent of delays that grow with each failure

A VM never probed an upstream again that had been out of reach for about 34 minutes (1,024 probes in a row): the delay overflowed before it was limited, and the handler raised. The delay of trial calls was computed in the same way from a number that other VMs tell.

--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -24,6 +24,7 @@
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.routing_effects import LogDecision
+from bilberryspoke._internal.utils.backoff import back_off_s
 from bilberryspoke._internal.utils.hashing import hash_parts, rank_members
 
 # An answer that has gone on for this long did not crash its upstream.
@@ -189,8 +190,13 @@
 
 def get_next_trial_at(block: Block) -> float:
     """Return when a call may be sent to see whether a block still holds."""
-    delay_s = _TRIAL_DELAY_S * _TRIAL_BACKOFF_FACTOR**block.trials
-    return block.crashed_at + min(delay_s, _MAX_TRIAL_DELAY_S)
+    delay_s = back_off_s(
+        block.trials,
+        first_s=_TRIAL_DELAY_S,
+        factor=_TRIAL_BACKOFF_FACTOR,
+        most_s=_MAX_TRIAL_DELAY_S,
+    )
+    return block.crashed_at + delay_s
 
 
 def review_crashes(state: VmState, now: float) -> None:
--- a/src/bilberryspoke/_internal/core/routing/passivehealth.py
+++ b/src/bilberryspoke/_internal/core/routing/passivehealth.py
@@ -3,6 +3,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from bilberryspoke._internal.utils.backoff import back_off_s
+
 _MIN_BACKOFF_S = 0.3
 _MAX_BACKOFF_S = 2.0
 _SILENCE_EJECTION_S = 0.3
@@ -71,9 +73,14 @@
 
     def record_misdirected(self, now: float) -> None:
         """Record a send that another upstream got, at the same address."""
-        backoff_s = _MIN_BACKOFF_S * 2**self.consecutive_unreachable
+        backoff_s = back_off_s(
+            self.consecutive_unreachable,
+            first_s=_MIN_BACKOFF_S,
+            factor=2,
+            most_s=_MAX_BACKOFF_S,
+        )
         self.consecutive_unreachable += 1
-        self.ejected_until = now + min(_MAX_BACKOFF_S, backoff_s)
+        self.ejected_until = now + backoff_s
         self.unresponsive_until = self.ejected_until + _PROBATION_S
 
     def record_silence(self, now: float) -> None:
