Tell by exit code and traceback that a background task ended

Operators saw processes end by themselves (FAULT) and could not tell why: after an error in a background task the daemon stopped as planned and exited with 0, and the log named the error, not its place. Exit code 4 now, with the task's name and the traceback in the log, for both daemons.

--- a/src/bilberryspoke/_internal/cli/daemon.py
+++ b/src/bilberryspoke/_internal/cli/daemon.py
@@ -24,7 +24,7 @@
 
     Exit codes: 0 stopped without cutting off a request, 1 requests were cut
     off, 2 the settings have findings, 3 a listening address could not be
-    bound.
+    bound, 4 a background task ended unexpectedly.
 
     Args:
         settings: settings file of the VM, JSON with comments.
--- a/src/bilberryspoke/_internal/cli/node.py
+++ b/src/bilberryspoke/_internal/cli/node.py
@@ -36,7 +36,8 @@
     Findings about the settings are printed to standard error.
 
     Exit codes: 0 stopped without cutting off a call, 1 calls were cut off,
-    2 the settings have findings, 3 a listening address could not be bound.
+    2 the settings have findings, 3 a listening address could not be bound,
+    4 a background task ended unexpectedly.
 
     Args:
         settings: settings file (YAML) that the platform writes; by default
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -102,9 +102,10 @@
         self._background_tasks = BackgroundTasks(self._stop)
 
     async def run(self) -> int:
-        """Run until stopped; return 1 if requests were aborted, else 0.
+        """Run until stopped; return the exit code.
 
-        Raises ``AddressBindError`` if an address cannot be bound.
+        It is 1 if requests were aborted, 4 if a background task ended by
+        itself, otherwise 0. Raises ``AddressBindError`` if an address cannot be bound.
         """
         components = assemble_components(
             self._settings, time.time_ns() // 1_000_000
@@ -124,7 +125,7 @@
         await self._background_tasks.cancel()
         await components.close()
         logger.info('stopped', requests_aborted=aborted)
-        return 1 if aborted else 0
+        return self._background_tasks.choose_exit_code(aborted=aborted)
 
     def _start(self, components: Components) -> list[asyncio.Task[Any]]:
         sockets = (components.sockets.entry, components.sockets.admin)
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -91,7 +91,9 @@
     async def run(self) -> int:
         """Run until SIGTERM or SIGINT; return the exit code.
 
-        The exit code is 1 if calls were aborted, otherwise 0.
+        The exit code is 1 if calls were aborted, 4 if a background task ended
+        by itself, otherwise 0. Raises ``AddressBindError`` if the address for
+        other VMs cannot be bound.
         """
         components = self._create_components()
         self._install_signal_handlers()
@@ -107,7 +109,7 @@
         await self._drain(components, server_tasks)
         aborted = len(components.runtime.calls)
         logger.info('stopped', calls_aborted=aborted)
-        return 1 if aborted else 0
+        return self._background_tasks.choose_exit_code(aborted=aborted)
 
     def _create_components(self) -> _Components:
         settings = self._settings
