End with exit code 3 if the port between VMs is in use

The process ended with a traceback and 1, the code of a stop that cut calls off: the address for other VMs is bound by the daemon, outside of what handled the error. The test got 1 before.

--- a/src/bilberryspoke/_internal/cli/node.py
+++ b/src/bilberryspoke/_internal/cli/node.py
@@ -57,11 +57,11 @@
     if metrics_port:
         node = dataclasses.replace(node, metrics_port=metrics_port)
     try:
-        sockets = _bind_sockets(node)
+        exit_code = _run_daemon(node, path, _bind_sockets(node))
     except AddressBindError as exc:
         print(exc, file=sys.stderr)
-        sys.exit(EXIT_ADDRESS_UNAVAILABLE)
-    sys.exit(_run_daemon(node, path, sockets))
+        exit_code = EXIT_ADDRESS_UNAVAILABLE
+    sys.exit(exit_code)
 
 
 def _bind_sockets(node: VmSettings) -> list[socket.socket]:
--- a/src/bilberryspoke/_internal/network/daemon.py
+++ b/src/bilberryspoke/_internal/network/daemon.py
@@ -105,7 +105,8 @@
         """Run until stopped; return the exit code.
 
         It is 1 if requests were aborted, 4 if a background task ended by
-        itself, otherwise 0. Raises ``AddressBindError`` if an address cannot be bound.
+        itself, otherwise 0. Raises ``AddressBindError`` if an address cannot be
+        bound.
         """
         components = assemble_components(
             self._settings, time.time_ns() // 1_000_000
--- a/tests/functional/test_routed_starts.py
+++ b/tests/functional/test_routed_starts.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -66,3 +67,19 @@
             await store.stop()
 
     asyncio.run(run())
+
+
+def test_port_between_vms_in_use_is_told_by_exit_code(tmp_path):
+    # It ended with a traceback, and the code of a stop that cut calls off.
+    async def run():
+        ip = f'{LOOPBACK_NET}.1'
+        ports = find_ports([ip])
+        settings = build_boot_settings(ip=ip, ports=ports)
+        path = tmp_path / 'settings.yaml'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        with socket.create_server((ip, ports[3])):
+            process = await start_node(path)
+            async with asyncio.timeout(_TIMEOUT_S):
+                assert await process.wait() == 3
+
+    asyncio.run(run())
