--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -147,12 +147,24 @@
             helper=helper.name,
             address=f'{host}:{state.settings.handoff_port}',
             deadline_at=call.deadline_at,
-            max_attempts=call.route.max_attempts - call_state.sends,
+            max_attempts=_count_sends_left(call_state),
             last_event_id=call_state.last_event_id,
         ),
     )
 
 
+def _count_sends_left(call_state: CallState) -> int:
+    """Return how many upstreams may receive a call through the helper.
+
+    It is one for a call that must run at most once: the helper may have other
+    routes, by which the call could be repeated.
+    """
+    call = call_state.call
+    if call.allows_retry_after_run:
+        return call.route.max_attempts - call_state.sends
+    return 1
+
+
 def record_helper_end(
     state: VmState, call_state: CallState, status: SendStatus, now: float
 ) -> None:
--- a/tests/functional/test_routed_changes.py
+++ b/tests/functional/test_routed_changes.py
@@ -14,15 +14,12 @@
 from tests.lib.routedfleet import (
     HUP,
     TERM,
+    list_adopted_versions,
     run_routed_fleet,
     wait_until,
 )
 
 
-def list_adopted_versions(node):
-    return [line['version'] for line in node.list_events('routes_adopted')]
-
-
 async def exchange_raw(node, raw):
     """Send bytes on a new connection and return all bytes until it closes."""
     reader, writer = await asyncio.open_connection(node.ip, node.entry_port)
--- a/tests/functional/test_routed_cuts.py
+++ b/tests/functional/test_routed_cuts.py
@@ -5,6 +5,12 @@
 import pytest
 
 from tests.lib.cutfleet import run_cut_fleet
+from tests.lib.platformdata import (
+    build_config,
+    build_route_entries,
+    build_route_entry,
+)
+from tests.lib.routedfleet import list_adopted_versions, wait_until
 
 # From the begin of a cut on callers are served at the other processes' expense.
 STABILITY_WINDOW_S = 3.0
@@ -100,6 +106,33 @@
     asyncio.run(run())
 
 
+def test_helper_with_another_kind_of_route_runs_a_call_once():
+    # A helper whose routes call the path safe sent a call of the other again.
+    async def run():
+        async with run_cut_fleet(nodes=2) as cuts:
+            # VMs take no routes of an equal version from each other.
+            for store, kind in zip(
+                cuts.stores, ('non_idempotent', 'safe'), strict=True
+            ):
+                once = build_route_entry('once', kind, **{'max-attempts': 3})
+                others = build_route_entries()[2:]
+                routes = [build_route_entry('safe', 'safe'), once, *others]
+                store.put('op/config', build_config(3, routes=routes))
+            for node in cuts.fleet.nodes:
+                await wait_until(
+                    lambda node=node: 3 in list_adopted_versions(node)
+                )
+            for upstream in cuts.upstreams:
+                upstream.default = 'reset'
+            cuts.cut([0], 'reset')
+            await asyncio.sleep(1)
+            resp = await cuts.fleet.call('/once/', 'k1', method='POST')
+            assert resp.status == 502
+            assert sum(each.count_runs('k1') for each in cuts.upstreams) == 1
+
+    asyncio.run(run())
+
+
 def test_call_whose_caller_left_reaches_no_upstream_once_links_are_back():
     """What a cut held up was delivered seconds after the caller had left."""
 
--- a/tests/lib/cutfleet.py
+++ b/tests/lib/cutfleet.py
@@ -21,12 +21,13 @@
 class CutFleet:
     """A fleet whose processes reach each upstream by a link of their own.
 
-    ``links`` holds those of each process.
+    ``links`` and ``stores`` hold those of each process.
     """
 
     fleet: RoutedFleet
     upstreams: list[UpstreamStandIn]
     links: list[list[Link]]
+    stores: list[StoreStandIn]
 
     def cut(self, nodes: Iterable[int], how: str) -> None:
         """Cut processes off from all upstreams, by a method of the link."""
@@ -85,7 +86,7 @@
             )
         )
         await wait_until(lambda: all(map(_knows_peers, fleet.nodes)))
-        yield CutFleet(fleet, standins, links)
+        yield CutFleet(fleet, standins, links, stores)
 
 
 def _knows_peers(node) -> bool:
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -231,6 +231,11 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
 
 
+def list_adopted_versions(node: RouterProcess) -> list[int]:
+    """Return the versions of the routes that a process has adopted."""
+    return [line['version'] for line in node.list_events('routes_adopted')]
+
+
 @contextlib.asynccontextmanager
 async def run_routed_fleet(
     *,
