--- a/deploy/node.py
+++ b/deploy/node.py
@@ -13,7 +13,9 @@
 # Imports create no garbage, so collection would only delay the start.
 # run_node turns it on again.
 gc.disable()
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'src'))
+_ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(_ROOT / 'src'))
+sys.path.append(str(_ROOT / 'target' / 'deps'))
 
 from bilberryspoke._internal.cli.node import run_node  # noqa: E402
 
