Log what a promise that a call did not run rests on

The line call_refused lists all ended sends of the call now: the upstream or VM, how the send ended, and after how many seconds.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -12,6 +12,7 @@
 from bilberryspoke._internal.models.routing import (
     ListedUpstream,
     RoutedCall,
+    SendStatus,
 )
 
 
@@ -52,7 +53,8 @@
     the upstream of the current send, None if not certain, and ``origin`` that
     of the begin of its stream, None before. ``helper`` is the VM that it was
     handed off to, empty while it is sent from here; ``tried_helpers`` are those
-    that did not serve it.
+    that did not serve it. ``ended_sends`` says of each ended send, for the log,
+    where it went, how it ended and after how many seconds.
     """
 
     call: RoutedCall
@@ -82,6 +84,7 @@
     origin: StreamOrigin | None = None
     helper: str = ''
     tried_helpers: list[str] = field(default_factory=list)
+    ended_sends: list[str] = field(default_factory=list)
 
     def begin_send(self, now: float) -> None:
         """Start to count a send, after the call may have waited for it."""
@@ -93,6 +96,12 @@
         self.began_at = None
         self.proven = False
 
+    def note_send_end(self, status: SendStatus, now: float) -> None:
+        """Note the end of the current send for the log."""
+        target = self.helper or self.instance
+        seconds = round(now - self.sent_at, 3)
+        self.ended_sends.append(f'{target} {status.value} {seconds}')
+
     def may_use(self, listed: ListedUpstream) -> bool:
         """Return whether an upstream can serve the call, by its software.
 
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -107,6 +107,7 @@
         'reason': refusal.reason,
         'not_run': not_run,
         'attempts': call_state.attempt,
+        'ended_sends': call_state.ended_sends,
         'upstream': call_state.instance,
         'age_s': round(now - call.arrived_at, 3),
         'last_event_id': call_state.last_event_id,
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -155,6 +155,7 @@
     event: SendEnded,
     now: float,
 ) -> None:
+    call_state.note_send_end(event.status, now)
     if call_state.helper:
         record_helper_end(state, call_state, event.status, now)
         return
--- a/tests/unit/test_routed_retries.py
+++ b/tests/unit/test_routed_retries.py
@@ -10,6 +10,7 @@
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_effects import (
     CancelSend,
+    LogDecision,
     RefuseCall,
     RelayFailure,
     Send,
@@ -45,6 +46,23 @@
     assert refusal.retry_after_s > 0
 
 
+def test_log_of_a_promise_says_what_it_rests_on():
+    core = RoutedCore(plain_upstreams=2)
+    first = core.arrive(build_call('c1', RUN_ONCE_ROUTE), now=0.0)
+    second = find_decision(core.end(first, SendStatus.unsent, now=0.1))
+    effects = core.end(second, SendStatus.refused, now=0.15)
+    [fields] = [
+        each.fields
+        for each in effects
+        if isinstance(each, LogDecision) and each.event == 'call_refused'
+    ]
+    assert fields['not_run']
+    assert fields['ended_sends'] == [
+        f'{first.instance} unsent 0.1',
+        f'{second.instance} refused 0.05',
+    ]
+
+
 def test_misdirected_send_does_not_count_as_attempt():
     """The engine crashed, and another one now has its address."""
     core = RoutedCore()
