--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -8,7 +8,6 @@
 
 from bilberryspoke._internal.models.routing import (
     NO_ROOM,
-    RetrySafety,
     RoutedCall,
     SendStatus,
 )
@@ -63,16 +62,11 @@
             f'status {head.status} with a content-encoding header or'
             f' without an x-response-seal header'
         )
-    if headers.looks_not_run and runs_at_most_once(call):
+    if headers.looks_not_run and not call.allows_retry_after_run:
         return _break(f'status {head.status} of a call that may have run')
     return None
 
 
-def runs_at_most_once(call: RoutedCall) -> bool:
-    """Return whether a call must not run a second time."""
-    return call.route.repeats is RetrySafety.never
-
-
 def _judge_helper_refusal(reason: str) -> SendResult:
     status = SendStatus.refused if reason == NO_ROOM else SendStatus.unsent
     return SendResult(status, f'helper: {reason}')
@@ -83,7 +77,7 @@
 
     An answer without an id may belong to another request.
     """
-    if not head.headers.req_id and runs_at_most_once(call):
+    if not (head.headers.req_id or call.allows_retry_after_run):
         return _break('refusal without the id of the call')
     status = SendStatus.refused
     if head.headers.misdirected:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -27,7 +27,6 @@
     AnswerHead,
     SendResult,
     judge_head,
-    runs_at_most_once,
 )
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
@@ -165,7 +164,7 @@
                 raise
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
-        at_most_once = runs_at_most_once(exchange.call)
+        at_most_once = not exchange.call.allows_retry_after_run
         if at_most_once and exchange.method in _SINGLE_USE_METHODS:
             return self._single_use_session
         return self._session
