Note ends of sends only where a log may need them, and ask once whose an answer is

No change of behaviour. Each finished call formatted a text that only a refusal logs; and the sender compared the id of an answer a second time, beside the module that judges heads.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -53,8 +53,9 @@
     the upstream of the current send, None if not certain, and ``origin`` that
     of the begin of its stream, None before. ``helper`` is the VM that it was
     handed off to, empty while it is sent from here; ``tried_helpers`` are those
-    that did not serve it. ``ended_sends`` says of each ended send, for the log,
-    where it went, how it ended and after how many seconds.
+    that did not serve it. ``ended_sends`` says of each send that ended but did
+    not finish, for the log, where it went, how it ended and after how many
+    seconds.
     """
 
     call: RoutedCall
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -133,6 +133,7 @@
         close_call(state, call_state, FINISHED, now)
         _use_free_slot(state, call_state, now)
         return
+    call_state.note_send_end(event.status, now)
     if event.status not in NOT_RUN_SEND_STATUSES:
         call_state.may_have_run = True
     if _acquire_retry(state, call_state, event, now):
@@ -155,7 +156,6 @@
     event: SendEnded,
     now: float,
 ) -> None:
-    call_state.note_send_end(event.status, now)
     if call_state.helper:
         record_helper_end(state, call_state, event.status, now)
         return
--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -49,7 +49,7 @@
     again, and the connection of a broken answer is to be closed.
     """
     headers = head.headers
-    if headers.req_id not in {None, call.req_id}:
+    if not may_answer(call, headers):
         return _break('response has the id of another call')
     if isinstance(effect, HandOff):
         reason = find_not_run_reason(head.raw)
@@ -67,6 +67,11 @@
     return None
 
 
+def may_answer(call: RoutedCall, headers: ResponseHeaders) -> bool:
+    """Return whether an answer does not name another call."""
+    return headers.req_id in {None, call.req_id}
+
+
 def _judge_helper_refusal(reason: str) -> SendResult:
     status = SendStatus.refused if reason == NO_ROOM else SendStatus.unsent
     return SendResult(status, f'helper: {reason}')
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -27,6 +27,7 @@
     AnswerHead,
     SendResult,
     judge_head,
+    may_answer,
 )
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
@@ -186,8 +187,7 @@
             effect,
             AnswerHead(resp.status, resp.raw_headers, headers),
         )
-        is_own = headers.req_id in {None, exchange.call.req_id}
-        if isinstance(effect, Send) and is_own:
+        if isinstance(effect, Send) and may_answer(exchange.call, headers):
             self._report_statements(effect, headers)
         if result is not None:
             await _discard_body(resp, result)
