--- a/src/bilberryspoke/_internal/core/upstreamload.py
+++ b/src/bilberryspoke/_internal/core/upstreamload.py
@@ -3,6 +3,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from bilberryspoke._internal.utils.backoff import back_off_s
+
 _TIME_PER_TOKEN_SMOOTHING_FACTOR = 0.2
 _INITIAL_S_PER_TOKEN = 0.03
 # Slots taken by others are not estimated from an older report.
@@ -105,9 +107,11 @@
     def record_failure(self, now: float) -> None:
         """Eject the upstream for a time that doubles with each failure."""
         self.consecutive_failures += 1
-        ejection_s = min(
-            _MAX_EJECTION_S,
-            _BASE_EJECTION_S * 2 ** min(self.consecutive_failures, 6),
+        ejection_s = back_off_s(
+            self.consecutive_failures,
+            first_s=_BASE_EJECTION_S,
+            factor=2,
+            most_s=_MAX_EJECTION_S,
         )
         self.ejected_until = now + ejection_s
 
