Log on which connection each send of a call went

ended_sends and call_ended now say the connection and which of its calls a send was (connection 12/3). call_ended of a call that must run once and was sent more than once counts as important, so that it is not dropped first. What a connection carried is kept on the protocol object of the connection instead of a table beside it. No decision changes.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -54,8 +54,8 @@
     of the begin of its stream, None before. ``helper`` is the VM that it was
     handed off to, empty while it is sent from here; ``tried_helpers`` are those
     that did not serve it. ``ended_sends`` says of each send that ended but did
-    not finish, for the log, where it went, how it ended and after how many
-    seconds.
+    not finish, for the log, where it went, how it ended, after how many seconds
+    and on which connection. ``connection`` is that of the last ended send.
     """
 
     call: RoutedCall
@@ -86,6 +86,7 @@
     helper: str = ''
     tried_helpers: list[str] = field(default_factory=list)
     ended_sends: list[str] = field(default_factory=list)
+    connection: str = ''
 
     def begin_send(self, now: float) -> None:
         """Start to count a send, after the call may have waited for it."""
@@ -101,7 +102,10 @@
         """Note the end of the current send for the log."""
         target = self.helper or self.instance
         seconds = round(now - self.sent_at, 3)
-        self.ended_sends.append(f'{target} {status.value} {seconds}')
+        described = f'{target} {status.value} {seconds}'
+        if self.connection:
+            described += f' connection {self.connection}'
+        self.ended_sends.append(described)
 
     def may_use(self, listed: ListedUpstream) -> bool:
         """Return whether an upstream can serve the call, by its software.
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -161,6 +161,8 @@
                 'outcome': outcome,
                 'upstream': call_state.instance,
                 'attempts': call_state.attempt,
+                'ended_sends': call_state.ended_sends,
+                'connection': call_state.connection,
                 'first_event_s': None
                 if first_event_s is None
                 else round(first_event_s, 3),
@@ -170,11 +172,19 @@
                 'on_time': outcome == FINISHED
                 and _is_on_time(call_state, first_event_s),
             },
-            important=outcome not in _ROUTINE_OUTCOMES,
+            important=outcome not in _ROUTINE_OUTCOMES
+            or _rests_on_ended_sends(call_state),
         ),
     )
 
 
+def _rests_on_ended_sends(call_state: CallState) -> bool:
+    """Return whether a call that must run once was sent more than once."""
+    return bool(
+        call_state.ended_sends and not call_state.call.allows_retry_after_run
+    )
+
+
 def _describe_capacity(
     state: VmState,
     call_state: CallState,
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -126,6 +126,7 @@
     call_state = state.routing.calls.get(event.call_id)
     if call_state is None or call_state.attempt != event.attempt:
         return
+    call_state.connection = event.connection
     _record_send_end(state, call_state, event, now)
     if event.last_event_id is not None:
         call_state.last_event_id = event.last_event_id
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -190,6 +190,8 @@
     complete.
     ``upstream_crashed``: whether the address then refused connections too, as
     when the upstream crashed.
+    ``connection``: the connection of the send and which of its calls it was,
+    for the log; empty if none was opened.
     """
 
     call_id: str
@@ -200,6 +202,7 @@
     last_event_id: int | None = None
     connection_lost: bool = False
     upstream_crashed: bool = False
+    connection: str = ''
 
 
 RoutingEvent = (
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -1,9 +1,11 @@
 """Keep-alive connections to upstreams."""
 
 import asyncio
+import functools
 import math
 import socket
 import struct
+from collections.abc import Iterator
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import Any
@@ -27,18 +29,47 @@
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
+class CallProtocol(ResponseHandler):
+    """Connection to an upstream or a helper that calls use in turn.
+
+    ``number`` tells the connections of a VM apart; 0 before the first call.
+    ``calls`` counts those that it carried. No call is sent on it from
+    ``reusable_until`` on, in seconds of the boot-time clock.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Create the protocol of a connection that is being opened."""
+        super().__init__(loop=loop)
+        self.number = 0
+        self.calls = 0
+        self.reusable_until = math.inf
+
+    def get_peer_address(self) -> str:
+        """Return the address at the other end, empty if it is closed."""
+        peer = None
+        if self.transport is not None:
+            peer = self.transport.get_extra_info('peername')
+        return f'{peer[0]}:{peer[1]}' if peer else ''
+
+
 @dataclass(frozen=True, slots=True)
 class CallConnection:
     """Connection that carries a call.
 
+    ``position`` is which of the connection's calls it is, from 1 on.
     ``close_future`` is done when the connection closes. It has an exception
     unless the upstream closed the connection cleanly. It is None if the
     connection was already closed.
     """
 
-    protocol: ResponseHandler
+    protocol: CallProtocol
+    position: int
     close_future: asyncio.Future[None] | None
 
+    def describe(self) -> str:
+        """Return number and position for the log."""
+        return f'{self.protocol.number}/{self.position}'
+
 
 # Connection of the call that the current task sends. It can't be read from the
 # response: aiohttp returns the connection to its pool before the response is
@@ -68,8 +99,8 @@
             force_close=force_close,
             socket_factory=_make_socket,
         )
-        self._reusable_until: dict[ResponseHandler, float] = {}
-        self.opened_connections = 0
+        self._factory = functools.partial(CallProtocol, loop=self._loop)
+        self._opened_connections = 0
 
     async def connect(
         self,
@@ -84,18 +115,16 @@
         while True:
             connection = await super().connect(req, traces, timeout)
             protocol = connection.protocol
-            reusable_until = self._reusable_until.pop(protocol, None)
-            if reusable_until is None:
-                self.opened_connections += 1
-                _record_call_connection(protocol)
-                return connection
-            if read_boottime() < reusable_until and not protocol.should_close:
-                _record_call_connection(protocol)
+            if not protocol.number:
+                self._opened_connections += 1
+                protocol.number = self._opened_connections
+            if _may_carry_call(protocol):
+                _record_call(protocol)
                 return connection
             connection.close()
 
     def record_keep_alive(
-        self, protocol: ResponseHandler, keep_alive_s: float | None
+        self, protocol: CallProtocol, keep_alive_s: float | None
     ) -> None:
         """Record how long an upstream keeps a connection open while idle.
 
@@ -105,51 +134,44 @@
         lifetime_s = (
             _DEFAULT_KEEP_ALIVE_S if keep_alive_s is None else keep_alive_s
         )
-        self._reusable_until[protocol] = (
+        protocol.reusable_until = (
             read_boottime() + lifetime_s - _KEEP_ALIVE_MARGIN_S
         )
-        # Entries of closed connections are not removed one by one.
-        if len(self._reusable_until) > 4 * self._count_pooled_with_margin():
-            self._remove_closed()
 
     def expire_connections(self, address: str) -> None:
-        """Prevent the reuse of all pooled connections to ``address``.
+        """Prevent the reuse of all connections to ``address``.
 
         Called after a connection to ``address`` (host:port) failed. Others
         that were opened before the network path broke look open until they
-        are used.
+        are used. Those whose answer has yet to begin are reused after it.
         """
-        for protocol in self._reusable_until:
-            if _get_peer_address(protocol) == address:
-                self._reusable_until[protocol] = -math.inf
-
-    def _count_pooled_with_margin(self) -> int:
-        """Return the number of pooled connections plus 16.
-
-        The margin keeps ``record_keep_alive`` from removing entries at almost
-        every response while the pool is small.
-        """
-        return 16 + sum(len(pooled) for pooled in self._conns.values())
-
-    def _remove_closed(self) -> None:
-        self._reusable_until = {
-            protocol: reusable_until
-            for protocol, reusable_until in self._reusable_until.items()
-            if protocol.is_connected()
-        }
-
-
-def _get_peer_address(protocol: ResponseHandler) -> str:
-    transport = protocol.transport
-    peer = transport.get_extra_info('peername') if transport else None
-    return f'{peer[0]}:{peer[1]}' if peer else ''
+        for protocol in self._list_protocols():
+            if protocol.get_peer_address() == address:
+                protocol.reusable_until = -math.inf
+
+    def _list_protocols(self) -> Iterator[CallProtocol]:
+        """Yield all open connections, in use and pooled."""
+        yield from self._acquired
+        for pooled in self._conns.values():
+            for protocol, _ in pooled:
+                yield protocol
+
+
+def _may_carry_call(protocol: CallProtocol) -> bool:
+    """Return whether a connection is new, or pooled and safe to reuse."""
+    if not protocol.calls:
+        return True
+    return (
+        read_boottime() < protocol.reusable_until and not protocol.should_close
+    )
 
 
-def _record_call_connection(protocol: ResponseHandler) -> None:
+def _record_call(protocol: CallProtocol) -> None:
     close_future = protocol.closed
     if close_future is not None:
         close_future.add_done_callback(_retrieve_exception)
-    call_connection.set(CallConnection(protocol, close_future))
+    protocol.calls += 1
+    call_connection.set(CallConnection(protocol, protocol.calls, close_future))
 
 
 def _retrieve_exception(close_future: asyncio.Future[None]) -> None:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -117,6 +117,7 @@
         of the returned event tells them apart.
         """
         delivered = exchange.started
+        call_connection.set(None)
         try:
             result = await self._send_request(exchange, effect)
         except (
@@ -133,6 +134,7 @@
             and isinstance(effect, Send)
             and await self._check.check(effect.address) is Reach.refused
         )
+        connection = call_connection.get()
         return SendEnded(
             call_id=effect.call_id,
             attempt=effect.attempt,
@@ -142,6 +144,7 @@
             last_event_id=exchange.last_event_id,
             connection_lost=result.connection_lost,
             upstream_crashed=crashed,
+            connection=connection.describe() if connection else '',
         )
 
     async def _send_request(
