Take no answer that names no call, whatever the kind of the call

Callers would see: the answer to another request, under status 200 and sealed, on a safe call or a resumed stream.

Cause: an answer without an id was taken for the call's own, unless it was a refusal of a call that must run once. Upstreams repeat the id of each request, so that an answer without one belongs to a request without one.

Evidence: test_answer_that_names_no_call_reaches_no_caller, both cases got 200 with the body of the other request before.

Why this works: the id of an answer must be that of the call, in one place.

--- a/fakes/scripts.py
+++ b/fakes/scripts.py
@@ -78,6 +78,19 @@
     )
 
 
+@register_script('unnamed')
+async def answer_unnamed(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer with a sealed body, without any id."""
+    writer.write(
+        b'HTTP/1.1 200 Scripted\r\nX-Response-Seal: s\r\n'
+        b'Content-Length: 5\r\n\r\nother'
+    )
+
+
 def register_cut_head_script(length: int, *, streams: bool) -> str:
     """Register an answer whose head ends after some bytes; return its name."""
     name = f'head cut after {length}, {streams}'
--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -49,14 +49,15 @@
     again, and the connection of a broken answer is to be closed.
     """
     headers = head.headers
-    if not may_answer(call, headers):
-        return _break('response has the id of another call')
-    if isinstance(effect, HandOff):
+    if isinstance(effect, HandOff) and headers.req_id in {None, call.req_id}:
+        # Helpers repeat the id in answers of upstreams only.
         reason = find_not_run_reason(head.raw)
         if reason is not None:
             return _judge_helper_refusal(reason)
+    if not answers_call(call, headers):
+        return _break(f'response has the id {headers.req_id}')
     if headers.not_run:
-        return _judge_refusal(call, head)
+        return _judge_refusal(head)
     if headers.has_content_encoding or not headers.has_seal:
         return _break(
             f'status {head.status} with a content-encoding header or'
@@ -67,9 +68,13 @@
     return None
 
 
-def may_answer(call: RoutedCall, headers: ResponseHeaders) -> bool:
-    """Return whether an answer does not name another call."""
-    return headers.req_id in {None, call.req_id}
+def answers_call(call: RoutedCall, headers: ResponseHeaders) -> bool:
+    """Return whether an answer names the call.
+
+    Upstreams repeat the id of a request in each answer. One without an id may
+    belong to any other request.
+    """
+    return (headers.req_id or '') == call.req_id
 
 
 def _judge_helper_refusal(reason: str) -> SendResult:
@@ -77,13 +82,8 @@
     return SendResult(status, f'helper: {reason}')
 
 
-def _judge_refusal(call: RoutedCall, head: AnswerHead) -> SendResult:
-    """Return the result of an answer that says that a call did not run.
-
-    An answer without an id may belong to another request.
-    """
-    if not (head.headers.req_id or call.allows_retry_after_run):
-        return _break('refusal without the id of the call')
+def _judge_refusal(head: AnswerHead) -> SendResult:
+    """Return the result of an answer that says that a call did not run."""
     status = SendStatus.refused
     if head.headers.misdirected:
         status = SendStatus.misdirected
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -26,8 +26,8 @@
 from bilberryspoke._internal.network.routing.answerheads import (
     AnswerHead,
     SendResult,
+    answers_call,
     judge_head,
-    may_answer,
 )
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
@@ -190,7 +190,7 @@
             effect,
             AnswerHead(resp.status, resp.raw_headers, headers),
         )
-        if isinstance(effect, Send) and may_answer(exchange.call, headers):
+        if isinstance(effect, Send) and answers_call(exchange.call, headers):
             self._report_statements(effect, headers)
         if result is not None:
             await _discard_body(resp, result)
--- a/tests/functional/test_routed_surplus_answers.py
+++ b/tests/functional/test_routed_surplus_answers.py
@@ -133,3 +133,21 @@
             assert resp.body == b'answer to m2'
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('path', ['/safe/', '/once/'])
+def test_answer_that_names_no_call_reaches_no_caller(path):
+    # A safe call took an answer without an id for its own.
+    async def run():
+        async with run_routed_fleet(
+            scripted_engines=0, app_upstreams=1
+        ) as fleet:
+            upstream = fleet.upstreams['i-app0']
+            upstream.answers.append('unnamed')
+            resp = await fleet.call(path, 'u1', method='POST')
+            assert resp.status == 502
+            assert resp.body != b'other'
+            later = await fleet.call(path, 'u2', method='POST')
+            assert later.status == 200
+
+    asyncio.run(run())
