--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -28,7 +28,7 @@
 
     ``number`` tells the connections of a VM apart; 0 before the first call.
     ``calls`` counts those that it carried, ``surplus`` the answers that were
-    passed over. No call is sent on it from ``reusable_until`` on, in seconds of
+    passed over for the last one. No call is sent on it from ``reusable_until`` on, in seconds of
     the boot-time clock.
     """
 
@@ -65,6 +65,7 @@
         if self.calls:
             self._earlier_ids.add(hash(self._req_id))
         self._req_id = req_id
+        self.surplus = 0
         self.calls += 1
 
     def get_peer_address(self) -> str:
