--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -28,8 +28,8 @@
 
     ``number`` tells the connections of a VM apart; 0 before the first call.
     ``calls`` counts those that it carried, ``surplus`` the answers that were
-    passed over for the last one. No call is sent on it from ``reusable_until`` on, in seconds of
-    the boot-time clock.
+    passed over for the last one. No call is sent on it from ``reusable_until``
+    on, in seconds of the boot-time clock.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
