--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -151,7 +151,10 @@
 
     def _list_protocols(self) -> Iterator[CallProtocol]:
         """Yield all open connections, in use and pooled."""
-        yield from self._acquired
+        for acquired in self._acquired:
+            # Others stand for connections that are being opened.
+            if isinstance(acquired, CallProtocol):
+                yield acquired
         for pooled in self._conns.values():
             for protocol, _ in pooled:
                 yield protocol
