Close a connection whose upstream sends answers without end

What callers saw: an upstream that sent 100 or 103 without end, or whole small answers behind its answer, got all of them kept. The call at it, and calls of other callers on the VM, ended with 504; the process grew beyond the 150 MB that a VM has.

Cause: aiohttp bounds single lines and the unread part of one body. The queue of parsed answers, the interim answers that are read in one go, the bytes of a head, of chunk extensions and of trailers have no bound.

--- /dev/null
+++ b/fakes/endless.py
@@ -0,0 +1,120 @@
+"""Stand-in for an upstream that sends without end until it is closed."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from fakes.upstream import (
+    Run,
+    UpstreamStandIn,
+    make_body,
+    write_head,
+    write_whole,
+)
+
+# It gives up after as many bytes on one connection.
+MAX_BYTES = 200_000_000
+# More than the router holds back before it relays.
+LARGE_BODY = bytes(8_000_000)
+_BLOCK_BYTES = 262_144
+_REFUSAL = {'X-Not-Executed': '1'}
+
+
+Begin = Callable[[Run, asyncio.StreamWriter], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Flood:
+    """How a faulty upstream answers a call.
+
+    ``begin`` writes what comes first, ``make_piece`` returns the bytes that are
+    sent again and again.
+    """
+
+    begin: Begin
+    make_piece: Callable[[Run], bytes]
+
+
+@dataclass(slots=True)
+class EndlessUpstream(UpstreamStandIn):
+    """An upstream that answers each call by the flood named ``flood``.
+
+    A call counts as aborted if its connection was closed by the other side
+    before the flood was over.
+    """
+
+    flood: str = ''
+
+    async def run_script(
+        self, name: str, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a call by the flood, whatever the name."""
+        flood = FLOODS[self.flood]
+        flood.begin(run, writer)
+        piece = flood.make_piece(run)
+        block = piece * (_BLOCK_BYTES // len(piece) + 1)
+        for _ in range(MAX_BYTES // len(block)):
+            writer.write(block)
+            await writer.drain()
+
+
+def _write_nothing(run: Run, writer: asyncio.StreamWriter) -> None:
+    """Begin without a head: the flood itself is in its place."""
+
+
+def _write_answer(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_whole(writer, run, 200, make_body(run))
+
+
+def _write_large_answer(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_whole(writer, run, 200, LARGE_BODY)
+
+
+def _write_refusal_in_chunks(status: int) -> Begin:
+    def begin(run: Run, writer: asyncio.StreamWriter) -> None:
+        headers = {'Transfer-Encoding': 'chunked', **_REFUSAL}
+        write_head(writer, run, status, headers, sealed=False)
+
+    return begin
+
+
+def _write_refusal_of_length(status: int) -> Begin:
+    def begin(run: Run, writer: asyncio.StreamWriter) -> None:
+        headers = {'Content-Length': str(2 * MAX_BYTES), **_REFUSAL}
+        write_head(writer, run, status, headers, sealed=False)
+
+    return begin
+
+
+def _repeat(raw: bytes) -> Callable[[Run], bytes]:
+    return lambda run: raw
+
+
+def _make_small_answer(run: Run) -> bytes:
+    lines = (
+        'HTTP/1.1 200 Again',
+        f'X-Attempt-Id: {run.req_id}',
+        f'X-Response-Seal: seal-of-{run.req_id}',
+        'Content-Length: 2',
+    )
+    return '\r\n'.join([*lines, '', 'ok']).encode()
+
+
+_CHUNK = b'1000\r\n%s\r\n' % (b'x' * 4096)
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+
+FLOODS = {
+    'refusal 421, chunks': Flood(
+        _write_refusal_in_chunks(421), _repeat(_CHUNK)
+    ),
+    'refusal 503, chunks': Flood(
+        _write_refusal_in_chunks(503), _repeat(_CHUNK)
+    ),
+    'refusal 421, length': Flood(_write_refusal_of_length(421), _repeat(b'x')),
+    'refusal 503, length': Flood(_write_refusal_of_length(503), _repeat(b'x')),
+    'interim 100': Flood(_write_nothing, _repeat(_CONTINUE)),
+    'interim 103': Flood(_write_nothing, _repeat(_HINTS)),
+    'answers': Flood(_write_answer, _make_small_answer),
+    'answers after a large one': Flood(_write_large_answer, _make_small_answer),
+}
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from aiohttp import ClientError
-from aiohttp.client_proto import ResponseHandler
 
+from bilberryspoke._internal.network.boundedprotocol import BoundedProtocol
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.platform.headers import find_req_id
 
@@ -19,7 +19,7 @@
 _SURPLUS_TIMEOUT_S = 0.3
 
 
-class CallProtocol(ResponseHandler):
+class CallProtocol(BoundedProtocol):
     """Connection to an upstream or a helper that calls use in turn.
 
     No request id goes over it twice. So an answer that bears the id of the
@@ -40,6 +40,7 @@
         self.surplus = 0
         self.reusable_until = math.inf
         self._req_id = ''
+        self._passed_over = 0
         # Hashes, as callers choose ids of any length.
         self._earlier_ids: set[int] = set()
 
@@ -66,6 +67,7 @@
             self._earlier_ids.add(hash(self._req_id))
         self._req_id = req_id
         self.surplus = 0
+        self._passed_over = 0
         self.calls += 1
 
     def get_peer_address(self) -> str:
@@ -75,20 +77,18 @@
             peer = self.transport.get_extra_info('peername')
         return f'{peer[0]}:{peer[1]}' if peer else ''
 
-    async def read(self) -> Any:
-        """Return the next answer that is not to an earlier call.
+    async def pass_over(self, message: Any, body: Any) -> bool:
+        """Read an answer to an earlier call; return whether it was one.
 
-        One that can't be passed over within the limits is returned too; its id
-        tells that it is not for this call.
+        One that can't be passed over within the limits is not: its id tells
+        that it is not for this call.
         """
-        for _ in range(_MAX_SURPLUS_ANSWERS):
-            message, payload = await super().read()
-            if not self._answers_earlier_call(message):
-                return message, payload
-            self.surplus += 1
-            if not await _skip_body(payload):
-                return message, payload
-        return await super().read()
+        is_due = not self._answers_earlier_call(message)
+        if is_due or self._passed_over >= _MAX_SURPLUS_ANSWERS:
+            return False
+        self._passed_over += 1
+        self.surplus += 1
+        return await _skip_body(body)
 
     def _answers_earlier_call(self, message: Any) -> bool:
         req_id = find_req_id(message.raw_headers)
--- /dev/null
+++ b/tests/functional/test_routed_endless_answers.py
@@ -0,0 +1,98 @@
+"""Upstreams that send without end until their connection is closed."""
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
+
+from fakes.endless import LARGE_BODY, EndlessUpstream
+from tests.lib.routedfleet import run_routed_fleet, wait_until
+
+# All that a VM has, as the site states it.
+_VM_KB = 150_000
+_CALLS_AT_ONCE = 4
+_MAX_ATTEMPTS = 20
+
+
+def read_peak_kb(node):
+    """Return the peak of a process's resident memory so far."""
+    status = Path(f'/proc/{node.process.pid}/status').read_text('ascii')
+    line = next(
+        line for line in status.splitlines() if line.startswith('VmHWM:')
+    )
+    return int(line.split()[1])
+
+
+def is_listed(node, instance):
+    """Return whether a process knows an upstream."""
+    listed = node.list_events('upstream_listed')
+    return any(line['upstream'] == instance for line in listed)
+
+
+@contextlib.asynccontextmanager
+async def run_endless_fleet(flood):
+    """Run a sound upstream beside a faulty one."""
+    async with run_routed_fleet(scripted_engines=0, app_upstreams=1) as fleet:
+        faulty = EndlessUpstream('i-faulty', flood=flood)
+        await fleet.add_upstream(faulty, 'app')
+        await wait_until(lambda: is_listed(fleet.nodes[0], faulty.instance))
+        try:
+            yield fleet, faulty
+        finally:
+            await faulty.stop()
+
+
+async def call_until_met(fleet, faulty):
+    """Send calls until the faulty upstream got one; return the last answers."""
+    for attempt in range(_MAX_ATTEMPTS):
+        calls = [
+            fleet.call('/safe/', f'e{attempt}-{number}', method='POST')
+            for number in range(_CALLS_AT_ONCE)
+        ]
+        answers = await asyncio.gather(*calls)
+        if faulty.runs:
+            assert read_peak_kb(fleet.nodes[0]) < _VM_KB
+            return answers
+    raise AssertionError('no call went to the faulty upstream')
+
+
+async def check_fleet(fleet, faulty):
+    """Check that its connection was closed and others are served."""
+    await wait_until(lambda: faulty.runs[0].ended)
+    assert faulty.runs[0].aborted
+    answers = await fleet.send_calls(0.5, per_s=20, prefix='later')
+    assert {answer.status for answer in answers} == {200}
+    await wait_until(lambda: all(run.ended for run in faulty.runs))
+    assert all(run.aborted for run in faulty.runs)
+    assert read_peak_kb(fleet.nodes[0]) < _VM_KB
+
+
+@pytest.mark.parametrize(
+    'flood',
+    ['interim 100', 'interim 103'],
+)
+def test_interim_answers_without_end_fill_no_memory(flood):
+    # All of them were kept; the call and others beside it ended with 504.
+    async def run():
+        async with run_endless_fleet(flood) as (fleet, faulty):
+            answers = await call_until_met(fleet, faulty)
+            assert {answer.status for answer in answers} == {200}
+            await check_fleet(fleet, faulty)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('flood', ['answers', 'answers after a large one'])
+def test_answers_without_end_fill_no_memory(flood):
+    # A pooled connection took them all; its call's answer stays whole.
+    async def run():
+        async with run_endless_fleet(flood) as (fleet, faulty):
+            answers = await call_until_met(fleet, faulty)
+            assert {answer.status for answer in answers} == {200}
+            assert all(answer.whole for answer in answers)
+            if flood != 'answers':
+                assert LARGE_BODY in {answer.body for answer in answers}
+            await check_fleet(fleet, faulty)
+
+    asyncio.run(run())
