Let a call go on at the head of its refusal, whatever body follows

What callers saw: a call that an upstream refused unexecuted (421, 503) waited until the body of the refusal had ended before it was sent elsewhere. If the body had no end, the call ended with 504, and all of its bytes were kept in memory until then.

Cause: the sender read the body without any bound, as a part of the send, so that its connection could be used again.

Fix: the send ends at the head. So a short body, also one that comes late, costs no new connection.

--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -8,6 +8,7 @@
     Run,
     UpstreamStandIn,
     make_body,
+    register_script,
     write_head,
     write_whole,
 )
@@ -16,6 +17,8 @@
 MAX_BYTES = 200_000_000
 # More than the router holds back before it relays.
 LARGE_BODY = bytes(8_000_000)
+# How long after its head a late body comes.
+LATE_S = 0.1
 _BLOCK_BYTES = 262_144
 _REFUSAL = {'X-Not-Executed': '1'}
 
@@ -28,7 +31,7 @@
     """How a faulty upstream answers a call.
 
     ``begin`` writes what comes first, ``make_piece`` returns the bytes that are
-    sent again and again.
+    sent again and again, or none if nothing follows.
     """
 
     begin: Begin
@@ -52,6 +55,8 @@
         flood = FLOODS[self.flood]
         flood.begin(run, writer)
         piece = flood.make_piece(run)
+        if not piece:
+            await asyncio.Event().wait()
         block = piece * (_BLOCK_BYTES // len(piece) + 1)
         for _ in range(MAX_BYTES // len(block)):
             writer.write(block)
@@ -78,6 +83,18 @@
     return begin
 
 
+@register_script('late refusal body')
+async def refuse_with_late_body(
+    upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+) -> None:
+    """Refuse the call without running it; the body comes after the head."""
+    headers = {'Content-Length': '4', **_REFUSAL}
+    write_head(writer, run, 503, headers, sealed=False)
+    await writer.drain()
+    await asyncio.sleep(LATE_S)
+    writer.write(b'busy')
+
+
 def _write_refusal_of_length(status: int) -> Begin:
     def begin(run: Run, writer: asyncio.StreamWriter) -> None:
         headers = {'Content-Length': str(2 * MAX_BYTES), **_REFUSAL}
@@ -113,6 +130,7 @@
     ),
     'refusal 421, length': Flood(_write_refusal_of_length(421), _repeat(b'x')),
     'refusal 503, length': Flood(_write_refusal_of_length(503), _repeat(b'x')),
+    'refusal 421, silent': Flood(_write_refusal_of_length(421), _repeat(b'')),
     'interim 100': Flood(_write_nothing, _repeat(_CONTINUE)),
     'interim 103': Flood(_write_nothing, _repeat(_HINTS)),
     'answers': Flood(_write_answer, _make_small_answer),
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -8,7 +8,10 @@
 import structlog
 from yarl import URL
 
-from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing import (
+    NOT_RUN_SEND_STATUSES,
+    SendStatus,
+)
 from bilberryspoke._internal.models.routing_effects import (
     HandOff,
     Send,
@@ -33,6 +36,7 @@
     KeepAliveConnector,
     call_connection,
 )
+from bilberryspoke._internal.network.routing.draining import BodyDrains
 from bilberryspoke._internal.network.routing.eventstream import EventSplitter
 from bilberryspoke._internal.network.routing.exchange import (
     BufferedResponse,
@@ -90,6 +94,7 @@
         self._submit = submit
         self.prober = LinkProber(submit, self.connector.expire_connections)
         self._check = ListenCheck()
+        self._drains = BodyDrains()
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -102,6 +107,7 @@
 
     async def close(self) -> None:
         """Close all connections to upstreams."""
+        await self._drains.close()
         await self._session.close()
         await self._single_use_session.close()
         await self.prober.close()
@@ -150,7 +156,7 @@
     async def _send_request(
         self, exchange: Exchange, effect: Send | HandOff
     ) -> SendResult:
-        async with self._choose_session(exchange).request(
+        resp = await self._choose_session(exchange).request(
             exchange.method,
             URL(
                 f'http://{effect.address}{exchange.request_target}',
@@ -160,12 +166,20 @@
             headers=make_headers(exchange, effect),
             allow_redirects=False,
             skip_auto_headers=_AUTO_HEADERS,
-        ) as resp:
-            try:
-                return await self._handle_response(exchange, effect, resp)
-            except BaseException:
-                resp.close()
-                raise
+        )
+        try:
+            result = await self._handle_response(exchange, effect, resp)
+        except BaseException:
+            resp.close()
+            raise
+        if result.status in NOT_RUN_SEND_STATUSES:
+            self._drains.start(resp)
+            return result
+        if result.status is SendStatus.broken:
+            resp.close()
+        resp.release()
+        await resp.wait_for_close()
+        return result
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
         at_most_once = not exchange.call.allows_retry_after_run
@@ -193,7 +207,6 @@
         if isinstance(effect, Send) and answers_call(exchange.call, headers):
             self._report_statements(effect, headers)
         if result is not None:
-            await _discard_body(resp, result)
             return result
         body = _ResponseBody(
             resp, headers, connection.close_future if connection else None
@@ -350,15 +363,5 @@
         )
 
 
-async def _discard_body(
-    resp: aiohttp.ClientResponse, result: SendResult
-) -> None:
-    """Read the body of a refusal, or close the connection of another answer."""
-    if result.status is SendStatus.broken:
-        resp.close()
-    else:
-        await resp.read()
-
-
 def _drop_content_length(headers: ResponseHeaders) -> list[tuple[bytes, bytes]]:
     return [pair for pair in headers.forwarded if pair[0] != _CONTENT_LENGTH]
--- a/tests/functional/test_routed_endless_answers.py
+++ b/tests/functional/test_routed_endless_answers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fakes.endless import LARGE_BODY, EndlessUpstream
+from fakes.endless import LARGE_BODY, LATE_S, EndlessUpstream
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 # All that a VM has, as the site states it.
@@ -43,11 +43,11 @@
             await faulty.stop()
 
 
-async def call_until_met(fleet, faulty):
+async def call_until_met(fleet, faulty, path='/safe/'):
     """Send calls until the faulty upstream got one; return the last answers."""
     for attempt in range(_MAX_ATTEMPTS):
         calls = [
-            fleet.call('/safe/', f'e{attempt}-{number}', method='POST')
+            fleet.call(path, f'e{attempt}-{number}', method='POST')
             for number in range(_CALLS_AT_ONCE)
         ]
         answers = await asyncio.gather(*calls)
@@ -96,3 +96,45 @@
             await check_fleet(fleet, faulty)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('framing', ['chunks', 'length'])
+@pytest.mark.parametrize('status', [421, 503])
+def test_refusal_without_end_holds_no_call(status, framing):
+    # The call waited for the body to end, and all of it was kept.
+    async def run():
+        flood = f'refusal {status}, {framing}'
+        async with run_endless_fleet(flood) as (fleet, faulty):
+            answers = await call_until_met(fleet, faulty)
+            assert {answer.status for answer in answers} == {200}
+            await check_fleet(fleet, faulty)
+
+    asyncio.run(run())
+
+
+def test_call_goes_on_before_the_body_of_its_refusal():
+    # A refusal whose body never came held its call until the deadline.
+    async def run():
+        async with run_endless_fleet('refusal 421, silent') as (fleet, faulty):
+            answers = await call_until_met(fleet, faulty, '/once/')
+            assert {answer.status for answer in answers} == {200}
+            await wait_until(lambda: faulty.runs[0].aborted)
+
+    asyncio.run(run())
+
+
+def test_connection_is_used_again_after_the_body_of_a_refusal():
+    # New connections are priced: a short body that comes late ends none.
+    async def run():
+        async with run_routed_fleet(
+            scripted_engines=0, app_upstreams=1
+        ) as fleet:
+            upstream = fleet.upstreams['i-app0']
+            upstream.answers += ['late refusal body'] * 3
+            for number in range(4):
+                await fleet.call('/once/', f'r{number}', method='POST')
+                await asyncio.sleep(4 * LATE_S)
+            assert not upstream.answers
+            assert upstream.connections == 1
+
+    asyncio.run(run())
