Bound the bytes of answers that all calls of a VM hold back together

What callers saw: unfinished bodies or events just below the limit of a single call (1 MiB), at three faulty upstreams with 64 places each, took the process beyond the 150 MB that a VM has.

Cause: each call had its own limit, and their sum had none. While a body was relayed it stood in memory up to four times: unread (0.8 MB), as a part, as what was held back, and as what was written.

Fix: HeldBytes counts what all calls hold back. Bodies are read in parts of 16 KiB, and aiohttp stops reading earlier. Nothing changes for a call while the sum is below the limit.

--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass
 
 from fakes.upstream import (
+    STREAM_HEADERS,
     Run,
     UpstreamStandIn,
     make_body,
     register_script,
+    write_chunk,
     write_head,
     write_whole,
 )
@@ -17,6 +19,8 @@
 MAX_BYTES = 200_000_000
 # More than the router holds back before it relays.
 LARGE_BODY = bytes(8_000_000)
+# Just below the limit for what is held back for a single call.
+_HELD_BYTES = 1_048_000
 # How long after its head a late body comes.
 LATE_S = 0.1
 _BLOCK_BYTES = 262_144
@@ -103,6 +107,25 @@
     return begin
 
 
+def _write_unfinished_head(run: Run, writer: asyncio.StreamWriter) -> None:
+    writer.write(b'HTTP/1.1 200 Unfinished\r\n' + _FIELDS)
+
+
+def _write_unfinished_trailers(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, {'Transfer-Encoding': 'chunked'})
+    writer.write(b'1\r\nx\r\n0\r\n' + _FIELDS)
+
+
+def _write_unfinished_body(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, {'Content-Length': str(_HELD_BYTES + 1)})
+    writer.write(bytes(_HELD_BYTES))
+
+
+def _write_unfinished_event(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, STREAM_HEADERS)
+    write_chunk(writer, b'id: 1\ndata: ' + b'x' * _HELD_BYTES)
+
+
 def _repeat(raw: bytes) -> Callable[[Run], bytes]:
     return lambda run: raw
 
@@ -117,6 +140,9 @@
     return '\r\n'.join([*lines, '', 'ok']).encode()
 
 
+# As many as a parser accepts.
+_FIELDS = b'X-Field: %s\r\n' % (b'x' * 60_000) * 120
+_NOTHING = _repeat(b'')
 _CHUNK = b'1000\r\n%s\r\n' % (b'x' * 4096)
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
@@ -130,9 +156,13 @@
     ),
     'refusal 421, length': Flood(_write_refusal_of_length(421), _repeat(b'x')),
     'refusal 503, length': Flood(_write_refusal_of_length(503), _repeat(b'x')),
-    'refusal 421, silent': Flood(_write_refusal_of_length(421), _repeat(b'')),
+    'refusal 421, silent': Flood(_write_refusal_of_length(421), _NOTHING),
     'interim 100': Flood(_write_nothing, _repeat(_CONTINUE)),
     'interim 103': Flood(_write_nothing, _repeat(_HINTS)),
     'answers': Flood(_write_answer, _make_small_answer),
     'answers after a large one': Flood(_write_large_answer, _make_small_answer),
+    'unfinished head': Flood(_write_unfinished_head, _NOTHING),
+    'unfinished trailers': Flood(_write_unfinished_trailers, _NOTHING),
+    'unfinished body': Flood(_write_unfinished_body, _NOTHING),
+    'unfinished event': Flood(_write_unfinished_event, _NOTHING),
 }
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -216,6 +216,7 @@
         finally:
             watcher.cancel()
             self._runtime.calls.pop(call_id, None)
+            self._sender.held.release(call_id)
             self._runtime.submit(CallAbandoned(call_id))
 
     async def _run_commands(self, exchange: Exchange) -> None:
--- a/src/bilberryspoke/_internal/network/routing/outgoing.py
+++ b/src/bilberryspoke/_internal/network/routing/outgoing.py
@@ -16,6 +16,9 @@
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 _MAX_HEADER_BYTES = 65_536
+# aiohttp stops reading when twice this part of a body is unread; one read has
+# up to 256 kB.
+READ_BUFFER_BYTES = 16_384
 
 
 def make_session(
@@ -28,6 +31,7 @@
         timeout=timeout,
         auto_decompress=False,
         middlewares=(forbid_resending,),
+        read_bufsize=READ_BUFFER_BYTES,
         max_line_size=_MAX_HEADER_BYTES,
         max_field_size=_MAX_HEADER_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -42,8 +42,10 @@
     BufferedResponse,
     Exchange,
 )
+from bilberryspoke._internal.network.routing.holding import HeldBytes
 from bilberryspoke._internal.network.routing.linkprobes import LinkProber
 from bilberryspoke._internal.network.routing.outgoing import (
+    READ_BUFFER_BYTES,
     make_headers,
     make_session,
 )
@@ -55,9 +57,6 @@
 logger = structlog.get_logger()
 
 _CONNECT_TIMEOUT_S = 0.4
-# Responses up to this size are relayed only once they are complete, so that the
-# call can be sent again if its connection breaks.
-_MAX_BUFFERED_BYTES = 1_048_576
 _CONTENT_LENGTH = b'content-length'
 # Calls with these methods that may run only once use a connection of their own.
 _SINGLE_USE_METHODS = frozenset(
@@ -95,6 +94,7 @@
         self.prober = LinkProber(submit, self.connector.expire_connections)
         self._check = ListenCheck()
         self._drains = BodyDrains()
+        self.held = HeldBytes()
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -140,6 +140,7 @@
             and isinstance(effect, Send)
             and await self._check.check(effect.address) is Reach.refused
         )
+        self.held.fits(exchange, 0)
         connection = call_connection.get()
         return SendEnded(
             call_id=effect.call_id,
@@ -268,13 +269,18 @@
                 f'status {status} instead of the rest of the stream',
             )
         held = bytearray()
-        async for chunk in body.resp.content.iter_any():
-            held += chunk
-            if exchange.started or len(held) > _MAX_BUFFERED_BYTES:
-                if not exchange.started:
-                    await exchange.start(status, body.headers.forwarded)
-                await exchange.write(bytes(held))
+        async for chunk in body.resp.content.iter_chunked(READ_BUFFER_BYTES):
+            part = chunk
+            if not exchange.started:
+                held += chunk
+                if self.held.fits(exchange, len(held)):
+                    continue
+                part = bytes(held)
                 held.clear()
+                await exchange.start(status, body.headers.forwarded)
+            await exchange.write(part)
+            # A caller that reads slowly takes it by the next write.
+            self.held.fits(exchange, len(part))
         if not body.is_complete():
             return SendResult(
                 SendStatus.broken,
@@ -302,7 +308,8 @@
         splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
         async for chunk in body.resp.content.iter_any():
             complete_events = splitter.feed(chunk)
-            if splitter.broken:
+            fits = self.held.fits(exchange, len(splitter.remainder))
+            if splitter.broken or not fits:
                 return SendResult(
                     SendStatus.broken,
                     'event missing, repeated or too long in the stream',
--- a/tests/functional/test_routed_endless_answers.py
+++ b/tests/functional/test_routed_endless_answers.py
@@ -13,6 +13,10 @@
 _VM_KB = 150_000
 _CALLS_AT_ONCE = 4
 _MAX_ATTEMPTS = 20
+# The faulty upstreams take this many calls at once, by their slots.
+_FAULTY_UPSTREAMS = 3
+_CALLS_OF_FAULTY = 192
+_MANY_RUNS = 150
 
 
 def read_peak_kb(node):
@@ -43,6 +47,36 @@
             await faulty.stop()
 
 
+@contextlib.asynccontextmanager
+async def run_faulty_fleet(flood, service):
+    """Run faulty upstreams of a service and sound ones of the other."""
+    counts = {'scripted_engines': 1, 'app_upstreams': 0}
+    if service == 'llm':
+        counts = {'scripted_engines': 0, 'app_upstreams': 1}
+    async with run_routed_fleet(**counts) as fleet:
+        upstreams = [
+            EndlessUpstream(f'i-faulty{number}', flood=flood)
+            for number in range(_FAULTY_UPSTREAMS)
+        ]
+        try:
+            for faulty in upstreams:
+                await fleet.add_upstream(faulty, service, slots=64)
+            for faulty in upstreams:
+                name = faulty.instance
+                await wait_until(
+                    lambda name=name: is_listed(fleet.nodes[0], name)
+                )
+            yield fleet, upstreams
+        finally:
+            for faulty in upstreams:
+                await faulty.stop()
+
+
+def count_runs(upstreams):
+    """Return the number of calls that came to upstreams."""
+    return sum(len(upstream.runs) for upstream in upstreams)
+
+
 async def call_until_met(fleet, faulty, path='/safe/'):
     """Send calls until the faulty upstream got one; return the last answers."""
     for attempt in range(_MAX_ATTEMPTS):
@@ -138,3 +172,33 @@
             assert upstream.connections == 1
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('flood', 'service', 'path', 'sound_path'),
+    [
+        ('unfinished head', 'app', '/safe/', '/stream/'),
+        ('unfinished trailers', 'app', '/safe/', '/stream/'),
+        ('unfinished body', 'app', '/safe/', '/stream/'),
+        ('unfinished event', 'llm', '/stream/', '/safe/'),
+    ],
+)
+def test_unfinished_answers_of_many_calls_fill_no_memory(
+    flood, service, path, sound_path
+):
+    # Each was within its own limit, all together were beyond the VM's memory.
+    async def run():
+        async with run_faulty_fleet(flood, service) as (fleet, upstreams):
+            calls = [
+                asyncio.create_task(
+                    fleet.call(path, f'u{number}', method='POST')
+                )
+                for number in range(_CALLS_OF_FAULTY)
+            ]
+            await wait_until(lambda: count_runs(upstreams) >= _MANY_RUNS)
+            answer = await fleet.call(sound_path, 's1', method='POST')
+            assert (answer.status, answer.whole) == (200, True)
+            await asyncio.gather(*calls)
+            assert read_peak_kb(fleet.nodes[0]) < _VM_KB
+
+    asyncio.run(run())
