Tests that slow answers hold no connection for good

A faulty upstream that sends a byte or an interim answer now and then, in a head, a body, trailers, an event, a refusal or behind an answer, loses its connection.

--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -35,11 +35,13 @@
     """How a faulty upstream answers a call.
 
     ``begin`` writes what comes first, ``make_piece`` returns the bytes that are
-    sent again and again, or none if nothing follows.
+    sent again and again, or none if nothing follows. If it ``is_slow``, there
+    is a pause after each piece.
     """
 
     begin: Begin
     make_piece: Callable[[Run], bytes]
+    is_slow: bool = False
 
 
 @dataclass(slots=True)
@@ -61,6 +63,10 @@
         piece = flood.make_piece(run)
         if not piece:
             await asyncio.Event().wait()
+        while flood.is_slow:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(LATE_S)
         block = piece * (_BLOCK_BYTES // len(piece) + 1)
         for _ in range(MAX_BYTES // len(block)):
             writer.write(block)
@@ -107,6 +113,23 @@
     return begin
 
 
+def _write_slow_head(run: Run, writer: asyncio.StreamWriter) -> None:
+    writer.write(b'HTTP/1.1 200 Slow\r\nX-Slow: ')
+
+
+def _write_slow_body(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, {'Content-Length': str(MAX_BYTES)})
+
+
+def _write_slow_trailers(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, {'Transfer-Encoding': 'chunked'})
+    writer.write(b'1\r\nx\r\n0\r\nX-Slow: ')
+
+
+def _write_slow_stream(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, STREAM_HEADERS)
+
+
 def _write_unfinished_head(run: Run, writer: asyncio.StreamWriter) -> None:
     writer.write(b'HTTP/1.1 200 Unfinished\r\n' + _FIELDS)
 
@@ -144,6 +167,7 @@
 _FIELDS = b'X-Field: %s\r\n' % (b'x' * 60_000) * 120
 _NOTHING = _repeat(b'')
 _CHUNK = b'1000\r\n%s\r\n' % (b'x' * 4096)
+_BYTE = b'1\r\nx\r\n'
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
 
@@ -165,4 +189,13 @@
     'unfinished trailers': Flood(_write_unfinished_trailers, _NOTHING),
     'unfinished body': Flood(_write_unfinished_body, _NOTHING),
     'unfinished event': Flood(_write_unfinished_event, _NOTHING),
+    'slow head': Flood(_write_slow_head, _repeat(b'x'), is_slow=True),
+    'slow interim': Flood(_write_nothing, _repeat(_CONTINUE), is_slow=True),
+    'slow body': Flood(_write_slow_body, _repeat(b'x'), is_slow=True),
+    'slow trailers': Flood(_write_slow_trailers, _repeat(b'x'), is_slow=True),
+    'slow event': Flood(_write_slow_stream, _repeat(_BYTE), is_slow=True),
+    'slow refusal': Flood(
+        _write_refusal_of_length(503), _repeat(b'x'), is_slow=True
+    ),
+    'slow surplus': Flood(_write_answer, _repeat(b'H'), is_slow=True),
 }
--- a/tests/functional/test_routed_endless_answers.py
+++ b/tests/functional/test_routed_endless_answers.py
@@ -202,3 +202,31 @@
             assert read_peak_kb(fleet.nodes[0]) < _VM_KB
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('flood', 'service', 'path'),
+    [
+        ('slow head', 'app', '/safe/'),
+        ('slow interim', 'app', '/once/'),
+        ('slow body', 'app', '/once/'),
+        ('slow trailers', 'app', '/safe/'),
+        ('slow event', 'llm', '/stream/'),
+        ('slow refusal', 'app', '/once/'),
+        ('slow surplus', 'app', '/once/'),
+    ],
+)
+def test_slow_answer_holds_no_connection_for_good(flood, service, path):
+    # A byte now and then could hold a connection, and the place of a call.
+    async def run():
+        async with run_faulty_fleet(flood, service) as (fleet, upstreams):
+            calls = [
+                fleet.call(path, f'l{number}', method='POST')
+                for number in range(_CALLS_AT_ONCE)
+            ]
+            await asyncio.gather(*calls)
+            runs = [run for faulty in upstreams for run in faulty.runs]
+            assert runs
+            await wait_until(lambda: all(run.aborted for run in runs))
+
+    asyncio.run(run())
