Search an event that arrives in many parts only once

What callers saw: nothing yet. An upstream that sends an event of 1 MB in small parts could take the processor of a VM for seconds, while other calls wait.

Cause: with each part the unfinished event was copied and searched as a whole.

Fix: parts are added to the same buffer, and only the new part is searched.

Evidence: the new test failed before, as each part made a new copy.

--- a/src/bilberryspoke/_internal/network/routing/eventstream.py
+++ b/src/bilberryspoke/_internal/network/routing/eventstream.py
@@ -1,7 +1,7 @@
 """Splitting of event streams (server-sent events) into complete events."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bilberryspoke._internal.network.relaying import MAX_EVENT_BYTES
 
@@ -24,22 +24,23 @@
     last_id: int | None = None
     expects_next: bool = False
     broken: bool = False
-    remainder: bytes = b''
+    remainder: bytearray = field(default_factory=bytearray)
 
     def feed(self, raw: bytes) -> bytes:
         """Add received bytes; return the complete events, if any.
 
         Returns nothing if the stream is broken.
         """
-        joined = self.remainder + raw
-        end = joined.rfind(_EVENT_DELIMITER)
+        # An event may arrive in many parts: search none of them again.
+        unsearched = max(0, len(self.remainder) - len(_EVENT_DELIMITER) + 1)
+        self.remainder += raw
+        end = self.remainder.rfind(_EVENT_DELIMITER, unsearched)
         if end < 0:
-            self.remainder = joined
-            self.broken = len(joined) > MAX_EVENT_BYTES
+            self.broken = len(self.remainder) > MAX_EVENT_BYTES
             return b''
         end += len(_EVENT_DELIMITER)
-        self.remainder = joined[end:]
-        complete_events = joined[:end]
+        complete_events = bytes(self.remainder[:end])
+        self.remainder = self.remainder[end:]
         if self.expects_next:
             self._check_first(complete_events)
         self._check_ids(complete_events)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -244,6 +244,19 @@
     assert collected <= 2 * 1_048_576
 
 
+def test_unfinished_event_is_not_copied_with_each_part():
+    """An event in many small parts took the processor for seconds."""
+    splitter = EventSplitter()
+    splitter.feed(b'id: 1\ndata: ')
+    collected = splitter.remainder
+    for _ in range(1000):
+        splitter.feed(b'x')
+    assert splitter.remainder is collected
+    assert splitter.feed(b'\n') == b''
+    assert splitter.feed(b'\n') == b'id: 1\ndata: %s\n\n' % (b'x' * 1000)
+    assert splitter.remainder == b''
+
+
 @pytest.mark.parametrize(
     ('last_event_id', 'resumed'),
     [(b'3', 'first'), (b'', ''), (b'x', ''), (None, '')],
