Bound the answers of the store that a VM keeps

A store that answered without end, as junk, as a JSON value that does not end or as spaces, by length, by chunks or to the close, was read until the timeout of the request (1 s, and 2.1 s for a watch), and all of it was kept.

read_body ends an answer that names or reaches more than 8 MiB and closes its connection. A page has at most about 1 MB and a value 1 MiB, 1.4 MB each as base64; a watch that is over the bound is followed by a read of the present values, which come in pages. Calls are served meanwhile, and the routes are adopted when the store is sound again.

--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -12,11 +12,15 @@
     PlatformUnavailableError,
 )
 from bilberryspoke._internal.models.routing import NO_POSITION, StorePosition
+from bilberryspoke._internal.utils.boundedreads import read_body
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 _READ_TIMEOUT_S = 1.0
 # Time for the answer to arrive after the store has ended a watch by itself.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# A value has at most 1 MB, which base64 makes a third larger. A page ends at
+# about as much; a watch returns all later versions of a value.
+_MAX_ANSWER_BYTES = 8_388_608
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -190,7 +194,7 @@
                 if resp.status != _STATUS_OK:
                     cause = f'status {resp.status}'
                     raise PlatformUnavailableError(url, cause)
-                return _Answer(await resp.read(), era)
+                return _Answer(await read_body(resp, _MAX_ANSWER_BYTES), era)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             cause = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(url, cause) from exc
--- /dev/null
+++ b/tests/unit/test_endless_store.py
@@ -0,0 +1,49 @@
+"""The client of the platform's store before answers without end."""
+
+import asyncio
+
+import pytest
+
+from bilberryspoke._internal.exceptions import PlatformUnavailableError
+from bilberryspoke._internal.platform.store import StoreClient
+from fakes.endless import (
+    FRAMINGS,
+    EndlessServer,
+    make_answer,
+)
+
+PREFIX = 'servers/'
+# What a read may take in, with what the buffers of two sockets hold.
+MAX_SENT_BYTES = 32_000_000
+BEGINNINGS = {
+    'junk': (b'', b'x'),
+    'value': (b'{"items":[{"key":"servers/a","value":"', b'AAAA'),
+    'spaces': (b'', b' '),
+}
+SOUND_ITEM = make_answer(b'{"key":"op/config","mod-revision":7,"at":9}')
+
+
+@pytest.mark.parametrize('make_flood', FRAMINGS.values(), ids=FRAMINGS.keys())
+@pytest.mark.parametrize('parts', BEGINNINGS.values(), ids=BEGINNINGS.keys())
+def test_store_answer_without_end_is_not_kept(make_flood, parts):
+    # All bytes of a second were kept.
+    async def run():
+        server = EndlessServer(make_flood(*parts))
+        server.answers['/-/kv-key'] = SOUND_ITEM
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        range_read = asyncio.create_task(client.read_prefix(PREFIX))
+        watch = asyncio.create_task(client.watch(PREFIX, 1, wait_s=0.2))
+        sound = await client.read('op/config')
+        assert sound.position.revision == 9
+        for read in (range_read, watch):
+            with pytest.raises(PlatformUnavailableError):
+                await read
+        async with asyncio.timeout(10):
+            while server.ended < 2:
+                await asyncio.sleep(0.01)
+        assert max(server.sent_bytes) < MAX_SENT_BYTES
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
