Bound the items that an answer of the store is decoded to

A page of 8 MiB may hold 2.8 million empty items. Decoding them took 447 MB and held the event loop for 1.9 s (a run of the decoder on that page).

Values are base64 text, so that each brace in a sound answer belongs to an item or to a key.

--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -21,6 +21,8 @@
 # A value has at most 1 MB, which base64 makes a third larger. A page ends at
 # about as much; a watch returns all later versions of a value.
 _MAX_ANSWER_BYTES = 8_388_608
+# A page has at most about 500 items; a watch returns all changes since.
+_MAX_ITEMS = 16_384
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -206,6 +208,9 @@
 
 
 def _decode_reply(raw: bytes, reply_type: type, key_or_prefix: str):
+    # Decoded items are many times as large as the shortest encoded ones.
+    if raw.count(b'{') > _MAX_ITEMS:
+        raise PlatformUnavailableError(key_or_prefix, 'too many items')
     try:
         return msgspec.json.decode(raw, type=reply_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
--- a/tests/unit/test_endless_store.py
+++ b/tests/unit/test_endless_store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store before answers without end."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -47,3 +48,44 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+def test_store_answer_of_countless_items_is_not_decoded():
+    # Items of two bytes took 447 MB and 1.9 s.
+    async def run():
+        items = b','.join([b'{}'] * 100_000)
+        server = EndlessServer(make_answer(b'{"at":1,"items":[%s]}' % items))
+        events = b'{"at":1,"events":[%s]}' % items
+        server.answers['/-/kv-watch'] = make_answer(events)
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        with pytest.raises(PlatformUnavailableError):
+            await client.read_prefix(PREFIX)
+        with pytest.raises(PlatformUnavailableError):
+            await client.watch(PREFIX, 1, wait_s=0.2)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
+
+
+def test_page_of_a_fleet_and_watch_of_its_changes_are_decoded():
+    async def run():
+        items = [
+            {'key': f'servers/{number:04}', 'mod-revision': 1, 'value': 'e30='}
+            for number in range(600)
+        ]
+        page = json.dumps({'at': 1, 'items': items}).encode()
+        server = EndlessServer(make_answer(page))
+        changes = json.dumps({'at': 1, 'events': items * 10}).encode()
+        server.answers['/-/kv-watch'] = make_answer(changes)
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        stored = await client.read_prefix(PREFIX)
+        assert len(stored.values) == 600
+        stored = await client.watch(PREFIX, 1, wait_s=0.2)
+        assert len(stored.values) == 6000
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
