Give up a list of the store that always has one more page

A store that answers each page of upstreams with one more kept a VM reading for good: the values of all pages were kept, and no change was watched for.

A list is given up after 256 pages, 16 MiB, 16,384 items or 10 s, whichever is first.

--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -85,6 +86,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def choose_answer(self, path: str) -> Flood:
+        """Return the answer to a request for a path."""
+        return self.answers.get(path, self.default)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -93,7 +98,7 @@
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 head = await reader.readuntil(b'\r\n\r\n')
                 path = head.split()[1].decode().partition('?')[0]
-                await self._pour(self.answers.get(path, self.default), writer)
+                await self._pour(self.choose_answer(path), writer)
         finally:
             self._tasks.discard(asyncio.current_task())
             writer.close()
@@ -114,6 +119,31 @@
             self.sent_bytes.append(sent)
 
 
+@dataclass(slots=True)
+class EndlessPages(EndlessServer):
+    """A store that has more pages after each page of a range.
+
+    ``pages`` counts those that were read. Each has one item; its key is above
+    that of the page before if ``goes_on`` is true, otherwise the same.
+    """
+
+    goes_on: bool = True
+    value_bytes: int = 0
+    pages: int = 0
+
+    def choose_answer(self, path: str) -> Flood:
+        """Return the next page of a range."""
+        self.pages += 1
+        number = self.pages if self.goes_on else 1
+        item = {
+            'key': f'servers/{number:09}',
+            'mod-revision': 1,
+            'value': 'AAAA' * (self.value_bytes // 3),
+        }
+        page = {'items': [item], 'at': 1, 'has-more': True}
+        return make_answer(json.dumps(page).encode())
+
+
 def _repeat(piece: bytes) -> bytes:
     return piece * max(1, PIECE_BYTES // len(piece))
 
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -1,5 +1,6 @@
 """Read-only client of the platform's key-value store."""
 
+import asyncio
 import base64
 import binascii
 from dataclasses import dataclass
@@ -23,6 +24,10 @@
 _MAX_ANSWER_BYTES = 8_388_608
 # A page has at most about 500 items; a watch returns all changes since.
 _MAX_ITEMS = 16_384
+# For all pages of a list.
+_MAX_PAGES = 256
+_MAX_LIST_BYTES = 16_777_216
+_LIST_TIMEOUT_S = 10.0
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -133,25 +138,13 @@
         of the first page, so that a watch from there also returns what
         changed while the other pages were read. Raises
         PlatformHistoryLostError if the store was restored between two pages.
+        All pages together are bounded in number, size and time.
         """
-        values: list[StoredValue] = []
-        position = NO_POSITION
-        after = ''
-        while True:
-            query = {'path-prefix': prefix}
-            if after:
-                query['after'] = after
-            answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
-            page = _decode_reply(answer.raw or b'', _RangeReply, prefix)
-            values.extend(_decode_item(item) for item in page.items)
-            page_position = StorePosition(answer.era, page.at)
-            if not after:
-                position = page_position
-            if not position.is_continued_by(page_position):
-                raise PlatformHistoryLostError(prefix)
-            if not page.has_more or not page.items:
-                return StoredValues(tuple(values), position)
-            after = page.items[-1].key
+        try:
+            async with asyncio.timeout(_LIST_TIMEOUT_S):
+                return await self._read_pages(prefix)
+        except TimeoutError as exc:
+            raise PlatformUnavailableError(prefix, 'list too slow') from exc
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -173,6 +166,31 @@
         values = tuple(_decode_item(item) for item in reply.events)
         return StoredValues(values, StorePosition(answer.era, reply.at))
 
+    async def _read_pages(self, prefix: str) -> StoredValues:
+        values: list[StoredValue] = []
+        position = NO_POSITION
+        after = ''
+        remaining_bytes = _MAX_LIST_BYTES
+        for _ in range(_MAX_PAGES):
+            query = {'path-prefix': prefix}
+            query |= {'after': after} if after else {}
+            answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
+            raw = answer.raw or b''
+            remaining_bytes -= len(raw)
+            if remaining_bytes < 0 or len(values) > _MAX_ITEMS:
+                break
+            page = _decode_reply(raw, _RangeReply, prefix)
+            values.extend(_decode_item(item) for item in page.items)
+            page_position = StorePosition(answer.era, page.at)
+            if not after:
+                position = page_position
+            if not position.is_continued_by(page_position):
+                raise PlatformHistoryLostError(prefix)
+            if not page.has_more or not page.items:
+                return StoredValues(tuple(values), position)
+            after = page.items[-1].key
+        raise PlatformUnavailableError(prefix, 'list too long')
+
     async def _get(
         self,
         path: str,
--- a/tests/unit/test_endless_store.py
+++ b/tests/unit/test_endless_store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store before answers without end."""
 
 import asyncio
+import functools
 import json
 
 import pytest
@@ -9,6 +10,7 @@
 from bilberryspoke._internal.platform.store import StoreClient
 from fakes.endless import (
     FRAMINGS,
+    EndlessPages,
     EndlessServer,
     make_answer,
 )
@@ -21,6 +23,13 @@
     'value': (b'{"items":[{"key":"servers/a","value":"', b'AAAA'),
     'spaces': (b'', b' '),
 }
+# The largest list of a fleet has two pages, each of a megabyte.
+MAX_PAGES = 256
+PAGES = {
+    'short': EndlessPages,
+    'large': functools.partial(EndlessPages, value_bytes=900_000),
+    'same': functools.partial(EndlessPages, goes_on=False),
+}
 SOUND_ITEM = make_answer(b'{"key":"op/config","mod-revision":7,"at":9}')
 
 
@@ -89,3 +98,22 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('make_server', PAGES.values(), ids=PAGES.keys())
+def test_list_of_the_store_that_has_always_one_more_page_is_given_up(
+    make_server,
+):
+    # The values of all pages were kept, and no change was watched for.
+    async def run():
+        server = make_server(make_answer(b''))
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        with pytest.raises(PlatformUnavailableError):
+            async with asyncio.timeout(20):
+                await client.read_prefix(PREFIX)
+        assert server.pages <= MAX_PAGES
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
