Refuse revisions and eras of the store that have no end of digits

An era of more than 4,300 digits in an answer of the store raised ValueError in the watcher of the routes or the upstreams, by which the process ended (exit code 4). A revision or an era of 20 digits was taken; from then on no message to another VM could be encoded, heartbeats included.

Before the fix the 4 cases of test_era_of_countless_digits_ends_no_watcher and test_revision_of_countless_digits_is_not_passed_on failed. An era of more than 18 digits now counts as malformed, as a missing one does, and an answer with a revision that does not fit into 63 bits as no usable answer.

--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import binascii
 from dataclasses import dataclass
+from typing import Annotated
 
 import aiohttp
 import msgspec
@@ -28,6 +29,9 @@
 _MAX_PAGES = 256
 _MAX_LIST_BYTES = 16_777_216
 _LIST_TIMEOUT_S = 10.0
+# Above it a number can't be passed on to other VMs.
+_MAX_REVISION = 9_223_372_036_854_775_807
+_MAX_ERA_DIGITS = 18
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -61,9 +65,12 @@
     position: StorePosition
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)]
+
+
 class _Item(msgspec.Struct, rename='kebab'):
     key: str = ''
-    mod_revision: int = 0
+    mod_revision: _Revision = 0
     # Standard base64 with padding.
     value: str = ''
     deleted: bool = False
@@ -71,19 +78,19 @@
 
 class _ReadReply(_Item):
     # Revision of the store at the time of the read, not of the item.
-    at: int = 0
+    at: _Revision = 0
 
 
 class _RangeReply(msgspec.Struct, rename='kebab'):
     items: list[_Item]
-    at: int
+    at: _Revision
     has_more: bool = False
 
 
 class _WatchReply(msgspec.Struct, rename='kebab'):
     events: list[_Item]
     # Revision after which the next watch continues.
-    at: int
+    at: _Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,8 +179,7 @@
         after = ''
         remaining_bytes = _MAX_LIST_BYTES
         for _ in range(_MAX_PAGES):
-            query = {'path-prefix': prefix}
-            query |= {'after': after} if after else {}
+            query = _make_range_query(prefix, after)
             answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
             raw = answer.raw or b''
             remaining_bytes -= len(raw)
@@ -220,8 +226,15 @@
             raise PlatformUnavailableError(url, cause) from exc
 
 
+def _make_range_query(prefix: str, after: str) -> dict[str, str]:
+    query = {'path-prefix': prefix}
+    return {**query, 'after': after} if after else query
+
+
 def _parse_era(text: str) -> int:
     """Return the era of an answer; 0 if it is missing or malformed."""
+    if len(text) > _MAX_ERA_DIGITS:
+        return 0
     return int(text) if text.isascii() and text.isdigit() else 0
 
 
--- a/tests/unit/test_endless_store.py
+++ b/tests/unit/test_endless_store.py
@@ -12,6 +12,7 @@
     FRAMINGS,
     EndlessPages,
     EndlessServer,
+    Flood,
     make_answer,
 )
 
@@ -117,3 +118,47 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('digits', [20, 5000])
+def test_era_of_countless_digits_ends_no_watcher(digits):
+    # The number could not be parsed, and the process ended.
+    async def run():
+        head = b'HTTP/1.1 200 OK\r\nstore-era: %s\r\n' % (b'9' * digits)
+        body = b'{"key":"op/config","mod-revision":7,"at":9}'
+        length = b'content-length: %d\r\n\r\n' % len(body)
+        server = EndlessServer(Flood(head + length + body))
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        stored = await client.read('op/config')
+        assert stored.position == (0, 9)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('digits', [20, 4000])
+def test_revision_of_countless_digits_is_not_passed_on(digits):
+    # No message to another VM could be encoded from then on.
+    async def run():
+        at = b'9' * digits
+        server = EndlessServer(make_answer(b'{"key":"op/config","at":%s}' % at))
+        page = b'{"items":[{"key":"a","mod-revision":%s}],"at":1}' % at
+        server.answers['/-/kv-range'] = make_answer(page)
+        server.answers['/-/kv-watch'] = make_answer(
+            b'{"events":[],"at":%s}' % at
+        )
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        for read in (
+            client.read('op/config'),
+            client.read_prefix(PREFIX),
+            client.watch(PREFIX, 1, wait_s=0.2),
+        ):
+            with pytest.raises(PlatformUnavailableError):
+                await read
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
