--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -145,7 +145,7 @@
 
 
 def _repeat(piece: bytes) -> bytes:
-    return piece * max(1, PIECE_BYTES // len(piece))
+    return piece * max(1, PIECE_BYTES // max(1, len(piece)))
 
 
 def _make_chunk(raw: bytes) -> bytes:
@@ -158,3 +158,50 @@
     'chunks': make_chunk_flood,
     'length': make_length_flood,
 }
+
+
+@dataclass(slots=True)
+class EndlessCaller:
+    """A caller that sends a beginning and then one piece without end.
+
+    It stops after ``max_bytes``. ``received`` are the bytes of the answers,
+    ``sent_bytes`` counts what the server took, and ``closed`` is whether the
+    server closed the connection.
+    """
+
+    address: str
+    beginning: bytes = b''
+    piece: bytes = b''
+    interval_s: float = 0
+    max_bytes: int = 64_000_000
+    sent_bytes: int = 0
+    received: bytearray = field(default_factory=bytearray)
+    closed: bool = False
+    _writer: asyncio.StreamWriter | None = None
+
+    async def run(self, timeout_s: float = 10) -> None:
+        """Send until the server closes the connection, or for a time."""
+        host, _, port = self.address.rpartition(':')
+        reader, self._writer = await asyncio.open_connection(host, int(port))
+        reading = asyncio.create_task(self._read(reader))
+        sending = asyncio.create_task(self._send())
+        await asyncio.wait({reading}, timeout=timeout_s)
+        for task in (reading, sending):
+            task.cancel()
+        await asyncio.gather(reading, sending, return_exceptions=True)
+        self._writer.close()
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        with contextlib.suppress(OSError):
+            while raw := await reader.read(PIECE_BYTES):
+                self.received += raw
+        self.closed = True
+
+    async def _send(self) -> None:
+        raw = self.beginning
+        while raw and self.sent_bytes < self.max_bytes:
+            self._writer.write(raw)
+            await self._writer.drain()
+            self.sent_bytes += len(raw)
+            await asyncio.sleep(self.interval_s)
+            raw = self.piece if self.interval_s else _repeat(self.piece)
