--- a/tests/unit/test_endless_callers.py
+++ b/tests/unit/test_endless_callers.py
@@ -22,6 +22,8 @@
 )
 # What the limits allow, with what the buffers of two sockets hold.
 MAX_TAKEN_BYTES = 16_000_000
+# Between the pieces of a slow caller.
+SLOW_S = 0.1
 
 
 class EchoApp:
@@ -90,12 +92,24 @@
 
 
 CHUNKED = b'transfer-encoding: chunked'
+LONG = b'content-length: 1000000000000'
 ENDLESS = {
     'many trailers': (make_head(b'/body', CHUNKED) + b'0\r\n', b'x-a: b\r\n'),
     'long trailer': (make_head(b'/body', CHUNKED) + b'0\r\nx-a: ', b'x'),
     'chunk extension': (make_head(b'/body', CHUNKED) + b'1;', b'x'),
     'many headers': (b'GET /body HTTP/1.1\r\n', b'x-a: b\r\n'),
     'long target': (b'GET /', b'x'),
+    'body after an early answer': (make_head(b'/early', LONG), b'x'),
+    'chunks after an early answer': (
+        make_head(b'/early', CHUNKED),
+        b'1\r\nx\r\n',
+    ),
+    'trailers after an early answer': (
+        make_head(b'/early', CHUNKED) + b'0\r\n',
+        b'x-a: b\r\n',
+    ),
+    'body over the limit': (make_head(b'/large', LONG), b'x'),
+    'line ends before a request': (b'', b'\r\n'),
 }
 
 
@@ -104,7 +118,7 @@
     # All of it was taken; trailers were kept.
     async def run():
         async with run_server() as (_, address):
-            caller = EndlessCaller(address, *parts)
+            caller = EndlessCaller(address, parts[0] or b'\r\n', parts[1])
             task = asyncio.create_task(caller.run())
             await asyncio.sleep(0)
             answer = await exchange(address, make_head(b'/sound'), b'/sound')
@@ -116,6 +130,28 @@
     asyncio.run(run())
 
 
+SLOW = {
+    'nothing': (b'', b''),
+    'line ends': (b'\r\n', b'\r\n'),
+    'headers': (b'GET /body HTTP/1.1\r\n', b'x-a: b\r\n'),
+    'body after an early answer': (make_head(b'/early', LONG), b'x'),
+    'silence after an early answer': (make_head(b'/early', LONG), b''),
+    'line ends after an answer': (make_head(b'/body'), b'\r\n'),
+}
+
+
+@pytest.mark.parametrize('parts', SLOW.values(), ids=SLOW.keys())
+def test_slow_caller_does_not_hold_its_connection_for_good(parts):
+    # A connection without a timer stayed until its caller closed it.
+    async def run():
+        async with run_server() as (_, address):
+            caller = EndlessCaller(address, *parts, interval_s=SLOW_S)
+            await caller.run()
+            assert caller.closed
+
+    asyncio.run(run())
+
+
 def test_trailers_are_no_headers_of_their_request():
     async def run():
         async with run_server() as (app, address):
@@ -125,3 +161,16 @@
             assert names == [b'host', b'transfer-encoding']
 
     asyncio.run(run())
+
+
+def test_connection_is_used_again_after_an_early_answer():
+    async def run():
+        async with run_server() as (_, address):
+            body = b'x' * LIMITS.body_bytes
+            head = make_head(b'/early', b'content-length: %d' % len(body))
+            answer = await exchange(
+                address, head + body + make_head(b'/next'), b'/next'
+            )
+            assert answer.count(b'HTTP/1.1 200') == 2
+
+    asyncio.run(run())
