--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -185,11 +185,13 @@
         reader, self._writer = await asyncio.open_connection(host, int(port))
         reading = asyncio.create_task(self._read(reader))
         sending = asyncio.create_task(self._send())
-        await asyncio.wait({reading}, timeout=timeout_s)
-        for task in (reading, sending):
-            task.cancel()
+        try:
+            await asyncio.wait({reading}, timeout=timeout_s)
+        finally:
+            for task in (reading, sending):
+                task.cancel()
+            self._writer.transport.abort()
         await asyncio.gather(reading, sending, return_exceptions=True)
-        self._writer.close()
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(OSError):
--- a/tests/unit/test_endless_callers.py
+++ b/tests/unit/test_endless_callers.py
@@ -22,6 +22,9 @@
 )
 # What the limits allow, with what the buffers of two sockets hold.
 MAX_TAKEN_BYTES = 16_000_000
+# Requests that wait for the response to the one before, with those that came
+# in one piece with the last of them.
+MAX_WAITING = 1000
 # Between the pieces of a slow caller.
 SLOW_S = 0.1
 
@@ -30,12 +33,14 @@
     """Application that answers requests with their path and their headers.
 
     It answers under ``/early`` before it has read the body, and under ``/wait``
-    once ``release`` is set. ``scopes`` are the requests that it got.
+    once ``release`` is set. ``scopes`` are the requests that it got,
+    ``connections`` the server's open ones.
     """
 
     def __init__(self):
         self.release = asyncio.Event()
         self.scopes = []
+        self.connections = set()
 
     async def __call__(self, scope, receive, send):
         self.scopes.append(scope)
@@ -64,6 +69,7 @@
         keep_alive_s=15,
         protocol=functools.partial(IngressProtocol, lambda: LIMITS),
     )
+    app.connections = server.server_state.connections
     sock = socket.create_server(('127.0.0.1', 0))
     host, port = sock.getsockname()
     task = asyncio.create_task(server.serve(sockets=[sock]))
@@ -163,6 +169,42 @@
     asyncio.run(run())
 
 
+def test_requests_sent_ahead_without_end_are_not_kept():
+    # All of them were parsed and kept as soon as one was answered.
+    async def run():
+        async with run_server() as (app, address):
+            piece = make_head(b'/ahead')
+            caller = EndlessCaller(address, make_head(b'/wait'), piece)
+            task = asyncio.create_task(caller.run(timeout_s=60))
+            answer = await exchange(address, make_head(b'/sound'), b'/sound')
+            assert answer.startswith(b'HTTP/1.1 200')
+            app.release.set()
+            largest = 0
+            while len(app.scopes) < 100 and not task.done():
+                waiting = [len(each.pipeline) for each in app.connections]
+                largest = max([largest, *waiting])
+                await asyncio.sleep(0)
+            assert largest < MAX_WAITING
+            assert len(app.scopes) >= 100
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+def test_requests_sent_ahead_are_answered_in_order():
+    async def run():
+        async with run_server() as (_, address):
+            paths = [b'/ahead%03d' % number for number in range(200)]
+            body = b'content-length: 3\r\n\r\nabc'
+            heads = [make_head(path, body)[:-4] for path in paths]
+            answer = await exchange(address, b''.join(heads), b'/ahead199')
+            places = [answer.index(path) for path in paths]
+            assert places == sorted(places)
+
+    asyncio.run(run())
+
+
 def test_connection_is_used_again_after_an_early_answer():
     async def run():
         async with run_server() as (_, address):
