Give the ports for probes, metrics and the own interface the limits of callers

Only the port for callers bounded what a client may send. A request target, headers or a single header without end were kept on the ports for probes and for metrics and on both ports of the project's own interface (whose limit on headers only uvicorn's other parser reads), and the rest of a body was taken without end.

IngressProtocol now serves all ports. It moves from network/routing to network, as the own interface uses it too. There, headers up to twice the limit still reach the application, which refuses them with an answer of its own.

--- a/src/bilberryspoke/_internal/network/listeners.py
+++ b/src/bilberryspoke/_internal/network/listeners.py
@@ -1,14 +1,17 @@
 """Listening sockets and the HTTP servers on them."""
 
 import contextlib
+import functools
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
 
+from bilberryspoke._internal.models.routing import IngressLimits
 from bilberryspoke._internal.network.binding import bind_address
+from bilberryspoke._internal.network.protocol import IngressProtocol
 
 if TYPE_CHECKING:
     from bilberryspoke._internal.config.settings import Listener, Settings
@@ -54,8 +57,16 @@
     ``tls`` is whether the server uses the certificate of the settings.
     """
     tls_files = settings.tls if tls else None
+    limits = IngressLimits(
+        # The application refuses longer headers with an answer of its own.
+        header_bytes=2 * settings.limits.header_bytes,
+        body_bytes=settings.limits.body_bytes,
+        header_timeout_s=settings.limits.body_timeout_s,
+        idle_timeout_s=_KEEP_ALIVE_TIMEOUT_S,
+    )
     config = uvicorn.Config(
         app,
+        http=functools.partial(IngressProtocol, lambda: limits),
         log_level='warning',
         access_log=False,
         lifespan='off',
@@ -63,7 +74,6 @@
         # Over the limit the application answers with its own error; uvicorn
         # refuses connections only beyond twice the limit.
         limit_concurrency=2 * settings.limits.connections,
-        h11_max_incomplete_event_size=settings.limits.header_bytes,
         server_header=False,
         timeout_keep_alive=_KEEP_ALIVE_TIMEOUT_S,
         ssl_certfile=tls_files.certificate if tls_files else None,
@@ -76,17 +86,17 @@
     app: Any,
     *,
     keep_alive_s: float,
-    protocol: Any = 'httptools',
+    get_limits: Callable[[], IngressLimits] | None = None,
 ) -> EmbeddedServer:
     """Return a server for the daemon of ``network.routing``.
 
-    ``protocol`` is uvicorn's HTTP protocol: its name or a protocol class.
-    ``keep_alive_s`` is the keep-alive timeout of a connection without a call,
-    in seconds, where the protocol class has no timeout of its own.
+    ``get_limits`` returns the limits in force. Without it the limits are those
+    by default, and ``keep_alive_s`` is the keep-alive timeout in seconds.
     """
+    limits = IngressLimits(idle_timeout_s=keep_alive_s)
     config = uvicorn.Config(
         app,
-        http=protocol,
+        http=functools.partial(IngressProtocol, get_limits or (lambda: limits)),
         log_level='critical',
         access_log=False,
         lifespan='off',
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -1,7 +1,6 @@
 """Daemon that routes calls on the users' platform."""
 
 import asyncio
-import functools
 import signal
 import socket
 import time
@@ -38,7 +37,6 @@
     make_metrics_app,
     make_probe_app,
 )
-from bilberryspoke._internal.network.routing.protocol import IngressProtocol
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.platform.store import StoreClient
@@ -229,5 +227,5 @@
     return make_routing_server(
         ingress,
         keep_alive_s=_KEEP_ALIVE_TIMEOUT_S,
-        protocol=functools.partial(IngressProtocol, ingress.get_limits),
+        get_limits=ingress.get_limits,
     )
--- a/tests/unit/test_endless_callers.py
+++ b/tests/unit/test_endless_callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 import socket
 
 import pytest
@@ -11,7 +10,6 @@
 from bilberryspoke._internal.models.routing import IngressLimits
 from bilberryspoke._internal.network.bodies import collect_body
 from bilberryspoke._internal.network.listeners import make_routing_server
-from bilberryspoke._internal.network.routing.protocol import IngressProtocol
 from fakes.endless import EndlessCaller
 
 LIMITS = IngressLimits(
@@ -67,7 +65,7 @@
     server = make_routing_server(
         app,
         keep_alive_s=15,
-        protocol=functools.partial(IngressProtocol, lambda: LIMITS),
+        get_limits=lambda: LIMITS,
     )
     app.connections = server.server_state.connections
     sock = socket.create_server(('127.0.0.1', 0))
