--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -1,8 +1,10 @@
 """Read-only client of the platform's key-value store."""
 
+import asyncio
 import base64
 import binascii
 from dataclasses import dataclass
+from typing import Annotated
 
 import aiohttp
 import msgspec
@@ -12,11 +14,24 @@
     PlatformUnavailableError,
 )
 from bilberryspoke._internal.models.routing import NO_POSITION, StorePosition
+from bilberryspoke._internal.utils.boundedreads import read_body
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 _READ_TIMEOUT_S = 1.0
 # Time for the answer to arrive after the store has ended a watch by itself.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# A value has at most 1 MB, which base64 makes a third larger. A page ends at
+# about as much; a watch returns all later versions of a value.
+_MAX_ANSWER_BYTES = 8_388_608
+# A page has at most about 500 items; a watch returns all changes since.
+_MAX_ITEMS = 16_384
+# For all pages of a list.
+_MAX_PAGES = 256
+_MAX_LIST_BYTES = 16_777_216
+_LIST_TIMEOUT_S = 10.0
+# Above it a number can't be passed on to other VMs.
+_MAX_REVISION = 9_223_372_036_854_775_807
+_MAX_ERA_DIGITS = 18
 _MS_PER_S = 1000
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -50,9 +65,12 @@
     position: StorePosition
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)]
+
+
 class _Item(msgspec.Struct, rename='kebab'):
     key: str = ''
-    mod_revision: int = 0
+    mod_revision: _Revision = 0
     # Standard base64 with padding.
     value: str = ''
     deleted: bool = False
@@ -60,19 +78,19 @@
 
 class _ReadReply(_Item):
     # Revision of the store at the time of the read, not of the item.
-    at: int = 0
+    at: _Revision = 0
 
 
 class _RangeReply(msgspec.Struct, rename='kebab'):
     items: list[_Item]
-    at: int
+    at: _Revision
     has_more: bool = False
 
 
 class _WatchReply(msgspec.Struct, rename='kebab'):
     events: list[_Item]
     # Revision after which the next watch continues.
-    at: int
+    at: _Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,25 +145,13 @@
         of the first page, so that a watch from there also returns what
         changed while the other pages were read. Raises
         PlatformHistoryLostError if the store was restored between two pages.
+        All pages together are bounded in number, size and time.
         """
-        values: list[StoredValue] = []
-        position = NO_POSITION
-        after = ''
-        while True:
-            query = {'path-prefix': prefix}
-            if after:
-                query['after'] = after
-            answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
-            page = _decode_reply(answer.raw or b'', _RangeReply, prefix)
-            values.extend(_decode_item(item) for item in page.items)
-            page_position = StorePosition(answer.era, page.at)
-            if not after:
-                position = page_position
-            if not position.is_continued_by(page_position):
-                raise PlatformHistoryLostError(prefix)
-            if not page.has_more or not page.items:
-                return StoredValues(tuple(values), position)
-            after = page.items[-1].key
+        try:
+            async with asyncio.timeout(_LIST_TIMEOUT_S):
+                return await self._read_pages(prefix)
+        except TimeoutError as exc:
+            raise PlatformUnavailableError(prefix, 'list too slow') from exc
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
@@ -167,6 +173,30 @@
         values = tuple(_decode_item(item) for item in reply.events)
         return StoredValues(values, StorePosition(answer.era, reply.at))
 
+    async def _read_pages(self, prefix: str) -> StoredValues:
+        values: list[StoredValue] = []
+        position = NO_POSITION
+        after = ''
+        remaining_bytes = _MAX_LIST_BYTES
+        for _ in range(_MAX_PAGES):
+            query = _make_range_query(prefix, after)
+            answer = await self._get('/-/kv-range', query, _READ_TIMEOUT_S)
+            raw = answer.raw or b''
+            remaining_bytes -= len(raw)
+            if remaining_bytes < 0 or len(values) > _MAX_ITEMS:
+                break
+            page = _decode_reply(raw, _RangeReply, prefix)
+            values.extend(_decode_item(item) for item in page.items)
+            page_position = StorePosition(answer.era, page.at)
+            if not after:
+                position = page_position
+            if not position.is_continued_by(page_position):
+                raise PlatformHistoryLostError(prefix)
+            if not page.has_more or not page.items:
+                return StoredValues(tuple(values), position)
+            after = page.items[-1].key
+        raise PlatformUnavailableError(prefix, 'list too long')
+
     async def _get(
         self,
         path: str,
@@ -190,18 +220,28 @@
                 if resp.status != _STATUS_OK:
                     cause = f'status {resp.status}'
                     raise PlatformUnavailableError(url, cause)
-                return _Answer(await resp.read(), era)
+                return _Answer(await read_body(resp, _MAX_ANSWER_BYTES), era)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             cause = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(url, cause) from exc
 
 
+def _make_range_query(prefix: str, after: str) -> dict[str, str]:
+    query = {'path-prefix': prefix}
+    return {**query, 'after': after} if after else query
+
+
 def _parse_era(text: str) -> int:
     """Return the era of an answer; 0 if it is missing or malformed."""
+    if len(text) > _MAX_ERA_DIGITS:
+        return 0
     return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def _decode_reply(raw: bytes, reply_type: type, key_or_prefix: str):
+    # Decoded items are many times as large as the shortest encoded ones.
+    if raw.count(b'{') > _MAX_ITEMS:
+        raise PlatformUnavailableError(key_or_prefix, 'too many items')
     try:
         return msgspec.json.decode(raw, type=reply_type)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
