--- a/fakes/endless.py
+++ b/fakes/endless.py
@@ -1,201 +1,209 @@
-"""Stand-in for an upstream that sends without end until it is closed."""
+"""Stand-in for a server whose answers do not end."""
 
 import asyncio
+import contextlib
+import json
 from collections.abc import Callable
-from dataclasses import dataclass
-
-from fakes.upstream import (
-    STREAM_HEADERS,
-    Run,
-    UpstreamStandIn,
-    make_body,
-    register_script,
-    write_chunk,
-    write_head,
-    write_whole,
-)
-
-# It gives up after as many bytes on one connection.
-MAX_BYTES = 200_000_000
-# More than the router holds back before it relays.
-LARGE_BODY = bytes(8_000_000)
-# Just below the limit for what is held back for a single call.
-_HELD_BYTES = 1_048_000
-# How long after its head a late body comes.
-LATE_S = 0.1
-_BLOCK_BYTES = 262_144
-_REFUSAL = {'X-Not-Executed': '1'}
-
-
-Begin = Callable[[Run, asyncio.StreamWriter], None]
+from dataclasses import dataclass, field
+
+PIECE_BYTES = 65_536
+_OK = b'HTTP/1.1 200 OK\r\n'
+_CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
 
 
 @dataclass(frozen=True, slots=True)
 class Flood:
-    """How a faulty upstream answers a call.
-
-    ``begin`` writes what comes first, ``make_piece`` returns the bytes that are
-    sent again and again, or none if nothing follows. If it ``is_slow``, there
-    is a pause after each piece.
-    """
-
-    begin: Begin
-    make_piece: Callable[[Run], bytes]
-    is_slow: bool = False
+    """An answer: its beginning, and a piece that follows without end.
 
-
-@dataclass(slots=True)
-class EndlessUpstream(UpstreamStandIn):
-    """An upstream that answers each call by the flood named ``flood``.
-
-    A call counts as aborted if its connection was closed by the other side
-    before the flood was over.
+    ``interval_s`` is the time between two pieces. Without a piece the
+    connection is closed after the beginning.
     """
 
-    flood: str = ''
-
-    async def run_script(
-        self, name: str, run: Run, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer a call by the flood, whatever the name."""
-        flood = FLOODS[self.flood]
-        flood.begin(run, writer)
-        piece = flood.make_piece(run)
-        if not piece:
-            await asyncio.Event().wait()
-        while flood.is_slow:
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(LATE_S)
-        block = piece * (_BLOCK_BYTES // len(piece) + 1)
-        for _ in range(MAX_BYTES // len(block)):
-            writer.write(block)
-            await writer.drain()
-
-
-def _write_nothing(run: Run, writer: asyncio.StreamWriter) -> None:
-    """Begin without a head: the flood itself is in its place."""
-
-
-def _write_answer(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_whole(writer, run, 200, make_body(run))
-
+    beginning: bytes
+    piece: bytes = b''
+    interval_s: float = 0
 
-def _write_large_answer(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_whole(writer, run, 200, LARGE_BODY)
 
+def make_answer(body: bytes) -> Flood:
+    """Return an answer with status 200 that ends."""
+    head = b'content-length: %d\r\n\r\n' % len(body)
+    return Flood(_OK + head + body)
 
-def _write_refusal_in_chunks(status: int) -> Begin:
-    def begin(run: Run, writer: asyncio.StreamWriter) -> None:
-        headers = {'Transfer-Encoding': 'chunked', **_REFUSAL}
-        write_head(writer, run, status, headers, sealed=False)
 
-    return begin
+def make_body_flood(beginning: bytes, piece: bytes) -> Flood:
+    """Return an answer whose body goes on until the connection closes.
 
-
-@register_script('late refusal body')
-async def refuse_with_late_body(
-    upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
-) -> None:
-    """Refuse the call without running it; the body comes after the head."""
-    headers = {'Content-Length': '4', **_REFUSAL}
-    write_head(writer, run, 503, headers, sealed=False)
-    await writer.drain()
-    await asyncio.sleep(LATE_S)
-    writer.write(b'busy')
-
-
-def _write_refusal_of_length(status: int) -> Begin:
-    def begin(run: Run, writer: asyncio.StreamWriter) -> None:
-        headers = {'Content-Length': str(2 * MAX_BYTES), **_REFUSAL}
-        write_head(writer, run, status, headers, sealed=False)
-
-    return begin
+    ``piece`` is repeated to about ``PIECE_BYTES`` bytes.
+    """
+    return Flood(_OK + b'\r\n' + beginning, _repeat(piece))
 
 
-def _write_slow_head(run: Run, writer: asyncio.StreamWriter) -> None:
-    writer.write(b'HTTP/1.1 200 Slow\r\nX-Slow: ')
+def make_chunk_flood(beginning: bytes, piece: bytes) -> Flood:
+    """Return an answer whose body has chunks without end."""
+    first = _OK + _CHUNKED + _make_chunk(beginning)
+    return Flood(first, _make_chunk(_repeat(piece)))
 
 
-def _write_slow_body(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_head(writer, run, 200, {'Content-Length': str(MAX_BYTES)})
+def make_length_flood(beginning: bytes, piece: bytes) -> Flood:
+    """Return an answer that names a length which it does not reach."""
+    head = b'content-length: %d\r\n\r\n' % 10**15
+    return Flood(_OK + head + beginning, _repeat(piece))
 
 
-def _write_slow_trailers(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_head(writer, run, 200, {'Transfer-Encoding': 'chunked'})
-    writer.write(b'1\r\nx\r\n0\r\nX-Slow: ')
+@dataclass(slots=True)
+class EndlessServer:
+    """A server that gives the floods of ``answers`` to the paths they stand at.
 
+    Paths that are not in ``answers`` get ``default``. ``started`` counts the
+    answers that were begun, ``ended`` those whose connection the client
+    closed, and ``sent_bytes`` lists the size of each that has ended.
+    """
 
-def _write_slow_stream(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_head(writer, run, 200, STREAM_HEADERS)
+    default: Flood
+    answers: dict[str, Flood] = field(default_factory=dict)
+    address: str = ''
+    started: int = 0
+    sent_bytes: list[int] = field(default_factory=list)
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    @property
+    def ended(self) -> int:
+        """Number of answers that the client ended."""
+        return len(self.sent_bytes)
+
+    async def start(self, address: str = '127.0.0.1:0') -> None:
+        """Listen at an address (``host:port``), on port 0 at a free one."""
+        host, _, port = address.rpartition(':')
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        bound = self._server.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def choose_answer(self, path: str) -> Flood:
+        """Return the answer to a request for a path."""
+        return self.answers.get(path, self.default)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._tasks.add(asyncio.current_task())
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                head = await reader.readuntil(b'\r\n\r\n')
+                path = head.split()[1].decode().partition('?')[0]
+                await self._pour(self.choose_answer(path), writer)
+        finally:
+            self._tasks.discard(asyncio.current_task())
+            writer.close()
+
+    async def _pour(self, flood: Flood, writer: asyncio.StreamWriter) -> None:
+        self.started += 1
+        sent = len(flood.beginning)
+        try:
+            writer.write(flood.beginning)
+            await writer.drain()
+            while flood.piece:
+                writer.write(flood.piece)
+                await writer.drain()
+                sent += len(flood.piece)
+                # Also without an interval: drain does not always yield.
+                await asyncio.sleep(flood.interval_s)
+        except OSError:
+            self.sent_bytes.append(sent)
 
 
-def _write_unfinished_head(run: Run, writer: asyncio.StreamWriter) -> None:
-    writer.write(b'HTTP/1.1 200 Unfinished\r\n' + _FIELDS)
+@dataclass(slots=True)
+class EndlessPages(EndlessServer):
+    """A store that has more pages after each page of a range.
 
+    ``pages`` counts those that were read. Each has one item; its key is above
+    that of the page before if ``goes_on`` is true, otherwise the same.
+    """
 
-def _write_unfinished_trailers(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_head(writer, run, 200, {'Transfer-Encoding': 'chunked'})
-    writer.write(b'1\r\nx\r\n0\r\n' + _FIELDS)
+    goes_on: bool = True
+    value_bytes: int = 0
+    pages: int = 0
 
+    def choose_answer(self, path: str) -> Flood:
+        """Return the next page of a range."""
+        self.pages += 1
+        number = self.pages if self.goes_on else 1
+        item = {
+            'key': f'servers/{number:09}',
+            'mod-revision': 1,
+            'value': 'AAAA' * (self.value_bytes // 3),
+        }
+        page = {'items': [item], 'at': 1, 'has-more': True}
+        return make_answer(json.dumps(page).encode())
 
-def _write_unfinished_body(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_head(writer, run, 200, {'Content-Length': str(_HELD_BYTES + 1)})
-    writer.write(bytes(_HELD_BYTES))
 
+def _repeat(piece: bytes) -> bytes:
+    return piece * max(1, PIECE_BYTES // max(1, len(piece)))
 
-def _write_unfinished_event(run: Run, writer: asyncio.StreamWriter) -> None:
-    write_head(writer, run, 200, STREAM_HEADERS)
-    write_chunk(writer, b'id: 1\ndata: ' + b'x' * _HELD_BYTES)
 
+def _make_chunk(raw: bytes) -> bytes:
+    return b'%x\r\n%s\r\n' % (len(raw), raw) if raw else b''
 
-def _repeat(raw: bytes) -> Callable[[Run], bytes]:
-    return lambda run: raw
 
+FloodMaker = Callable[[bytes, bytes], Flood]
+FRAMINGS: dict[str, FloodMaker] = {
+    'to the close': make_body_flood,
+    'chunks': make_chunk_flood,
+    'length': make_length_flood,
+}
 
-def _make_small_answer(run: Run) -> bytes:
-    lines = (
-        'HTTP/1.1 200 Again',
-        f'X-Attempt-Id: {run.req_id}',
-        f'X-Response-Seal: seal-of-{run.req_id}',
-        'Content-Length: 2',
-    )
-    return '\r\n'.join([*lines, '', 'ok']).encode()
 
+@dataclass(slots=True)
+class EndlessCaller:
+    """A caller that sends a beginning and then one piece without end.
 
-# As many as a parser accepts.
-_FIELDS = b'X-Field: %s\r\n' % (b'x' * 60_000) * 120
-_NOTHING = _repeat(b'')
-_CHUNK = b'1000\r\n%s\r\n' % (b'x' * 4096)
-_BYTE = b'1\r\nx\r\n'
-_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_HINTS = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+    It stops after ``max_bytes``. ``received`` are the bytes of the answers,
+    ``sent_bytes`` counts what the server took, and ``closed`` is whether the
+    server closed the connection.
+    """
 
-FLOODS = {
-    'refusal 421, chunks': Flood(
-        _write_refusal_in_chunks(421), _repeat(_CHUNK)
-    ),
-    'refusal 503, chunks': Flood(
-        _write_refusal_in_chunks(503), _repeat(_CHUNK)
-    ),
-    'refusal 421, length': Flood(_write_refusal_of_length(421), _repeat(b'x')),
-    'refusal 503, length': Flood(_write_refusal_of_length(503), _repeat(b'x')),
-    'refusal 421, silent': Flood(_write_refusal_of_length(421), _NOTHING),
-    'interim 100': Flood(_write_nothing, _repeat(_CONTINUE)),
-    'interim 103': Flood(_write_nothing, _repeat(_HINTS)),
-    'answers': Flood(_write_answer, _make_small_answer),
-    'answers after a large one': Flood(_write_large_answer, _make_small_answer),
-    'unfinished head': Flood(_write_unfinished_head, _NOTHING),
-    'unfinished trailers': Flood(_write_unfinished_trailers, _NOTHING),
-    'unfinished body': Flood(_write_unfinished_body, _NOTHING),
-    'unfinished event': Flood(_write_unfinished_event, _NOTHING),
-    'slow head': Flood(_write_slow_head, _repeat(b'x'), is_slow=True),
-    'slow interim': Flood(_write_nothing, _repeat(_CONTINUE), is_slow=True),
-    'slow body': Flood(_write_slow_body, _repeat(b'x'), is_slow=True),
-    'slow trailers': Flood(_write_slow_trailers, _repeat(b'x'), is_slow=True),
-    'slow event': Flood(_write_slow_stream, _repeat(_BYTE), is_slow=True),
-    'slow refusal': Flood(
-        _write_refusal_of_length(503), _repeat(b'x'), is_slow=True
-    ),
-    'slow surplus': Flood(_write_answer, _repeat(b'H'), is_slow=True),
-}
+    address: str
+    beginning: bytes = b''
+    piece: bytes = b''
+    interval_s: float = 0
+    max_bytes: int = 64_000_000
+    sent_bytes: int = 0
+    received: bytearray = field(default_factory=bytearray)
+    closed: bool = False
+    _writer: asyncio.StreamWriter | None = None
+
+    async def run(self, timeout_s: float = 10) -> None:
+        """Send until the server closes the connection, or for a time."""
+        host, _, port = self.address.rpartition(':')
+        reader, self._writer = await asyncio.open_connection(host, int(port))
+        reading = asyncio.create_task(self._read(reader))
+        sending = asyncio.create_task(self._send())
+        try:
+            await asyncio.wait({reading}, timeout=timeout_s)
+        finally:
+            for task in (reading, sending):
+                task.cancel()
+            self._writer.transport.abort()
+        await asyncio.gather(reading, sending, return_exceptions=True)
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        with contextlib.suppress(OSError):
+            while raw := await reader.read(PIECE_BYTES):
+                self.received += raw
+        self.closed = True
+
+    async def _send(self) -> None:
+        raw = self.beginning
+        while raw and self.sent_bytes < self.max_bytes:
+            self._writer.write(raw)
+            await self._writer.drain()
+            self.sent_bytes += len(raw)
+            await asyncio.sleep(self.interval_s)
+            raw = self.piece if self.interval_s else _repeat(self.piece)
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -40,7 +40,6 @@
         self.surplus = 0
         self.reusable_until = math.inf
         self._req_id = ''
-        self._passed_over = 0
         # Hashes, as callers choose ids of any length.
         self._earlier_ids: set[int] = set()
 
@@ -67,9 +66,17 @@
             self._earlier_ids.add(hash(self._req_id))
         self._req_id = req_id
         self.surplus = 0
-        self._passed_over = 0
         self.calls += 1
 
+    def set_parser_params(self, **params: Any) -> None:
+        """Keep the parser of the requests before, if there was one.
+
+        It may hold the begin of a surplus answer. All calls on a connection
+        have the same parameters: those with others use one of their own.
+        """
+        if self._parser is None:
+            super().set_parser_params(**params)
+
     def get_peer_address(self) -> str:
         """Return the address at the other end, empty if it is closed."""
         peer = None
@@ -84,9 +91,8 @@
         that it is not for this call.
         """
         is_due = not self._answers_earlier_call(message)
-        if is_due or self._passed_over >= _MAX_SURPLUS_ANSWERS:
+        if is_due or self.surplus >= _MAX_SURPLUS_ANSWERS:
             return False
-        self._passed_over += 1
         self.surplus += 1
         return await _skip_body(body)
 
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -58,10 +58,10 @@
 
 _CONNECT_TIMEOUT_S = 0.4
 _CONTENT_LENGTH = b'content-length'
+# Answers to it are framed in another way than those before and after them.
+_HEAD = 'HEAD'
 # Calls with these methods that may run only once use a connection of their own.
-_SINGLE_USE_METHODS = frozenset(
-    ('GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE')
-)
+_SINGLE_USE_METHODS = frozenset(('GET', 'OPTIONS', 'TRACE', 'PUT', 'DELETE'))
 # aiohttp adds these by itself; upstreams get only those of the caller.
 _AUTO_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -177,13 +177,15 @@
             self._drains.start(resp)
             return result
         if result.status is SendStatus.broken:
-            resp.close()
+            _close_connection(resp)
         resp.release()
         await resp.wait_for_close()
         return result
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
         at_most_once = not exchange.call.allows_retry_after_run
+        if exchange.method == _HEAD:
+            return self._single_use_session
         if at_most_once and exchange.method in _SINGLE_USE_METHODS:
             return self._single_use_session
         return self._session
@@ -370,5 +372,16 @@
         )
 
 
+def _close_connection(resp: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response, also if it is in the pool.
+
+    aiohttp returns it there if the whole response arrived at once.
+    """
+    resp.close()
+    connection = call_connection.get()
+    if connection is not None:
+        connection.close()
+
+
 def _drop_content_length(headers: ResponseHeaders) -> list[tuple[bytes, bytes]]:
     return [pair for pair in headers.forwarded if pair[0] != _CONTENT_LENGTH]
--- a/tests/functional/test_routed_endless_answers.py
+++ b/tests/functional/test_routed_endless_answers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fakes.endless import LARGE_BODY, LATE_S, EndlessUpstream
+from fakes.endlessupstream import LARGE_BODY, LATE_S, EndlessUpstream
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 # All that a VM has, as the site states it.
