--- a/src/bilberryspoke/_internal/network/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/network/boundedprotocol.py
@@ -69,15 +69,15 @@
 
     def set_response_params(self, **params: Any) -> None:
         """Note that a request is sent on it."""
+        self.begin_request()
+        super().set_response_params(**params)
+
+    def begin_request(self) -> None:
+        """Begin to count what arrives for the next request."""
         self._interim_answers = 0
         self._barren_bytes = 0
         self._unread_bytes = 0
         self._body = None
-        self.set_parser_params(**params)
-
-    def set_parser_params(self, **params: Any) -> None:
-        """Give it a new parser for the answer to the next request."""
-        super().set_response_params(**params)
 
     async def read(self) -> Any:
         """Return the next answer that is not passed over."""
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -70,14 +70,16 @@
         self._passed_over = 0
         self.calls += 1
 
-    def set_parser_params(self, **params: Any) -> None:
-        """Keep the parser of the requests before, if there was one.
+    def set_response_params(self, **params: Any) -> None:
+        """Note that a request is sent on it, and keep its parser if it has one.
 
         It may hold the begin of a surplus answer. All calls on a connection
         have the same parameters: those with others use one of their own.
         """
         if self._parser is None:
-            super().set_parser_params(**params)
+            super().set_response_params(**params)
+        else:
+            self.begin_request()
 
     def get_peer_address(self) -> str:
         """Return the address at the other end, empty if it is closed."""
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -46,6 +46,7 @@
 from bilberryspoke._internal.platform.headers import (
     CallHeaders,
     RawHeaders,
+    is_single_req_id,
     parse_call_headers,
 )
 from bilberryspoke._internal.utils.hashing import hash_bytes
@@ -118,6 +119,9 @@
             scope['headers'],
             keep_authorization=not table.uses_keys,
         )
+        if not is_single_req_id(headers.req_id):
+            await self._refuse_at_ingress(send, 400, 'malformed_request_id')
+            return
         path = scope['raw_path'].decode('latin-1')
         match_result = match_call(table, headers.host, path, headers.key)
         if match_result.is_error():
--- a/src/bilberryspoke/_internal/network/routing/outgoing.py
+++ b/src/bilberryspoke/_internal/network/routing/outgoing.py
@@ -43,9 +43,18 @@
         if isinstance(effect, Send)
         else _make_helper_headers(exchange, effect)
     )
-    return [
-        (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
-    ]
+    return [(decode_header(name), decode_header(text)) for name, text in raw]
+
+
+def decode_header(raw: bytes) -> str:
+    """Return the text that the HTTP client encodes to the same bytes.
+
+    It encodes as UTF-8. Bytes that are none are taken for Latin-1, and change.
+    """
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        return raw.decode('latin-1')
 
 
 def _make_upstream_headers(exchange: Exchange, effect: Send) -> RawHeaders:
--- a/src/bilberryspoke/_internal/platform/headers.py
+++ b/src/bilberryspoke/_internal/platform/headers.py
@@ -103,7 +103,8 @@
 class CallHeaders:
     """Decoded headers of a caller's request.
 
-    ``req_id``, ``host`` and ``model`` are empty if missing. ``wait_s`` is the
+    ``req_id``, ``host`` and ``model`` are empty if missing; see
+    ``is_single_req_id``. ``wait_s`` is the
     time that the caller still waits, in seconds. ``key`` is the bearer token,
     which is the caller's API key. ``last_event_id`` is the id of the event
     after which the caller resumes a stream. These three are None if missing or
@@ -224,7 +225,7 @@
         by_name.get(_TOKEN_COUNTS, b'')
     )
     return CallHeaders(
-        req_id=by_name.get(_REQUEST_ID, b'').decode('latin-1'),
+        req_id=find_req_id(raw) or '',
         host=by_name.get(b'host', b'').decode('latin-1'),
         wait_s=_parse_remaining_time(by_name.get(_DEADLINE)),
         key=_parse_bearer_token(by_name.get(_AUTHORIZATION)),
@@ -311,18 +312,29 @@
 
 def get_sent_req_id(headers: Mapping[str, str]) -> str:
     """Return the request id of a request to be sent, empty if it has none."""
-    return headers.get(_REQUEST_ID.decode(), '')
+    return headers.get(_REQUEST_ID.decode(), '').strip()
 
 
 def find_req_id(raw: Iterable[tuple[bytes, bytes]]) -> str | None:
-    """Return the request id that a response bears, None if it has none.
+    """Return the request id of a request or response, None if it has none.
 
-    Several that differ are joined, so that they are the id of no call.
+    Several that differ are joined by blanks, so that they are the id of no
+    call.
     """
-    found = [text for name, text in raw if name.lower() == _REQUEST_ID]
+    found = [text.strip() for name, text in raw if name.lower() == _REQUEST_ID]
     if not found:
         return None
-    return b', '.join(dict.fromkeys(found)).decode('latin-1')
+    return b' '.join(dict.fromkeys(found)).decode('latin-1')
+
+
+def is_single_req_id(req_id: str) -> bool:
+    """Return whether a call may have this request id, or none.
+
+    It has no blanks, and only characters that all HTTP clients encode alike.
+    """
+    return not req_id or (
+        req_id.isascii() and req_id.isprintable() and ' ' not in req_id
+    )
 
 
 def _parse_number(raw: bytes | None) -> int | None:
--- a/tests/unit/test_routed_connections.py
+++ b/tests/unit/test_routed_connections.py
@@ -3,10 +3,12 @@
 import asyncio
 
 import aiohttp
+import pytest
 
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
 )
+from bilberryspoke._internal.network.routing.outgoing import decode_header
 
 
 def test_connections_expire_while_another_is_being_opened():
@@ -33,3 +35,9 @@
             call.cancel()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('text', ['modele', 'mod\xe8le', '\u6a21\u578b'])
+def test_header_beyond_ascii_goes_on_unchanged(text):
+    # Its bytes were encoded a second time.
+    assert decode_header(text.encode()).encode() == text.encode()
