--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -49,8 +49,8 @@
     again, and the connection of a broken answer is to be closed.
     """
     headers = head.headers
-    if isinstance(effect, HandOff) and headers.req_id in {None, call.req_id}:
-        # Helpers repeat the id in answers of upstreams only.
+    if isinstance(effect, HandOff) and headers.req_id is None:
+        # Only answers of upstreams, which helpers pass on, have an id.
         reason = find_not_run_reason(head.raw)
         if reason is not None:
             return _judge_helper_refusal(reason)
