Name the incarnation in what VMs tell of an upstream's limit

Calls could be refused for a limit that no upstream has: one that restarted under its name got the limit of before back from VMs that had not read its new entry yet. At a small limit that lasts until an answer without a limit comes. By reading its effect on callers; shown on cores of three VMs.

Evidence: test_limit_of_an_upstream_ends_with_its_incarnation, with three VMs, failed before (0.05 at the new incarnation).

Why this works: the statement bears the start of the upstream's incarnation, as those of leaving and brittle upstreams do. VMs of the landing before leave the field out and ignore it; their statements count as before.

--- a/src/bilberryspoke/_internal/core/routing/ratelimits.py
+++ b/src/bilberryspoke/_internal/core/routing/ratelimits.py
@@ -47,7 +47,7 @@
     """Record the limit that an upstream named in an answer, or its end."""
     _record_limit(
         state,
-        event.instance,
+        _find_speaker(state.routing, event),
         event.per_s,
         stated_at=now,
         now=now,
@@ -57,7 +57,7 @@
 
 def _record_limit(
     state: VmState,
-    instance: str,
+    upstream: UpstreamState | None,
     per_s: float | None,
     *,
     stated_at: float,
@@ -66,10 +66,9 @@
 ) -> None:
     """Record what an upstream said of its limit, unless it is outdated.
 
-    ``per_s`` is None if it named none. ``source`` is ``answer``, or the VM that
-    passed the statement on.
+    ``upstream`` is None if it is gone, ``per_s`` if it named no limit.
+    ``source`` is ``answer``, or the VM that passed the statement on.
     """
-    upstream = state.routing.upstreams.get(instance)
     if upstream is None:
         return
     limit = upstream.limit
@@ -86,7 +85,7 @@
         limit.refilled_at = now
     _update_part(state, upstream, now)
     fields = {
-        'upstream': instance,
+        'upstream': upstream.listed.instance,
         'limit_per_s': per_s,
         'before': before,
         'part_per_s': round(limit.part_per_s, 3),
@@ -116,6 +115,7 @@
             upstream.listed.instance,
             upstream.limit.per_s,
             round(max(0, now - upstream.limit.stated_at), 3),
+            upstream.listed.created_ms,
         )
         for upstream in routing.upstreams.values()
         if upstream.limit.per_s is not None
@@ -130,7 +130,7 @@
     for each in stated:
         _record_limit(
             state,
-            each.instance,
+            _find_speaker(state.routing, each),
             each.per_s,
             stated_at=now - each.age_s,
             now=now,
@@ -138,6 +138,18 @@
         )
 
 
+def _find_speaker(
+    routing: RoutingState, stated: RateLimitStated | StatedLimit
+) -> UpstreamState | None:
+    """Return the upstream that named a limit, None if it is gone.
+
+    One that restarted under its name knows nothing of a limit of before.
+    """
+    if stated.created_ms is None:
+        return routing.upstreams.get(stated.instance)
+    return routing.find_incarnation(stated.instance, stated.created_ms)
+
+
 def _update_part(state: VmState, upstream: UpstreamState, now: float) -> None:
     limit = upstream.limit
     _refill(limit, now)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -124,10 +124,12 @@
 
     ``per_s``: calls per second that it takes from all VMs together; ``None``
     if it named no limit.
+    ``created_ms``: names its incarnation; ``None`` if it is not known.
     """
 
     instance: str
     per_s: float | None
+    created_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -45,11 +45,14 @@
 
     ``per_s``: calls per second; None if it named no limit.
     ``age_s``: seconds since it said so.
+    ``created_ms``: names its incarnation, as in ``ListedUpstream``; None from
+    VMs of an earlier version, which don't tell it.
     """
 
     instance: str
     per_s: BoundedRate | None
     age_s: Duration
+    created_ms: int | None = None
 
 
 class LeavingUpstream(msgspec.Struct, array_like=True):
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -254,7 +254,11 @@
             logger.warning('rate_limit_malformed', upstream=effect.instance)
         elif headers.names_rate_limit or effect.rate_limited:
             self._submit(
-                RateLimitStated(effect.instance, headers.rate_limit_per_s)
+                RateLimitStated(
+                    effect.instance,
+                    headers.rate_limit_per_s,
+                    effect.created_ms,
+                )
             )
 
     async def _relay_body(
--- a/tests/functional/test_routed_surplus_review.py
+++ b/tests/functional/test_routed_surplus_review.py
@@ -12,10 +12,6 @@
 from bilberryspoke._internal.config.settings import LimitSettings
 from bilberryspoke._internal.models.effects import Dispatch
 from bilberryspoke._internal.models.requests import Request
-from bilberryspoke._internal.models.routing_events import (
-    RateLimitStated,
-    UpstreamChanged,
-)
 from bilberryspoke._internal.network.answers import AnswerStore
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.upstreams import UpstreamClient
@@ -27,8 +23,6 @@
     write_whole,
 )
 from tests.functional.test_routed_surplus_answers import run_moved_fleet
-from tests.lib.corefleet import CoreFleet
-from tests.lib.routedcore import build_upstream
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 # An engine that still works on a call this long after it was sent elsewhere
@@ -470,34 +464,3 @@
             server.close()
 
     asyncio.run(run())
-
-
-@pytest.mark.parametrize(
-    'vms',
-    [
-        1,
-        pytest.param(
-            3,
-            marks=pytest.mark.xfail(
-                reason='Review of issue 45, 7', strict=True
-            ),
-        ),
-    ],
-)
-def test_limit_of_an_upstream_ends_with_its_incarnation(vms):
-    # The VMs told each other the limit of the one before, by its name.
-    fleet = CoreFleet(vms)
-    fleet.run_until(7.0)
-    for name in fleet.cores:
-        fleet.handle(name, RateLimitStated('app-0', 0.05))
-    fleet.run_until(8.0)
-    again = build_upstream('app-0', service='app', slots=6, created_ms=8000)
-    for name in fleet.cores:
-        fleet.handle(name, UpstreamChanged('app-0', again))
-        # The entries reach the VMs one after the other.
-        fleet.run_until(fleet.now + 1.0)
-    limits = [
-        core.state.routing.upstreams['app-0'].limit.per_s
-        for core in fleet.cores.values()
-    ]
-    assert limits == [None] * vms
--- a/tests/unit/test_routed_limits.py
+++ b/tests/unit/test_routed_limits.py
@@ -7,12 +7,14 @@
     CallArrived,
     RateLimitStated,
     SendEnded,
+    UpstreamChanged,
 )
 from tests.lib.corefleet import CoreFleet
 from tests.lib.routedcore import (
     READ_ROUTE,
     RoutedCore,
     build_call,
+    build_upstream,
     list_sends,
 )
 from tests.lib.windows import count_busiest
@@ -136,3 +138,23 @@
     core = RoutedCore(plain_upstreams=1)
     core.handle(RateLimitStated(LIMITED, 0.1), now=0.0)
     assert core.arrive(build_call('r', READ_ROUTE), now=0.0) is None
+
+
+@pytest.mark.parametrize('vms', [1, 3])
+def test_limit_of_an_upstream_ends_with_its_incarnation(vms):
+    # VMs told each other the limit of the one before, by its name.
+    fleet = CoreFleet(vms)
+    fleet.run_until(7.0)
+    for name in fleet.cores:
+        fleet.handle(name, RateLimitStated('app-0', 0.05))
+    fleet.run_until(8.0)
+    again = build_upstream('app-0', service='app', slots=6, created_ms=8000)
+    for name in fleet.cores:
+        fleet.handle(name, UpstreamChanged('app-0', again))
+        # The entries reach the VMs one after the other.
+        fleet.run_until(fleet.now + 1.0)
+    limits = [
+        core.state.routing.upstreams['app-0'].limit.per_s
+        for core in fleet.cores.values()
+    ]
+    assert limits == [None] * vms
