--- a/fakes/endlessupstream.py
+++ b/fakes/endlessupstream.py
@@ -189,6 +189,7 @@
     'unfinished trailers': Flood(_write_unfinished_trailers, _NOTHING),
     'unfinished body': Flood(_write_unfinished_body, _NOTHING),
     'unfinished event': Flood(_write_unfinished_event, _NOTHING),
+    'endless body': Flood(_write_slow_body, _repeat(b'x')),
     'slow head': Flood(_write_slow_head, _repeat(b'x'), is_slow=True),
     'slow interim': Flood(_write_nothing, _repeat(_CONTINUE), is_slow=True),
     'slow body': Flood(_write_slow_body, _repeat(b'x'), is_slow=True),
--- a/tests/functional/test_routed_endless_answers.py
+++ b/tests/functional/test_routed_endless_answers.py
@@ -77,6 +77,22 @@
     return sum(len(upstream.runs) for upstream in upstreams)
 
 
+async def open_silent_call(node, number):
+    """Send a call whose caller reads nothing; return its connection."""
+    _, writer = await asyncio.open_connection(node.ip, node.entry_port)
+    writer.transport.pause_reading()
+    lines = (
+        'POST /safe/ HTTP/1.1',
+        'Host: calls.example',
+        'Authorization: Bearer key-1',
+        f'X-Attempt-Id: q{number}',
+        'X-Deadline-Ms: 5000',
+        'Content-Length: 0',
+    )
+    writer.write('\r\n'.join([*lines, '', '']).encode())
+    return writer
+
+
 async def call_until_met(fleet, faulty, path='/safe/'):
     """Send calls until the faulty upstream got one; return the last answers."""
     for attempt in range(_MAX_ATTEMPTS):
@@ -230,3 +246,27 @@
             await wait_until(lambda: all(run.aborted for run in runs))
 
     asyncio.run(run())
+
+
+def test_bodies_for_callers_that_read_nothing_fill_no_memory():
+    # Each connection kept what its caller had not taken, beyond 1 MB.
+    async def run():
+        async with run_faulty_fleet('endless body', 'app') as (
+            fleet,
+            upstreams,
+        ):
+            node = fleet.nodes[0]
+            connections = [
+                await open_silent_call(node, number)
+                for number in range(_CALLS_OF_FAULTY)
+            ]
+            await wait_until(lambda: count_runs(upstreams) >= _MANY_RUNS)
+            answer = await fleet.call('/stream/', 's1', method='POST')
+            assert (answer.status, answer.whole) == (200, True)
+            runs = [run for faulty in upstreams for run in faulty.runs]
+            await wait_until(lambda: all(run.aborted for run in runs))
+            assert read_peak_kb(node) < _VM_KB
+            for connection in connections:
+                connection.close()
+
+    asyncio.run(run())
