Bound what a VM keeps of the messages of another

A faulty VM could have 10,000 messages of 64 MB each kept by any other, in the memory of ZeroMQ, while the event loop was busy.

A VM now keeps 8 messages of a peer, the rest waits at the sender and is dropped there if its queue is full, as before. The own interface keeps 64 MB, as whole configurations go by it. A message over the limit is counted as dropped by its sender.

--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -14,9 +14,12 @@
 
 _MIN_RECONNECT_INTERVAL_MS = 50
 _MAX_RECONNECT_INTERVAL_MS = 100
-# For each socket.
+# For each peer.
 _MAX_QUEUED_ENVELOPES = 10_000
+# For each peer. What is not received yet waits at the sender.
+_MAX_RECEIVED_ENVELOPES = 8
 _CLOSE_LINGER_MS = 200
+# A configuration of the project's own interface may be as large.
 _MAX_ENVELOPE_BYTES = 64_000_000
 _HEARTBEAT_INTERVAL_MS = 1000
 # ZeroMQ closes a connection that was silent for this long and reconnects.
@@ -30,25 +33,29 @@
     """One PULL socket for incoming messages and a PUSH socket for each peer.
 
     Messages to a peer that are sent in one iteration of the event loop go
-    into one envelope. A message to a peer that is not connected or whose queue
-    is full, or that can't be encoded, is dropped and counted in ``dropped``:
-    every exchange between VMs recovers from lost messages. ``rejected`` counts
-    incoming ZeroMQ messages that are not valid envelopes.
+    into one envelope. A message is dropped and counted in ``dropped`` if its
+    peer is not connected or has a full queue, or if it can't be encoded or is
+    too large: every exchange between VMs recovers from lost messages.
+    ``rejected`` counts incoming ZeroMQ messages that are not valid envelopes.
     """
 
     def __init__(
         self,
         vm: str,
         incarnation: int,
+        *,
+        max_envelope_bytes: int = _MAX_ENVELOPE_BYTES,
     ) -> None:
         """Create an unbound transport.
 
-        ``vm`` and ``incarnation`` identify the sender in every envelope.
+        ``vm`` and ``incarnation`` identify the sender in every envelope. One of
+        more than ``max_envelope_bytes`` is neither sent nor received.
         """
         self.dropped = 0
         self.rejected = 0
         self._vm = vm
         self._incarnation = incarnation
+        self._max_envelope_bytes = max_envelope_bytes
         self._envelope_handler: EnvelopeHandler | None = None
         self._peer_loss_handler: PeerLossHandler | None = None
         self._monitors: dict[str, zmq.Socket] = {}
@@ -67,8 +74,8 @@
         Port 0 stands for any free port. Raises ``AddressBindError`` if the
         address cannot be bound.
         """
-        self._inbound.setsockopt(zmq.MAXMSGSIZE, _MAX_ENVELOPE_BYTES)
-        self._inbound.setsockopt(zmq.RCVHWM, _MAX_QUEUED_ENVELOPES)
+        self._inbound.setsockopt(zmq.MAXMSGSIZE, self._max_envelope_bytes)
+        self._inbound.setsockopt(zmq.RCVHWM, _MAX_RECEIVED_ENVELOPES)
         try:
             self._inbound.bind(f'tcp://{host}:{port or "*"}')
         except zmq.ZMQError as exc:
@@ -184,6 +191,11 @@
             self.dropped += len(messages)
             logger.error('messages_not_encodable', peer=peer, cause=str(exc))
             return
+        if len(encoded) > self._max_envelope_bytes:
+            # The peer would close the connection, and other messages be lost.
+            self.dropped += len(messages)
+            logger.error('messages_too_large', peer=peer, size=len(encoded))
+            return
         try:
             socket.send(encoded, zmq.NOBLOCK)
         except zmq.Again:
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -47,6 +47,8 @@
 # Callers' connections get ``IngressLimits.idle_timeout_s`` of the route table
 # instead, set by IngressProtocol.
 _KEEP_ALIVE_TIMEOUT_S = 15.0
+# Routes have at most 1 MB, and the upstreams of a large fleet less.
+_MAX_ENVELOPE_BYTES = 4_194_304
 # The load balancer removes a VM after two failed probes, one second apart, and
 # sends new connections until then.
 _DEREGISTRATION_DELAY_S = 3.0
@@ -112,7 +114,9 @@
     def _create_components(self) -> _Components:
         settings = self._settings
         incarnation = time.time_ns() // 1_000_000
-        peers = PeerTransport(settings.vm, incarnation)
+        peers = PeerTransport(
+            settings.vm, incarnation, max_envelope_bytes=_MAX_ENVELOPE_BYTES
+        )
         peer_address = peers.bind(settings.ip, settings.peer_port)
         core = Core(
             CoreSettings(
--- /dev/null
+++ b/tests/unit/test_endless_peers.py
@@ -0,0 +1,106 @@
+"""The transport between VMs before messages without end."""
+
+import asyncio
+import contextlib
+
+import zmq
+
+from bilberryspoke._internal.models.messages import ConfigPull, ConfigPush
+from bilberryspoke._internal.network.peers import PeerTransport
+
+MAX_ENVELOPE_BYTES = 1_000_000
+# What a VM keeps of one connection, with what the buffers of two sockets hold.
+MAX_TAKEN_BYTES = 24_000_000
+
+
+def make_transport(name):
+    return PeerTransport(name, 1, max_envelope_bytes=MAX_ENVELOPE_BYTES)
+
+
+async def wait_until(check):
+    async with asyncio.timeout(10):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def run_pair():
+    """Yield a transport that receives, and one that is connected to it."""
+    with (
+        contextlib.closing(make_transport('one')) as receiver,
+        contextlib.closing(make_transport('two')) as sender,
+    ):
+        sender.connect_peer('one', receiver.bind('127.0.0.1', 0))
+        await asyncio.sleep(0.2)
+        yield receiver, sender
+
+
+@contextlib.contextmanager
+def open_raw_peer(address):
+    """Yield a ZeroMQ socket that keeps nothing of what it sends."""
+    context = zmq.Context()
+    peer = context.socket(zmq.PUSH)
+    peer.setsockopt(zmq.SNDHWM, 1)
+    peer.connect(f'tcp://{address}')
+    try:
+        yield peer
+    finally:
+        peer.close(linger=0)
+        context.term()
+
+
+async def send_until_full(peer, raw, max_bytes):
+    """Send until nothing is taken for half a second; return the bytes."""
+    taken = 0
+    misses = 0
+    while misses < 50 and taken < max_bytes:
+        try:
+            peer.send(raw, zmq.NOBLOCK)
+        except zmq.Again:
+            misses += 1
+            await asyncio.sleep(0.01)
+        else:
+            misses = 0
+            taken += len(raw)
+    return taken
+
+
+def test_messages_of_a_faulty_vm_are_not_kept_without_end():
+    # 10,000 messages of 64 MB each were kept.
+    async def run():
+        with (
+            contextlib.closing(make_transport('one')) as receiver,
+            contextlib.closing(make_transport('two')) as sender,
+        ):
+            address = receiver.bind('127.0.0.1', 0)
+            with open_raw_peer(address) as peer:
+                raw = b'x' * (MAX_ENVELOPE_BYTES - 1)
+                taken = await send_until_full(peer, raw, 200_000_000)
+                assert taken < MAX_TAKEN_BYTES
+                # Another VM is served beside it.
+                received = []
+                receiver.start_receiving(received.append)
+                sender.connect_peer('one', address)
+                await asyncio.sleep(0.2)
+                sender.send('one', ConfigPull(1))
+                await wait_until(lambda: received)
+
+    asyncio.run(run())
+
+
+def test_message_over_the_limit_leaves_the_connection_as_it_is():
+    # The receiver closed the connection, and with it went other messages.
+    async def run():
+        async with run_pair() as (receiver, sender):
+            received = []
+            receiver.start_receiving(received.append)
+            large = ConfigPush(1, '', b'x' * 2 * MAX_ENVELOPE_BYTES, {})
+            sender.send('one', large)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert sender.dropped == 1
+            sender.send('one', ConfigPull(7))
+            await wait_until(lambda: received)
+            assert received[0].messages[0].revision == 7
+
+    asyncio.run(run())
