Receive messages of other VMs in turns of bounded size

A VM that sent messages faster than they were handled kept the event loop of its peers for itself: messages were received until there was none left.

Before the fix both cases of test_messages_that_arrive_without_end_leave_time_for_other_work failed: 1,000 of 1,000 messages were handled before any other work, 0.9 GB of them in the case of large ones. Now 64 messages or about 1 MB are received in a turn of the loop. Nothing that callers see changes otherwise.

--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -21,6 +21,9 @@
 _CLOSE_LINGER_MS = 200
 # A configuration of the project's own interface may be as large.
 _MAX_ENVELOPE_BYTES = 64_000_000
+# Received before other work gets its turn.
+_MAX_ENVELOPES_PER_TURN = 64
+_MAX_BYTES_PER_TURN = 1_000_000
 _HEARTBEAT_INTERVAL_MS = 1000
 # ZeroMQ closes a connection that was silent for this long and reconnects.
 _HEARTBEAT_TIMEOUT_MS = 1500
@@ -65,6 +68,7 @@
         self._addresses: dict[str, str] = {}
         self._pending: dict[str, list[PeerMessage]] = {}
         self._flush_scheduled = False
+        self._receive_scheduled = False
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
 
@@ -204,14 +208,29 @@
     def _receive_envelopes(self) -> None:
         # The descriptor is edge-triggered: a message left unread would stay
         # there until the next one arrives.
-        while True:
+        if self._receive_scheduled or self._inbound.closed:
+            return
+        remaining_bytes = _MAX_BYTES_PER_TURN
+        for _ in range(_MAX_ENVELOPES_PER_TURN):
+            if remaining_bytes <= 0:
+                break
             try:
                 raw = self._inbound.recv(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            try:
-                envelope = self._decoder.decode(raw)
-            except msgspec.MsgspecError:
-                self.rejected += 1
-                continue
+            remaining_bytes -= len(raw)
+            self._handle_raw(raw)
+        self._receive_scheduled = True
+        asyncio.get_running_loop().call_soon(self._go_on_receiving)
+
+    def _go_on_receiving(self) -> None:
+        self._receive_scheduled = False
+        self._receive_envelopes()
+
+    def _handle_raw(self, raw: bytes) -> None:
+        try:
+            envelope = self._decoder.decode(raw)
+        except msgspec.MsgspecError:
+            self.rejected += 1
+        else:
             self._envelope_handler(envelope)
--- a/tests/unit/test_endless_peers.py
+++ b/tests/unit/test_endless_peers.py
@@ -2,15 +2,24 @@
 
 import asyncio
 import contextlib
+import itertools
 
+import msgspec
+import pytest
 import zmq
 
-from bilberryspoke._internal.models.messages import ConfigPull, ConfigPush
+from bilberryspoke._internal.models.messages import (
+    ConfigPull,
+    ConfigPush,
+    Envelope,
+)
 from bilberryspoke._internal.network.peers import PeerTransport
 
 MAX_ENVELOPE_BYTES = 1_000_000
 # What a VM keeps of one connection, with what the buffers of two sockets hold.
 MAX_TAKEN_BYTES = 24_000_000
+# Envelopes that may be handled before other work gets its turn.
+MAX_HANDLED = 100
 
 
 def make_transport(name):
@@ -88,6 +97,50 @@
     asyncio.run(run())
 
 
+class FullSocket:
+    """A socket that always has one more message, up to ``count``."""
+
+    closed = False
+
+    def __init__(self, fileno, raw, count):
+        self.fileno = fileno
+        self.raw = raw
+        self.count = count
+
+    def recv(self, flags):
+        if not self.count:
+            raise zmq.Again
+        self.count -= 1
+        return self.raw
+
+
+@pytest.mark.parametrize('size', [1, 900_000])
+def test_messages_that_arrive_without_end_leave_time_for_other_work(size):
+    # The event loop did nothing else as long as there was one more.
+    async def run():
+        with contextlib.closing(make_transport('one')) as receiver:
+            receiver.bind('127.0.0.1', 0)
+            inbound = receiver._inbound
+            push = ConfigPush(1, '', b'x' * size, {})
+            raw = msgspec.msgpack.encode(Envelope('two', 1, [push]))
+            receiver._inbound = FullSocket(inbound.fileno, raw, 1000)
+            received = []
+            turns = [0]
+            receiver.start_receiving(received.append)
+            for _ in range(1000):
+                turns.append(len(received))
+                await asyncio.sleep(0)
+            receiver._inbound = inbound
+            steps = [
+                later - earlier for earlier, later in itertools.pairwise(turns)
+            ]
+            assert max(steps) < MAX_HANDLED
+            assert max(steps) * size < 3 * MAX_ENVELOPE_BYTES
+            assert len(received) == 1000
+
+    asyncio.run(run())
+
+
 def test_message_over_the_limit_leaves_the_connection_as_it_is():
     # The receiver closed the connection, and with it went other messages.
     async def run():
