Refuse envelopes of more than 8,192 messages, and send none

All messages of an envelope are handled before any other work, and 4 MiB have room for 600,000 of them.

Before the fix test_envelope_of_countless_messages_is_refused_and_none_is_sent failed: an envelope of 100,000 messages was handled. It is now refused before its messages are decoded, and a VM that has more for a peer sends several envelopes: 20,000 messages of one iteration all arrive.

--- a/src/bilberryspoke/_internal/models/messages.py
+++ b/src/bilberryspoke/_internal/models/messages.py
@@ -8,7 +8,7 @@
 is the VM that grants the pool's slots.
 """
 
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 
@@ -239,6 +239,10 @@
 )
 
 
+# Messages in one envelope.
+MAX_MESSAGES = 8192
+
+
 class Envelope(msgspec.Struct, array_like=True):
     """Batch of messages from one VM to a peer.
 
@@ -249,4 +253,6 @@
 
     sender: str
     incarnation: int
-    messages: list[PeerMessage]
+    messages: Annotated[
+        list[PeerMessage], msgspec.Meta(max_length=MAX_MESSAGES)
+    ]
--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -8,7 +8,11 @@
 import zmq
 
 from bilberryspoke._internal.exceptions import AddressBindError
-from bilberryspoke._internal.models.messages import Envelope, PeerMessage
+from bilberryspoke._internal.models.messages import (
+    MAX_MESSAGES,
+    Envelope,
+    PeerMessage,
+)
 
 logger = structlog.get_logger()
 
@@ -36,9 +40,10 @@
     """One PULL socket for incoming messages and a PUSH socket for each peer.
 
     Messages to a peer that are sent in one iteration of the event loop go
-    into one envelope. A message is dropped and counted in ``dropped`` if its
-    peer is not connected or has a full queue, or if it can't be encoded or is
-    too large: every exchange between VMs recovers from lost messages.
+    into one envelope, of up to ``MAX_MESSAGES``. A message is dropped and
+    counted in ``dropped`` if its peer is not connected or has a full queue, or
+    if it can't be encoded or is too large: every exchange between VMs recovers
+    from lost messages.
     ``rejected`` counts incoming ZeroMQ messages that are not valid envelopes.
     """
 
@@ -180,7 +185,10 @@
         pending = self._pending
         self._pending = {}
         for peer, messages in pending.items():
-            self._send_envelope(peer, messages)
+            for start in range(0, len(messages), MAX_MESSAGES):
+                self._send_envelope(
+                    peer, messages[start : start + MAX_MESSAGES]
+                )
 
     def _send_envelope(self, peer: str, messages: list[PeerMessage]) -> None:
         socket = self._outbound.get(peer)
--- a/tests/unit/test_endless_peers.py
+++ b/tests/unit/test_endless_peers.py
@@ -39,9 +39,10 @@
         contextlib.closing(make_transport('one')) as receiver,
         contextlib.closing(make_transport('two')) as sender,
     ):
-        sender.connect_peer('one', receiver.bind('127.0.0.1', 0))
+        address = receiver.bind('127.0.0.1', 0)
+        sender.connect_peer('one', address)
         await asyncio.sleep(0.2)
-        yield receiver, sender
+        yield receiver, sender, address
 
 
 @contextlib.contextmanager
@@ -141,10 +142,31 @@
     asyncio.run(run())
 
 
+def test_envelope_of_countless_messages_is_refused_and_none_is_sent():
+    # All messages of an envelope were handled before any other work.
+    async def run():
+        async with run_pair() as (receiver, sender, address):
+            received = []
+            receiver.start_receiving(received.append)
+            pulls = [ConfigPull(0)] * 100_000
+            raw = msgspec.msgpack.encode(Envelope('three', 1, pulls))
+            with open_raw_peer(address) as peer:
+                await send_until_full(peer, raw, 1)
+                await wait_until(lambda: receiver.rejected or received)
+                assert receiver.rejected == 1
+            for number in range(20_000):
+                sender.send('one', ConfigPull(number))
+            await wait_until(
+                lambda: sum(len(each.messages) for each in received) == 20_000
+            )
+
+    asyncio.run(run())
+
+
 def test_message_over_the_limit_leaves_the_connection_as_it_is():
     # The receiver closed the connection, and with it went other messages.
     async def run():
-        async with run_pair() as (receiver, sender):
+        async with run_pair() as (receiver, sender, address):
             received = []
             receiver.start_receiving(received.append)
             large = ConfigPush(1, '', b'x' * 2 * MAX_ENVELOPE_BYTES, {})
