Refuse configurations larger than any value of the store

Routes of up to 16 MB were taken from another VM, in a compressed message that may be a thousandth of that, and of any size from the store. Decoded, 13.3 MB took 0.43 GB and 1.1 s of the event loop (a run of the decoder).

Before the fix both cases of test_configuration_larger_than_a_value_is_not_kept failed. The bound is 2 MiB on both ways, twice the largest value; a configuration of 1 MiB is read as before (test_largest_configuration_of_the_store_is_read).

--- a/src/bilberryspoke/_internal/platform/records.py
+++ b/src/bilberryspoke/_internal/platform/records.py
@@ -32,6 +32,8 @@
 _DRAINING = 'draining'
 
 
+# Twice the largest value of the store. A decoded one is many times as large.
+_MAX_RECORD_BYTES = 2_097_152
 # VMs pass entries on to one another, in messages of limited size and with
 # numbers of 64 bits.
 _MAX_NUMBER = 9_223_372_036_854_775_807
@@ -202,6 +204,8 @@
 
 def _decode_json(raw: bytes, record_type: type) -> Result[Any, str]:
     """Decode a record; any bytes may be stored under its key."""
+    if len(raw) > _MAX_RECORD_BYTES:
+        return Error(f'the record is over {_MAX_RECORD_BYTES} bytes')
     try:
         return Ok(msgspec.json.decode(raw, type=record_type))
     except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
--- a/src/bilberryspoke/_internal/utils/compression.py
+++ b/src/bilberryspoke/_internal/utils/compression.py
@@ -2,8 +2,9 @@
 
 import zlib
 
-# A larger table would not fit into the memory of a small VM.
-_MAX_BYTES = 16_000_000
+# Routes are compressed, which have at most half as many. Decoded ones are many
+# times as large, and must fit into the memory of a small VM.
+_MAX_BYTES = 2_097_152
 _FASTEST_LEVEL = 1
 
 
