Bound the answers that the own interface's clients keep

Answers of the configuration service, load reports of engines and answers that are relayed whole were read to their end, which a faulty sender need not set. Values of a configuration were read as long as its manifest named one more.

The bounds: 4 MiB for an answer of the service, whose values have at most 1 MB, 64 MB for all values of a configuration, as for the message in which VMs send it, 1 MiB for a load report and 16 MiB for an answer, whose attempt then ends as broken.

--- a/src/bilberryspoke/_internal/network/platformclient.py
+++ b/src/bilberryspoke/_internal/network/platformclient.py
@@ -16,8 +16,13 @@
 from bilberryspoke._internal.config.settings import PlatformSettings
 from bilberryspoke._internal.exceptions import PlatformUnavailableError
 from bilberryspoke._internal.models.events import ListedVm, VmsListed
+from bilberryspoke._internal.utils.boundedreads import read_body
 
 _READ_TIMEOUT_S = 5.0
+# A value of the service has at most 1 MB.
+_MAX_ANSWER_BYTES = 4_194_304
+# All values of a configuration, which VMs send to one another in one message.
+_MAX_BUNDLE_BYTES = 64_000_000
 # Added to the time for which the service may hold a watch open.
 _WATCH_TIMEOUT_MARGIN_S = 5.0
 
@@ -75,10 +80,15 @@
         if parsed.is_error():
             return Error([parsed.error])
         values = {}
+        remaining_bytes = _MAX_BUNDLE_BYTES
         for digest in parsed.ok.values:
             raw = known.get(digest)
             if raw is None:
                 raw = await self._read(f'/v1/values/{digest}', _READ_TIMEOUT_S)
+            remaining_bytes -= len(raw)
+            if remaining_bytes < 0:
+                cause = f'the values are over {_MAX_BUNDLE_BYTES} bytes'
+                raise PlatformUnavailableError(self.settings.url, cause)
             values[digest] = raw
         return Ok(Bundle(manifest, values))
 
@@ -113,7 +123,7 @@
                 if resp.status != 200:
                     cause = f'status {resp.status}'
                     raise PlatformUnavailableError(url, cause)
-                return await resp.read()
+                return await read_body(resp, _MAX_ANSWER_BYTES)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             cause = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(url, cause) from exc
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -15,9 +15,12 @@
     encode_headers,
     send_response,
 )
+from bilberryspoke._internal.utils.boundedreads import read_body
 
 # An upstream in trouble may send an event without end.
 MAX_EVENT_BYTES = 1_048_576
+# An answer that is no stream is relayed once it is whole.
+_MAX_ANSWER_BYTES = 16_777_216
 _EVENT_END = b'\n\n'
 _DONE_EVENT = b'data: [DONE]\n\n'
 
@@ -138,11 +141,13 @@
 ) -> AttemptResult:
     """Relay a response after reading its body completely.
 
+    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``.
+
     An operation's answer is stored in ``answers`` before it is sent, so that
     a retry with the same key gets it even if the caller has gone.
     ``answers`` is None for a call forwarded to the VM that owns its key.
     """
-    body = await resp.read()
+    body = await read_body(resp, _MAX_ANSWER_BYTES)
     headers = {
         name.lower(): text
         for name, text in resp.headers.items()
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -22,11 +22,13 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
 )
+from bilberryspoke._internal.utils.boundedreads import read_body
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 FORWARDED_HEADER = 'x-bilberryspoke-hop'
 
 _KEEP_ALIVE_TIMEOUT_S = 3
+_MAX_LOAD_REPORT_BYTES = 1_048_576
 
 # Statuses with which a model engine refuses a request without running it.
 _REFUSAL_STATUSES = frozenset((429, 503))
@@ -163,7 +165,8 @@
         url = f'{base_url}/load'
         async with self._session.get(url, timeout=timeout) as resp:
             resp.raise_for_status()
-            return msgspec.json.decode(await resp.read(), type=LoadReport)
+            raw = await read_body(resp, _MAX_LOAD_REPORT_BYTES)
+            return msgspec.json.decode(raw, type=LoadReport)
 
     async def post_order(
         self,
