--- a/tests/unit/test_endless_peers.py
+++ b/tests/unit/test_endless_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import struct
 
 import msgspec
 import pytest
@@ -179,3 +180,50 @@
             assert received[0].messages[0].revision == 7
 
     asyncio.run(run())
+
+
+def make_property(name, content):
+    return b'%c%s%s%s' % (
+        len(name),
+        name,
+        struct.pack('>I', len(content)),
+        content,
+    )
+
+
+# Greeting and first command of a PUSH socket in ZMTP 3.0.
+GREETING = (
+    b'\xff\0\0\0\0\0\0\0\0\x7f\x03\0' + b'NULL'.ljust(20, b'\0') + b'\0' * 32
+)
+READY = b'\x05READY' + make_property(b'Socket-Type', b'PUSH')
+# Flags of a frame with a long length that is followed by another.
+MORE = 3
+
+
+@pytest.mark.xfail(
+    reason='ZeroMQ bounds no parts of a message, see KNOWN-RED.txt', strict=True
+)
+def test_message_of_parts_without_end_is_not_kept():
+    # All parts were kept until the last one.
+    async def run():
+        with contextlib.closing(make_transport('one')) as receiver:
+            address = receiver.bind('127.0.0.1', 0)
+            receiver.start_receiving(lambda envelope: None)
+            host, _, port = address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(GREETING)
+            await reader.readexactly(len(GREETING))
+            writer.write(b'\x04%c%s' % (len(READY), READY))
+            body = b'x' * 100_000
+            part = struct.pack('>BQ', MORE, len(body)) + body
+            taken = 0
+            with contextlib.suppress(TimeoutError, OSError):
+                while taken < 3 * MAX_TAKEN_BYTES:
+                    writer.write(part)
+                    async with asyncio.timeout(1):
+                        await writer.drain()
+                    taken += len(part)
+            writer.transport.abort()
+            assert taken < MAX_TAKEN_BYTES
+
+    asyncio.run(run())
