--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -8,16 +8,26 @@
 import zmq
 
 from bilberryspoke._internal.exceptions import AddressBindError
-from bilberryspoke._internal.models.messages import Envelope, PeerMessage
+from bilberryspoke._internal.models.messages import (
+    MAX_MESSAGES,
+    Envelope,
+    PeerMessage,
+)
 
 logger = structlog.get_logger()
 
 _MIN_RECONNECT_INTERVAL_MS = 50
 _MAX_RECONNECT_INTERVAL_MS = 100
-# For each socket.
+# For each peer.
 _MAX_QUEUED_ENVELOPES = 10_000
+# For each peer. What is not received yet waits at the sender.
+_MAX_RECEIVED_ENVELOPES = 8
 _CLOSE_LINGER_MS = 200
+# A configuration of the project's own interface may be as large.
 _MAX_ENVELOPE_BYTES = 64_000_000
+# Received before other work gets its turn.
+_MAX_ENVELOPES_PER_TURN = 64
+_MAX_BYTES_PER_TURN = 1_000_000
 _HEARTBEAT_INTERVAL_MS = 1000
 # ZeroMQ closes a connection that was silent for this long and reconnects.
 _HEARTBEAT_TIMEOUT_MS = 1500
@@ -30,25 +40,30 @@
     """One PULL socket for incoming messages and a PUSH socket for each peer.
 
     Messages to a peer that are sent in one iteration of the event loop go
-    into one envelope. A message to a peer that is not connected or whose queue
-    is full, or that can't be encoded, is dropped and counted in ``dropped``:
-    every exchange between VMs recovers from lost messages. ``rejected`` counts
-    incoming ZeroMQ messages that are not valid envelopes.
+    into one envelope, of up to ``MAX_MESSAGES``. A message is dropped and
+    counted in ``dropped`` if its peer is not connected or has a full queue, or
+    if it can't be encoded or is too large: every exchange between VMs recovers
+    from lost messages.
+    ``rejected`` counts incoming ZeroMQ messages that are not valid envelopes.
     """
 
     def __init__(
         self,
         vm: str,
         incarnation: int,
+        *,
+        max_envelope_bytes: int = _MAX_ENVELOPE_BYTES,
     ) -> None:
         """Create an unbound transport.
 
-        ``vm`` and ``incarnation`` identify the sender in every envelope.
+        ``vm`` and ``incarnation`` identify the sender in every envelope. One of
+        more than ``max_envelope_bytes`` is neither sent nor received.
         """
         self.dropped = 0
         self.rejected = 0
         self._vm = vm
         self._incarnation = incarnation
+        self._max_envelope_bytes = max_envelope_bytes
         self._envelope_handler: EnvelopeHandler | None = None
         self._peer_loss_handler: PeerLossHandler | None = None
         self._monitors: dict[str, zmq.Socket] = {}
@@ -58,6 +73,7 @@
         self._addresses: dict[str, str] = {}
         self._pending: dict[str, list[PeerMessage]] = {}
         self._flush_scheduled = False
+        self._receive_scheduled = False
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
 
@@ -67,8 +83,8 @@
         Port 0 stands for any free port. Raises ``AddressBindError`` if the
         address cannot be bound.
         """
-        self._inbound.setsockopt(zmq.MAXMSGSIZE, _MAX_ENVELOPE_BYTES)
-        self._inbound.setsockopt(zmq.RCVHWM, _MAX_QUEUED_ENVELOPES)
+        self._inbound.setsockopt(zmq.MAXMSGSIZE, self._max_envelope_bytes)
+        self._inbound.setsockopt(zmq.RCVHWM, _MAX_RECEIVED_ENVELOPES)
         try:
             self._inbound.bind(f'tcp://{host}:{port or "*"}')
         except zmq.ZMQError as exc:
@@ -169,7 +185,10 @@
         pending = self._pending
         self._pending = {}
         for peer, messages in pending.items():
-            self._send_envelope(peer, messages)
+            for start in range(0, len(messages), MAX_MESSAGES):
+                self._send_envelope(
+                    peer, messages[start : start + MAX_MESSAGES]
+                )
 
     def _send_envelope(self, peer: str, messages: list[PeerMessage]) -> None:
         socket = self._outbound.get(peer)
@@ -184,6 +203,11 @@
             self.dropped += len(messages)
             logger.error('messages_not_encodable', peer=peer, cause=str(exc))
             return
+        if len(encoded) > self._max_envelope_bytes:
+            # The peer would close the connection, and other messages be lost.
+            self.dropped += len(messages)
+            logger.error('messages_too_large', peer=peer, size=len(encoded))
+            return
         try:
             socket.send(encoded, zmq.NOBLOCK)
         except zmq.Again:
@@ -192,14 +216,29 @@
     def _receive_envelopes(self) -> None:
         # The descriptor is edge-triggered: a message left unread would stay
         # there until the next one arrives.
-        while True:
+        if self._receive_scheduled or self._inbound.closed:
+            return
+        remaining_bytes = _MAX_BYTES_PER_TURN
+        for _ in range(_MAX_ENVELOPES_PER_TURN):
+            if remaining_bytes <= 0:
+                break
             try:
                 raw = self._inbound.recv(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            try:
-                envelope = self._decoder.decode(raw)
-            except msgspec.MsgspecError:
-                self.rejected += 1
-                continue
+            remaining_bytes -= len(raw)
+            self._handle_raw(raw)
+        self._receive_scheduled = True
+        asyncio.get_running_loop().call_soon(self._go_on_receiving)
+
+    def _go_on_receiving(self) -> None:
+        self._receive_scheduled = False
+        self._receive_envelopes()
+
+    def _handle_raw(self, raw: bytes) -> None:
+        try:
+            envelope = self._decoder.decode(raw)
+        except msgspec.MsgspecError:
+            self.rejected += 1
+        else:
             self._envelope_handler(envelope)
