--- a/fakes/endlessupstream.py
+++ b/fakes/endlessupstream.py
@@ -121,6 +121,11 @@
     write_head(writer, run, 200, {'Content-Length': str(MAX_BYTES)})
 
 
+def _write_slow_extension(run: Run, writer: asyncio.StreamWriter) -> None:
+    write_head(writer, run, 200, {'Transfer-Encoding': 'chunked'})
+    writer.write(b'1;e=')
+
+
 def _write_slow_trailers(run: Run, writer: asyncio.StreamWriter) -> None:
     write_head(writer, run, 200, {'Transfer-Encoding': 'chunked'})
     writer.write(b'1\r\nx\r\n0\r\nX-Slow: ')
@@ -185,6 +190,10 @@
     'interim 103': Flood(_write_nothing, _repeat(_HINTS)),
     'answers': Flood(_write_answer, _make_small_answer),
     'answers after a large one': Flood(_write_large_answer, _make_small_answer),
+    'blank lines': Flood(_write_nothing, _repeat(b'\r\n')),
+    'fields': Flood(_write_slow_head, _repeat(b'x\r\nX-Field: ')),
+    'chunk extension': Flood(_write_slow_extension, _repeat(b'x')),
+    'trailers': Flood(_write_slow_trailers, _repeat(b'x\r\nX-Field: ')),
     'unfinished head': Flood(_write_unfinished_head, _NOTHING),
     'unfinished trailers': Flood(_write_unfinished_trailers, _NOTHING),
     'unfinished body': Flood(_write_unfinished_body, _NOTHING),
--- a/tests/functional/test_routed_endless_answers.py
+++ b/tests/functional/test_routed_endless_answers.py
@@ -133,6 +133,20 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    'flood', ['blank lines', 'fields', 'chunk extension', 'trailers']
+)
+def test_bytes_that_are_no_answer_hold_no_call(flood):
+    # The call waited for the answer behind them until its deadline.
+    async def run():
+        async with run_endless_fleet(flood) as (fleet, faulty):
+            answers = await call_until_met(fleet, faulty)
+            assert {answer.status for answer in answers} == {200}
+            await check_fleet(fleet, faulty)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('flood', ['answers', 'answers after a large one'])
 def test_answers_without_end_fill_no_memory(flood):
     # A pooled connection took them all; its call's answer stays whole.
