--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -11,7 +11,7 @@
 from bilberryspoke._internal.utils.boundedprotocol import BoundedProtocol
 
 # Bounds the memory for request ids.
-_MAX_CALLS = 500
+_MAX_CALLS = 100
 # Limits for the answers to earlier calls that arrive before the one that is
 # due.
 _MAX_SURPLUS_ANSWERS = 8
