Split the headers of requests and responses

Now headerfields (what both have), requestheaders and responseheaders. Functions are moved as they are.

--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -7,7 +7,9 @@
 from aiohttp import ClientError
 
 from bilberryspoke._internal.network.clock import read_boottime
-from bilberryspoke._internal.platform.headers import find_req_id
+from bilberryspoke._internal.platform.headerfields import (
+    find_req_id,
+)
 from bilberryspoke._internal.utils.boundedprotocol import BoundedProtocol
 
 # Bounds the memory for request ids.
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -14,7 +14,9 @@
 
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.callprotocol import CallProtocol
-from bilberryspoke._internal.platform.headers import get_sent_req_id
+from bilberryspoke._internal.platform.headerfields import (
+    get_sent_req_id,
+)
 
 # A connection is not reused during the last part of its keep-alive time: the
 # upstream could close it while the request is on its way.
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -43,10 +43,12 @@
 )
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
-from bilberryspoke._internal.platform.headers import (
-    CallHeaders,
+from bilberryspoke._internal.platform.headerfields import (
     RawHeaders,
     is_single_req_id,
+)
+from bilberryspoke._internal.platform.requestheaders import (
+    CallHeaders,
     parse_call_headers,
 )
 from bilberryspoke._internal.utils.hashing import hash_bytes
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -49,7 +49,7 @@
     make_headers,
     make_session,
 )
-from bilberryspoke._internal.platform.headers import (
+from bilberryspoke._internal.platform.responseheaders import (
     ResponseHeaders,
     parse_response_headers,
 )
--- /dev/null
+++ b/src/bilberryspoke/_internal/platform/responseheaders.py
@@ -0,0 +1,122 @@
+"""Headers of the responses of upstreams."""
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bilberryspoke._internal.platform.headerfields import (
+    HOP_BY_HOP,
+    KEEP_ALIVE,
+    RawHeaders,
+    find_req_id,
+    list_connection_headers,
+    parse_decimal,
+)
+
+# Marks a response that an upstream wrote itself.
+_RESPONSE_SEAL = b'x-response-seal'
+_NOT_EXECUTED = b'x-not-executed'
+# Requests per second that the upstream takes from all VMs together.
+_RATE_LIMIT = b'server-limit'
+# Refusals for lack of room per second at which the upstream falls over.
+_BRITTLE = b'server-brittle'
+# Says that the upstream is leaving, in each of its answers.
+_LEAVING = b'server-leaving'
+# Seconds for which the upstream wants no calls from the VM that it refused.
+_RETRY_AFTER = b'retry-after'
+_CONTENT_ENCODING = b'content-encoding'
+
+_STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
+# Callers take these as a promise that the call did not run and never will.
+_PROMISE_STATUSES = frozenset((408, _STATUS_MISDIRECTED, 429, 503))
+_MAX_RATE_PER_S = 1e6
+_MAX_PAUSE_S = 3600.0
+
+_KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb'timeout\s*=\s*(\d+)')
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHeaders:
+    """Decoded headers of an upstream's response.
+
+    ``req_id`` is the request id in the response, or None if it has none.
+    ``not_run`` is the upstream's assurance that it did not run the call,
+    ``misdirected`` that it is another instance than the expected one.
+    ``looks_not_run`` is whether callers would read that assurance from the
+    status alone.
+    ``has_seal`` is whether the upstream marked the response as its own,
+    ``has_content_encoding`` whether the body is encoded, for instance
+    compressed. ``has_length`` is whether the end of the body is known from its
+    length or its chunks, not only from the end of the connection.
+    ``keep_alive_s`` is how long the upstream keeps the connection open while
+    idle, in seconds, or None if it does not say. ``names_rate_limit`` is
+    whether the upstream limits the requests that it takes from all VMs
+    together; ``rate_limit_per_s`` is that limit, or None if it is not a number
+    of at least 0. ``is_leaving`` is whether the upstream says that it leaves,
+    ``is_brittle`` that it falls over if it has to refuse many calls.
+    ``pause_s`` is how long it wants no calls from this VM after a refusal, in
+    seconds, or None if it does not say. ``forwarded`` are the headers that go
+    on to the caller.
+    """
+
+    req_id: str | None
+    not_run: bool
+    misdirected: bool
+    looks_not_run: bool
+    has_seal: bool
+    has_content_encoding: bool
+    has_length: bool
+    keep_alive_s: float | None
+    names_rate_limit: bool
+    rate_limit_per_s: float | None
+    is_leaving: bool
+    is_brittle: bool
+    pause_s: float | None
+    forwarded: RawHeaders
+
+
+def parse_response_headers(
+    status: int,
+    raw: Iterable[tuple[bytes, bytes]],
+) -> ResponseHeaders:
+    """Decode the headers of an upstream's response."""
+    pairs = [(name.lower(), text) for name, text in raw]
+    by_name = dict(pairs)
+    dropped = HOP_BY_HOP | list_connection_headers(by_name)
+    misdirected = status == _STATUS_MISDIRECTED
+    return ResponseHeaders(
+        req_id=find_req_id(pairs),
+        not_run=misdirected or _NOT_EXECUTED in by_name,
+        misdirected=misdirected,
+        looks_not_run=status in _PROMISE_STATUSES,
+        has_seal=_RESPONSE_SEAL in by_name,
+        has_content_encoding=_CONTENT_ENCODING in by_name,
+        has_length=b'content-length' in by_name
+        or b'transfer-encoding' in by_name,
+        keep_alive_s=_parse_keep_alive(by_name.get(KEEP_ALIVE, b'')),
+        names_rate_limit=_RATE_LIMIT in by_name,
+        rate_limit_per_s=parse_decimal(
+            by_name.get(_RATE_LIMIT), _MAX_RATE_PER_S
+        ),
+        pause_s=_parse_pause(status, by_name.get(_RETRY_AFTER)),
+        is_leaving=by_name.get(_LEAVING, b'').strip() == b'1',
+        is_brittle=_BRITTLE in by_name,
+        forwarded=[pair for pair in pairs if pair[0] not in dropped],
+    )
+
+
+def _parse_pause(status: int, raw: bytes | None) -> float | None:
+    """Parse the delay that a refusal names, in seconds.
+
+    None if the status is no refusal, or if the delay is missing, negative or
+    not a number, as a date is not.
+    """
+    if status != _STATUS_UNAVAILABLE:
+        return None
+    return parse_decimal(raw, _MAX_PAUSE_S)
+
+
+def _parse_keep_alive(raw: bytes) -> float | None:
+    match = _KEEP_ALIVE_TIMEOUT_PATTERN.search(raw)
+    return float(match.group(1)) if match else None
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -15,15 +15,17 @@
     parse_boot_settings,
     read_boot_settings,
 )
-from bilberryspoke._internal.platform.headers import (
+from bilberryspoke._internal.platform.records import (
+    decode_route_table,
+    decode_upstream,
+)
+from bilberryspoke._internal.platform.requestheaders import (
     SendHeaders,
     make_send_headers,
     parse_call_headers,
-    parse_response_headers,
 )
-from bilberryspoke._internal.platform.records import (
-    decode_route_table,
-    decode_upstream,
+from bilberryspoke._internal.platform.responseheaders import (
+    parse_response_headers,
 )
 from tests.lib.platformdata import (
     build_boot_settings,
--- a/tests/unit/test_routed_statements.py
+++ b/tests/unit/test_routed_statements.py
@@ -8,7 +8,9 @@
     PauseRequested,
     UpstreamChanged,
 )
-from bilberryspoke._internal.platform.headers import parse_response_headers
+from bilberryspoke._internal.platform.responseheaders import (
+    parse_response_headers,
+)
 from tests.lib.corefleet import CoreFleet
 from tests.lib.routedcore import (
     READ_ROUTE,
