Ask a store whose watches end at once a few times a second

A watch of the routes followed the one before at once. A store that answers each watch without a change, before its time, was asked thousands of times a second, to the price of all calls and beyond the reads that all VMs share.

(Waiting after each change instead was tried and dropped: a restore from a copy then went unseen in test_routed_store_restores.py.)

--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -21,6 +21,7 @@
     UpstreamChanged,
     UpstreamsListed,
 )
+from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.platform.records import (
     CONFIG_KEY,
@@ -97,6 +98,8 @@
                 position = NO_POSITION
                 await asyncio.sleep(_READING_POLL_INTERVAL_S)
                 continue
+            previous = position
+            asked_at = read_boottime()
             try:
                 position = await self._fetch_changes(prefix, position, wait_s)
             except PlatformHistoryLostError as exc:
@@ -114,10 +117,13 @@
                 )
                 await self._sleep_with_jitter(RETRY_INTERVAL_S)
                 continue
-            if not position.revision:
-                await self._sleep_with_jitter(RETRY_INTERVAL_S)
-            elif batch_interval_s:
+            if position.revision:
                 await asyncio.sleep(batch_interval_s)
+            else:
+                await self._sleep_with_jitter(RETRY_INTERVAL_S)
+            if position == previous:
+                # A store at fault may end each watch at once.
+                await self._sleep_until(asked_at + RETRY_INTERVAL_S)
 
     async def _fetch_changes(
         self,
@@ -205,6 +211,9 @@
             important=True,
         )
 
+    async def _sleep_until(self, wakes_at: float) -> None:
+        await asyncio.sleep(max(0, wakes_at - read_boottime()))
+
     async def _sleep_with_jitter(self, seconds: float) -> None:
         # VMs that lost the store at the same time must not all retry at once.
         self._sleep_count += 1
--- a/tests/functional/test_routed_endless_input.py
+++ b/tests/functional/test_routed_endless_input.py
@@ -1,11 +1,17 @@
 """Routing processes whose sources send bytes without end."""
 
 import asyncio
+import time
 from pathlib import Path
 
 import pytest
 
-from fakes.endless import EndlessServer, make_body_flood, make_chunk_flood
+from fakes.endless import (
+    EndlessServer,
+    make_answer,
+    make_body_flood,
+    make_chunk_flood,
+)
 from tests.lib.platformdata import build_config
 from tests.lib.routedfleet import (
     list_adopted_versions,
@@ -18,6 +24,11 @@
 # Each watch of the store meets the faulty answers several times.
 FAULTY_ANSWERS = 6
 
+WATCHED_CALLS = 40
+CALL_INTERVAL_S = 0.05
+# Of both watches together.
+MAX_WATCHES_PER_S = 20
+
 
 def read_peak_memory_kb(node):
     """Return the largest memory that a process had in use so far."""
@@ -64,3 +75,24 @@
             await wait_until(lambda: 2 in list_adopted_versions(node))
 
     asyncio.run(run())
+
+
+def test_store_whose_watches_end_at_once_is_not_asked_without_end():
+    # The next watch of the routes followed at once, thousands in a second.
+    async def run():
+        async with run_routed_fleet(scripted_engines=0) as fleet:
+            server = EndlessServer(make_answer(b'{"events":[],"at":200}'))
+            await fleet.store.stop()
+            await server.start(fleet.store.address)
+            started_at = time.monotonic()
+            statuses = set()
+            for number in range(WATCHED_CALLS):
+                answer = await fleet.call('/safe/', f'w{number}')
+                statuses.add(answer.status)
+                await asyncio.sleep(CALL_INTERVAL_S)
+            assert statuses == {200}
+            seconds = time.monotonic() - started_at
+            assert 0 < server.started < seconds * MAX_WATCHES_PER_S
+            await server.stop()
+
+    asyncio.run(run())
