Collect the body of a request in one buffer

A caller that sends its body in small pieces had each of them kept as an object of its own until the last one came, within the limit on bodies but many times as large.

Before the fix test_body_in_small_pieces_takes_no_more_than_its_size failed: a body of 0.2 MB in pieces of two bytes took 12.5 MB at its peak.

--- a/src/bilberryspoke/_internal/network/bodies.py
+++ b/src/bilberryspoke/_internal/network/bodies.py
@@ -86,17 +86,14 @@
     ``CallerGoneError`` if the caller disconnects before the body is complete.
     There is no timeout.
     """
-    chunks = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
             raise CallerGoneError
-        chunk = message.get('body', b'')
-        size += len(chunk)
-        if size > max_bytes:
+        body += message.get('body', b'')
+        if len(body) > max_bytes:
             text = f'the body is over {max_bytes} bytes'
             return Error(Refusal(413, 'too_large', text))
-        chunks.append(chunk)
         if not message.get('more_body', False):
-            return Ok(b''.join(chunks))
+            return Ok(bytes(body))
