--- a/tests/unit/test_endless_store.py
+++ b/tests/unit/test_endless_store.py
@@ -162,3 +162,34 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+SLOW = {
+    'head': Flood(b'HTTP/1.1 200 OK\r\na: ', b'x', interval_s=0.1),
+    'body': Flood(b'HTTP/1.1 200 OK\r\n\r\n', b' ', interval_s=0.1),
+    'nothing': Flood(b'', b'\r\n', interval_s=0.1),
+}
+
+
+@pytest.mark.parametrize('flood', SLOW.values(), ids=SLOW.keys())
+def test_store_answer_that_comes_byte_by_byte_is_given_up(flood):
+    async def run():
+        server = EndlessServer(flood)
+        await server.start()
+        client = StoreClient(server.address, '127.0.0.1')
+        reads = (
+            client.read('op/config'),
+            client.read_prefix(PREFIX),
+            client.watch(PREFIX, 1, wait_s=0.2),
+        )
+        results = await asyncio.gather(*reads, return_exceptions=True)
+        assert [type(each) for each in results] == (
+            [PlatformUnavailableError] * 3
+        )
+        async with asyncio.timeout(10):
+            while server.ended < 3:
+                await asyncio.sleep(0.01)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(run())
