--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -43,9 +43,12 @@
 )
 from bilberryspoke._internal.network.routing.sending import CallSender
 from bilberryspoke._internal.network.runtime import Runtime
-from bilberryspoke._internal.platform.headers import (
-    CallHeaders,
+from bilberryspoke._internal.platform.headerfields import (
     RawHeaders,
+    is_single_req_id,
+)
+from bilberryspoke._internal.platform.requestheaders import (
+    CallHeaders,
     parse_call_headers,
 )
 from bilberryspoke._internal.utils.hashing import hash_bytes
@@ -118,6 +121,9 @@
             scope['headers'],
             keep_authorization=not table.uses_keys,
         )
+        if not is_single_req_id(headers.req_id):
+            await self._refuse_at_ingress(send, 400, 'malformed_request_id')
+            return
         path = scope['raw_path'].decode('latin-1')
         match_result = match_call(table, headers.host, path, headers.key)
         if match_result.is_error():
@@ -216,6 +222,7 @@
         finally:
             watcher.cancel()
             self._runtime.calls.pop(call_id, None)
+            self._sender.held.release(call_id)
             self._runtime.submit(CallAbandoned(call_id))
 
     async def _run_commands(self, exchange: Exchange) -> None:
--- a/src/bilberryspoke/_internal/network/routing/outgoing.py
+++ b/src/bilberryspoke/_internal/network/routing/outgoing.py
@@ -6,9 +6,11 @@
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.exchange import Exchange
 from bilberryspoke._internal.network.routing.handoff import make_attempts_header
-from bilberryspoke._internal.platform.headers import (
-    HandoffHeaders,
+from bilberryspoke._internal.platform.headerfields import (
     RawHeaders,
+)
+from bilberryspoke._internal.platform.requestheaders import (
+    HandoffHeaders,
     SendHeaders,
     make_handoff_headers,
     make_send_headers,
@@ -16,6 +18,9 @@
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 _MAX_HEADER_BYTES = 65_536
+# aiohttp stops reading when twice this part of a body is unread; one read has
+# up to 256 kB.
+READ_BUFFER_BYTES = 16_384
 
 
 def make_session(
@@ -28,6 +33,7 @@
         timeout=timeout,
         auto_decompress=False,
         middlewares=(forbid_resending,),
+        read_bufsize=READ_BUFFER_BYTES,
         max_line_size=_MAX_HEADER_BYTES,
         max_field_size=_MAX_HEADER_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -43,9 +49,18 @@
         if isinstance(effect, Send)
         else _make_helper_headers(exchange, effect)
     )
-    return [
-        (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
-    ]
+    return [(decode_header(name), decode_header(text)) for name, text in raw]
+
+
+def decode_header(raw: bytes) -> str:
+    """Return the text that the HTTP client encodes to the same bytes.
+
+    It encodes as UTF-8. Bytes that are none are taken for Latin-1, and change.
+    """
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        return raw.decode('latin-1')
 
 
 def _make_upstream_headers(exchange: Exchange, effect: Send) -> RawHeaders:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -8,7 +8,10 @@
 import structlog
 from yarl import URL
 
-from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing import (
+    NOT_RUN_SEND_STATUSES,
+    SendStatus,
+)
 from bilberryspoke._internal.models.routing_effects import (
     HandOff,
     Send,
@@ -26,24 +29,27 @@
 from bilberryspoke._internal.network.routing.answerheads import (
     AnswerHead,
     SendResult,
+    answers_call,
     judge_head,
-    may_answer,
 )
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
     call_connection,
 )
+from bilberryspoke._internal.network.routing.draining import BodyDrains
 from bilberryspoke._internal.network.routing.eventstream import EventSplitter
 from bilberryspoke._internal.network.routing.exchange import (
     BufferedResponse,
     Exchange,
 )
+from bilberryspoke._internal.network.routing.holding import HeldBytes
 from bilberryspoke._internal.network.routing.linkprobes import LinkProber
 from bilberryspoke._internal.network.routing.outgoing import (
+    READ_BUFFER_BYTES,
     make_headers,
     make_session,
 )
-from bilberryspoke._internal.platform.headers import (
+from bilberryspoke._internal.platform.responseheaders import (
     ResponseHeaders,
     parse_response_headers,
 )
@@ -51,14 +57,11 @@
 logger = structlog.get_logger()
 
 _CONNECT_TIMEOUT_S = 0.4
-# Responses up to this size are relayed only once they are complete, so that the
-# call can be sent again if its connection breaks.
-_MAX_BUFFERED_BYTES = 1_048_576
 _CONTENT_LENGTH = b'content-length'
+# Answers to it are framed in another way than those before and after them.
+_HEAD = 'HEAD'
 # Calls with these methods that may run only once use a connection of their own.
-_SINGLE_USE_METHODS = frozenset(
-    ('GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE')
-)
+_SINGLE_USE_METHODS = frozenset(('GET', 'OPTIONS', 'TRACE', 'PUT', 'DELETE'))
 # aiohttp adds these by itself; upstreams get only those of the caller.
 _AUTO_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -90,6 +93,8 @@
         self._submit = submit
         self.prober = LinkProber(submit, self.connector.expire_connections)
         self._check = ListenCheck()
+        self._drains = BodyDrains()
+        self.held = HeldBytes()
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_S,
@@ -102,6 +107,7 @@
 
     async def close(self) -> None:
         """Close all connections to upstreams."""
+        await self._drains.close()
         await self._session.close()
         await self._single_use_session.close()
         await self.prober.close()
@@ -134,6 +140,7 @@
             and isinstance(effect, Send)
             and await self._check.check(effect.address) is Reach.refused
         )
+        self.held.fits(exchange, 0)
         connection = call_connection.get()
         return SendEnded(
             call_id=effect.call_id,
@@ -150,7 +157,7 @@
     async def _send_request(
         self, exchange: Exchange, effect: Send | HandOff
     ) -> SendResult:
-        async with self._choose_session(exchange).request(
+        resp = await self._choose_session(exchange).request(
             exchange.method,
             URL(
                 f'http://{effect.address}{exchange.request_target}',
@@ -160,15 +167,25 @@
             headers=make_headers(exchange, effect),
             allow_redirects=False,
             skip_auto_headers=_AUTO_HEADERS,
-        ) as resp:
-            try:
-                return await self._handle_response(exchange, effect, resp)
-            except BaseException:
-                resp.close()
-                raise
+        )
+        try:
+            result = await self._handle_response(exchange, effect, resp)
+        except BaseException:
+            resp.close()
+            raise
+        if result.status in NOT_RUN_SEND_STATUSES:
+            self._drains.start(resp)
+            return result
+        if result.status is SendStatus.broken:
+            _close_connection(resp)
+        resp.release()
+        await resp.wait_for_close()
+        return result
 
     def _choose_session(self, exchange: Exchange) -> aiohttp.ClientSession:
         at_most_once = not exchange.call.allows_retry_after_run
+        if exchange.method == _HEAD:
+            return self._single_use_session
         if at_most_once and exchange.method in _SINGLE_USE_METHODS:
             return self._single_use_session
         return self._session
@@ -190,10 +207,9 @@
             effect,
             AnswerHead(resp.status, resp.raw_headers, headers),
         )
-        if isinstance(effect, Send) and may_answer(exchange.call, headers):
+        if isinstance(effect, Send) and answers_call(exchange.call, headers):
             self._report_statements(effect, headers)
         if result is not None:
-            await _discard_body(resp, result)
             return result
         body = _ResponseBody(
             resp, headers, connection.close_future if connection else None
@@ -239,7 +255,11 @@
             logger.warning('rate_limit_malformed', upstream=effect.instance)
         elif headers.names_rate_limit or effect.rate_limited:
             self._submit(
-                RateLimitStated(effect.instance, headers.rate_limit_per_s)
+                RateLimitStated(
+                    effect.instance,
+                    headers.rate_limit_per_s,
+                    effect.created_ms,
+                )
             )
 
     async def _relay_body(
@@ -255,13 +275,18 @@
                 f'status {status} instead of the rest of the stream',
             )
         held = bytearray()
-        async for chunk in body.resp.content.iter_any():
-            held += chunk
-            if exchange.started or len(held) > _MAX_BUFFERED_BYTES:
-                if not exchange.started:
-                    await exchange.start(status, body.headers.forwarded)
-                await exchange.write(bytes(held))
+        async for chunk in body.resp.content.iter_chunked(READ_BUFFER_BYTES):
+            part = chunk
+            if not exchange.started:
+                held += chunk
+                if self.held.fits(exchange, len(held)):
+                    continue
+                part = bytes(held)
                 held.clear()
+                await exchange.start(status, body.headers.forwarded)
+            await exchange.write(part)
+            # A caller that reads slowly takes it by the next write.
+            self.held.fits(exchange, len(part))
         if not body.is_complete():
             return SendResult(
                 SendStatus.broken,
@@ -289,7 +314,8 @@
         splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
         async for chunk in body.resp.content.iter_any():
             complete_events = splitter.feed(chunk)
-            if splitter.broken:
+            fits = self.held.fits(exchange, len(splitter.remainder))
+            if splitter.broken or not fits:
                 return SendResult(
                     SendStatus.broken,
                     'event missing, repeated or too long in the stream',
@@ -350,14 +376,15 @@
         )
 
 
-async def _discard_body(
-    resp: aiohttp.ClientResponse, result: SendResult
-) -> None:
-    """Read the body of a refusal, or close the connection of another answer."""
-    if result.status is SendStatus.broken:
-        resp.close()
-    else:
-        await resp.read()
+def _close_connection(resp: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response, also if it is in the pool.
+
+    aiohttp returns it there if the whole response arrived at once.
+    """
+    resp.close()
+    connection = call_connection.get()
+    if connection is not None:
+        connection.close()
 
 
 def _drop_content_length(headers: ResponseHeaders) -> list[tuple[bytes, bytes]]:
