Soak: copies of answers, and upstreams that take a new id at their address

Now an upstream copies answers of any status (421, 429, 503, 200, 500, streams) at once, 10 to 300 ms later or where the next answer is due; the disturbance rename gives it a new id at its address while process and connections live on, with both entries listed for a while; the disturbance copies lets it refuse 45 in 100 calls. Callers may use an id again after a promise, and each status 200 is compared with the answer that the call must get (verdict: foreign).

Nothing visible to callers changes.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,17 +8,28 @@
 from pathlib import Path
 
 from tests.soak.disturbances import Disturber
-from tests.soak.fleet import SoakSize, run_soak_fleet
+from tests.soak.fleet import SoakFleet, SoakSize, run_soak_fleet
 from tests.soak.verdict import Verdict, judge
 
 _LISTED = 8
+_LOGGED = {
+    'hand-offs': '"call_handed_off"',
+    'surplus answers': ' surplus ',
+}
 
 
 async def soak(args: argparse.Namespace) -> Verdict:
     """Run one soak and print what it shows."""
     source = random.Random(args.seed)
     size = SoakSize(
-        args.machines, args.data_centres, args.app_upstreams, args.engines
+        args.machines,
+        args.data_centres,
+        args.app_upstreams,
+        args.engines,
+        refusing=args.refusing,
+        copying=args.copying,
+        late=args.late,
+        same_id=args.same_id,
     )
     folder = Path(args.logs) if args.logs else None
     if folder is not None:
@@ -40,13 +51,33 @@
         names = [name for _, name in disturber.noted]
         print('disturbances', {each: names.count(each) for each in set(names)})
         print('starts', sum(each.starts for each in fleet.machines))
+        for name, count in sorted(fleet.counts.items()):
+            print(f'  {count:6} {name}')
+        for name, count in _count_log_lines(fleet).items():
+            print(f'  {count:6} log lines with {name}')
     return verdict
 
 
+def _count_log_lines(fleet: SoakFleet) -> dict[str, int]:
+    """Count lines of the machines' logs, which drop routine lines at times."""
+    texts = [each.log_path.read_text('utf-8') for each in fleet.machines]
+    return {
+        name: sum(text.count(pattern) for text in texts)
+        for name, pattern in _LOGGED.items()
+    }
+
+
 def _print_verdict(verdict: Verdict) -> None:
     for outcome, count in sorted(verdict.outcomes.items()):
         print(f'  {count:6} {outcome}')
-    for name in ('refused', 'twice', 'side_by_side', 'repeated', 'ended'):
+    for name in (
+        'refused',
+        'twice',
+        'side_by_side',
+        'foreign',
+        'repeated',
+        'ended',
+    ):
         cases = getattr(verdict, name)
         print(f'{name}: {len(cases)}')
         for case in cases[:_LISTED]:
@@ -60,6 +91,10 @@
     parser.add_argument('--data-centres', type=int, default=2)
     parser.add_argument('--app-upstreams', type=int, default=4)
     parser.add_argument('--engines', type=int, default=4)
+    for name in ('refusing', 'copying', 'late', 'same-id'):
+        parser.add_argument(
+            f'--{name}', type=float, default=0, help='fraction, see SoakSize'
+        )
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
     parser.add_argument('--per-s', type=float, default=60)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,9 @@
 import time
 from dataclasses import dataclass, field
 
+from fakes.upstream import Run, make_body, make_event
 from tests.soak.machines import Machine
+from tests.soak.upstreams import EVENTS, STREAM_PATHS
 
 # Statuses that promise that the call did not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -29,7 +31,8 @@
     """One attempt of a caller, by its own request id, and its outcome.
 
     The outcome is a status, with ``cut off`` behind it if the answer was not
-    whole, or says why there is none.
+    whole, or says why there is none. ``foreign`` is whether the body of a
+    status 200 is not the answer to this call.
     """
 
     req_id: str
@@ -40,6 +43,7 @@
     outcome: str = 'open'
     status: int = 0
     ended_at: float = 0.0
+    foreign: bool = False
 
     @property
     def promised(self) -> bool:
@@ -57,10 +61,14 @@
 
 @dataclass(slots=True)
 class Callers:
-    """Callers that send calls at a rate, over new and kept connections."""
+    """Callers that send calls at a rate, over new and kept connections.
+
+    ``same_id`` is the fraction of the repeated calls that keep their id.
+    """
 
     machines: list[Machine]
     source: random.Random
+    same_id: float = 0.0
     attempts: list[Attempt] = field(default_factory=list)
     _numbers: itertools.count = field(default_factory=itertools.count)
     _kept: list[_Connection] = field(default_factory=list)
@@ -90,10 +98,11 @@
         number = next(self._numbers)
         path, method, patience_s = self.source.choice(_KINDS)
         deadline_at = time.monotonic() + patience_s
+        req_id = ''
         for tries in range(_MAX_TRIES):
-            attempt = Attempt(
-                f'c{number}.{tries}', path, '', False, time.monotonic()
-            )
+            if not req_id or self.source.random() >= self.same_id:
+                req_id = f'c{number}.{tries}'
+            attempt = Attempt(req_id, path, '', False, time.monotonic())
             self.attempts.append(attempt)
             retry_after_s = await self._try(attempt, method, deadline_at)
             attempt.ended_at = time.monotonic()
@@ -177,7 +186,10 @@
         headers = dict(
             line.lower().split(': ', 1) for line in lines[1:] if ': ' in line
         )
-        await _read_body(reader, headers)
+        body = await _read_body(reader, headers)
+        attempt.foreign = attempt.status == 200 and body != _make_answer(
+            attempt
+        )
         attempt.outcome = str(attempt.status)
         if headers.get('connection') == 'close':
             connection.writer.close()
@@ -191,12 +203,21 @@
 
 async def _read_body(
     reader: asyncio.StreamReader, headers: dict[str, str]
-) -> None:
+) -> bytes:
     if 'chunked' not in headers.get('transfer-encoding', ''):
-        await reader.readexactly(int(headers.get('content-length', 0)))
-        return
+        return await reader.readexactly(int(headers.get('content-length', 0)))
+    body = b''
     while True:
         size = int(await reader.readuntil(b'\r\n'), 16)
-        await reader.readexactly(size + 2)
+        body += (await reader.readexactly(size + 2))[:-2]
         if not size:
-            return
+            return body
+
+
+def _make_answer(attempt: Attempt) -> bytes:
+    """Return the body that the whole answer to a call has."""
+    run = Run('', attempt.path, {'x-attempt-id': attempt.req_id}, b'')
+    if attempt.path in STREAM_PATHS:
+        numbers = range(1, EVENTS + 1)
+        return b''.join(make_event(run, number) for number in numbers)
+    return make_body(run)
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -14,6 +14,8 @@
 
 _GRACE_S = 8.0
 _DISTURBANCES: dict[str, Callable[['Disturber'], Awaitable[None]]] = {}
+_REFUSING = 0.45
+_LATE = 0.5
 _FAULTS = ('lose', 'fail', 'extra', 'mute', 'cut')
 
 
@@ -112,13 +114,40 @@
     disturber.fleet.relist(upstream, before)
 
 
+@disturbance('rename')
+async def rename(disturber: Disturber) -> None:
+    """An upstream takes a new id; its process and connections live on.
+
+    The entry of its old id stays listed for a while, beside the new one.
+    """
+    upstream = disturber.draw_upstream()
+    if upstream.is_down:
+        return
+    before = upstream.instance
+    upstream.instance = f'{before.partition(".")[0]}.{time.monotonic_ns()}'
+    await asyncio.sleep(disturber.source.uniform(0, 0.6))
+    disturber.fleet.list_beside(upstream)
+    await asyncio.sleep(disturber.source.uniform(0.1, 3))
+    disturber.fleet.delist(before)
+
+
+@disturbance('copies')
+async def make_copy(disturber: Disturber) -> None:
+    """An upstream refuses many calls and copies many of its answers."""
+    upstream = disturber.draw_upstream()
+    upstream.refusing = _REFUSING
+    upstream.late = _LATE
+    upstream.copier.fraction = disturber.source.uniform(0.2, 1)
+    await asyncio.sleep(disturber.source.uniform(1, 5))
+    disturber.fleet.calm(upstream)
+
+
 @disturbance('move')
 async def move(disturber: Disturber) -> None:
     """Two upstreams of different services change addresses."""
     first, second = disturber.source.sample(disturber.fleet.upstreams, 2)
     if first.is_down or second.is_down:
         return
-    names = first.instance, second.instance
     await first.stop()
     await second.stop()
     await asyncio.sleep(disturber.source.uniform(0, 0.5))
@@ -126,7 +155,8 @@
     await first.start()
     await second.start()
     await asyncio.sleep(disturber.source.uniform(0, 1))
-    for upstream, name in zip((first, second), names, strict=True):
+    for upstream in (first, second):
+        name = upstream.instance
         upstream.instance = f'{name.partition(".")[0]}.{time.monotonic_ns()}'
         disturber.fleet.relist(upstream, name)
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,6 +6,7 @@
 import random
 import tempfile
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -30,19 +31,28 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakSize:
-    """How large a fleet is; machines of a data centre share their links."""
+    """How large a fleet is; machines of a data centre share their links.
+
+    ``refusing``, ``copying`` and ``late`` are fractions for all upstreams:
+    calls that they refuse, answers that they copy, refusals that come late.
+    ``same_id`` is the fraction of the repeated calls that keep their id.
+    """
 
     machines: int = 6
     data_centres: int = 2
     app_upstreams: int = 4
     engines: int = 4
+    refusing: float = 0.0
+    copying: float = 0.0
+    late: float = 0.0
+    same_id: float = 0.0
 
 
 @dataclass(slots=True)
 class SoakFleet:
     """A running fleet; ``links`` are those of each data centre, by upstream.
 
-    ``records`` holds all runs of calls at upstreams.
+    ``records`` holds all runs of calls at upstreams, ``counts`` what they did.
     """
 
     stores: list[StoreStandIn]
@@ -51,7 +61,9 @@
     services: dict[str, str] = field(default_factory=dict)
     machines: list[Machine] = field(default_factory=list)
     records: list[WorkRecord] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
     callers: Callers | None = None
+    size: SoakSize = field(default_factory=SoakSize)
     burst_per_s: float = 100.0
     version: int = 1
 
@@ -66,6 +78,24 @@
                     store.delete(f'servers/{before}')
             self._write_entry(store, links[key], upstream)
 
+    def calm(self, upstream: SoakUpstream) -> None:
+        """Let an upstream refuse and copy as often as all upstreams do."""
+        upstream.refusing = self.size.refusing
+        upstream.late = self.size.late
+        upstream.copier.fraction = self.size.copying
+
+    def list_beside(self, upstream: SoakUpstream) -> None:
+        """Write the entry of an upstream under its id now, and leave others."""
+        key = upstream.instance.partition('.')[0]
+        for links, store in zip(self.links, self.stores, strict=True):
+            self._write_entry(store, links[key], upstream)
+
+    def delist(self, instance: str) -> None:
+        """Delete the entry of an id that is gone, if it is still there."""
+        for store in self.stores:
+            if store.values.get(f'servers/{instance}') is not None:
+                store.delete(f'servers/{instance}')
+
     def write_config(self) -> None:
         """Write the next version of the configuration to all stores."""
         self.version += 1
@@ -118,10 +148,10 @@
             stack.push_async_callback(store.stop)
             store.put('op/config', _make_config(1))
             stores.append(store)
-        fleet = SoakFleet(stores, [{} for _ in stores])
+        fleet = SoakFleet(stores, [{} for _ in stores], size=size)
         await _add_upstreams(fleet, size, source, stack)
         fleet.machines = _make_machines(fleet, size, folder, build_roots)
-        fleet.callers = Callers(fleet.machines, source)
+        fleet.callers = Callers(fleet.machines, source, same_id=size.same_id)
         stack.callback(fleet.callers.close)
         for machine in fleet.machines:
             stack.push_async_callback(machine.close)
@@ -145,8 +175,13 @@
         for number in range(count):
             name = f'i-{service}{number}'
             upstream = SoakUpstream(
-                name, records=fleet.records, source=source, slots=slots
+                name,
+                records=fleet.records,
+                source=source,
+                counts=fleet.counts,
+                slots=slots,
             )
+            fleet.calm(upstream)
             await upstream.start()
             stack.push_async_callback(upstream.stop)
             fleet.upstreams.append(upstream)
--- a/tests/soak/verdict.py
+++ b/tests/soak/verdict.py
@@ -1,5 +1,6 @@
 """What a soak shows of broken promises."""
 
+import itertools
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
     twice: list[str] = field(default_factory=list)
     side_by_side: list[str] = field(default_factory=list)
     repeated: list[str] = field(default_factory=list)
+    foreign: list[str] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
     outcomes: dict[str, int] = field(default_factory=dict)
 
@@ -27,7 +29,11 @@
     def is_clean(self) -> bool:
         """Whether no rule was broken."""
         return not (
-            self.refused or self.twice or self.side_by_side or self.ended
+            self.refused
+            or self.twice
+            or self.side_by_side
+            or self.foreign
+            or self.ended
         )
 
 
@@ -42,36 +48,72 @@
         by_call[attempt.req_id.partition('.')[0]].append(attempt)
         outcome = f'{attempt.path} {attempt.outcome}'
         verdict.outcomes[outcome] = verdict.outcomes.get(outcome, 0) + 1
-        _judge_attempt(verdict, attempt, runs[attempt.req_id])
+        if attempt.foreign:
+            verdict.foreign.append(_describe(attempt))
     for attempts in by_call.values():
-        ran = [each for each in attempts if runs[each.req_id]]
-        if len(ran) > 1 and ran[0].path in _ONCE_PATHS:
-            verdict.repeated.append(' / '.join(map(_describe, attempts)))
+        _judge_call(verdict, attempts, runs)
     for machine in fleet.machines:
         if machine.ended_alone:
             verdict.ended.append(f'{machine.name}: {machine.ended_alone}')
     return verdict
 
 
+def _judge_call(
+    verdict: Verdict,
+    attempts: list[Attempt],
+    runs: dict[str, list[WorkRecord]],
+) -> None:
+    """Judge the attempts of a call, of which some may share an id."""
+    ran = {each.req_id for each in attempts if runs[each.req_id]}
+    path = attempts[0].path
+    if path in _ONCE_PATHS:
+        if len(ran) > 1:
+            verdict.repeated.append(' / '.join(map(_describe, attempts)))
+        for index, attempt in enumerate(attempts):
+            own = _find_runs(attempt, attempts[index + 1 :], runs)
+            _judge_attempt(verdict, attempt, own)
+    elif path == '/resume/':
+        for req_id in ran:
+            _judge_stream(verdict, attempts, runs[req_id])
+
+
+def _find_runs(
+    attempt: Attempt,
+    later_attempts: list[Attempt],
+    runs: dict[str, list[WorkRecord]],
+) -> list[WorkRecord]:
+    """Return the runs of an attempt, until its id is sent again."""
+    again_at = [
+        each.sent_at for each in later_attempts if each.req_id == attempt.req_id
+    ]
+    ends_at = min(again_at, default=float('inf'))
+    return [
+        run
+        for run in runs[attempt.req_id]
+        if attempt.sent_at <= run.began_at < ends_at
+    ]
+
+
 def _judge_attempt(
     verdict: Verdict, attempt: Attempt, runs: list[WorkRecord]
 ) -> None:
-    if attempt.path in _ONCE_PATHS:
-        if attempt.promised and runs:
-            verdict.refused.append(f'{_describe(attempt)} {_list(runs)}')
-        if len(runs) > 1:
-            verdict.twice.append(f'{_describe(attempt)} {_list(runs)}')
-        return
-    if attempt.path != '/resume/':
-        return
-    for before, after in zip(runs, runs[1:], strict=False):
+    if attempt.promised and runs:
+        verdict.refused.append(f'{_describe(attempt)} {_list(runs)}')
+    if len(runs) > 1:
+        verdict.twice.append(f'{_describe(attempt)} {_list(runs)}')
+
+
+def _judge_stream(
+    verdict: Verdict, attempts: list[Attempt], runs: list[WorkRecord]
+) -> None:
+    for before, after in itertools.pairwise(runs):
         ended_at = before.ended_at or float('inf')
         if (
             after.instance != before.instance
             and ended_at > after.began_at + _CANCEL_TIME_S
         ):
             verdict.side_by_side.append(
-                f'{_describe(attempt)} {_list([before, after])}'
+                f'{_describe(attempts[-1])} {_list([before, after])}'
             )
 
 
