Move what upstreams say of themselves out of the sender

What an answer states of its upstream is reported by a module of its own, and the bound on held bytes is named for what it does (hold). Functions are moved as they are.

--- a/src/bilberryspoke/_internal/network/routing/holding.py
+++ b/src/bilberryspoke/_internal/network/routing/holding.py
@@ -19,7 +19,7 @@
         self._counts: dict[str, int] = {}
         self._total = 0
 
-    def fits(self, exchange: Exchange, count: int) -> bool:
+    def hold(self, exchange: Exchange, count: int) -> bool:
         """Note how much of a call's answer is held back now, in bytes.
 
         Returns whether it may be held back until more of the answer arrives.
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 import aiohttp
-import structlog
 from yarl import URL
 
 from bilberryspoke._internal.models.routing import (
@@ -17,10 +16,6 @@
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
-    BrittlenessStated,
-    LeavingStated,
-    PauseRequested,
-    RateLimitStated,
     SendEnded,
     SendProgressed,
     UpstreamProbed,
@@ -49,13 +44,15 @@
     make_headers,
     make_session,
 )
+from bilberryspoke._internal.network.routing.statements import (
+    Statement,
+    report_statements,
+)
 from bilberryspoke._internal.platform.responseheaders import (
     ResponseHeaders,
     parse_response_headers,
 )
 
-logger = structlog.get_logger()
-
 _CONNECT_TIMEOUT_S = 0.4
 _CONTENT_LENGTH = b'content-length'
 # Answers to it are framed in another way than those before and after them.
@@ -71,17 +68,7 @@
 
     def __init__(
         self,
-        submit: Callable[
-            [
-                SendProgressed
-                | RateLimitStated
-                | LeavingStated
-                | PauseRequested
-                | BrittlenessStated
-                | UpstreamProbed
-            ],
-            None,
-        ],
+        submit: Callable[[SendProgressed | Statement | UpstreamProbed], None],
     ) -> None:
         """Create the client sessions; must run inside the event loop.
 
@@ -140,7 +127,7 @@
             and isinstance(effect, Send)
             and await self._check.check(effect.address) is Reach.refused
         )
-        self.held.fits(exchange, 0)
+        self.held.hold(exchange, 0)
         connection = call_connection.get()
         return SendEnded(
             call_id=effect.call_id,
@@ -208,7 +195,7 @@
             AnswerHead(resp.status, resp.raw_headers, headers),
         )
         if isinstance(effect, Send) and answers_call(exchange.call, headers):
-            self._report_statements(effect, headers)
+            report_statements(self._submit, effect, headers)
         if result is not None:
             return result
         body = _ResponseBody(
@@ -218,50 +205,6 @@
             return await self._relay_events(exchange, effect, body)
         return await self._relay_body(exchange, effect, body)
 
-    def _report_statements(
-        self, effect: Send, headers: ResponseHeaders
-    ) -> None:
-        """Report what the upstream says of itself in an answer."""
-        if headers.misdirected:
-            return
-        if headers.is_leaving:
-            self._submit(LeavingStated(effect.instance, effect.created_ms))
-        if headers.is_brittle or effect.is_brittle:
-            self._submit(
-                BrittlenessStated(
-                    effect.instance, effect.created_ms, headers.is_brittle
-                )
-            )
-        if headers.pause_s is not None:
-            self._submit(
-                PauseRequested(
-                    effect.instance, effect.created_ms, headers.pause_s
-                )
-            )
-        self._report_rate_limit(effect, headers)
-
-    def _report_rate_limit(
-        self, effect: Send, headers: ResponseHeaders
-    ) -> None:
-        """Report a limit that the upstream names, or its end.
-
-        An answer without a limit ends it only if the limit was known when the
-        call was sent: another answer may overtake one from before the limit.
-        """
-        malformed = (
-            headers.names_rate_limit and headers.rate_limit_per_s is None
-        )
-        if malformed:
-            logger.warning('rate_limit_malformed', upstream=effect.instance)
-        elif headers.names_rate_limit or effect.rate_limited:
-            self._submit(
-                RateLimitStated(
-                    effect.instance,
-                    headers.rate_limit_per_s,
-                    effect.created_ms,
-                )
-            )
-
     async def _relay_body(
         self,
         exchange: Exchange,
@@ -279,14 +222,14 @@
             part = chunk
             if not exchange.started:
                 held += chunk
-                if self.held.fits(exchange, len(held)):
+                if self.held.hold(exchange, len(held)):
                     continue
                 part = bytes(held)
                 held.clear()
                 await exchange.start(status, body.headers.forwarded)
             await exchange.write(part)
             # A caller that reads slowly takes it by the next write.
-            self.held.fits(exchange, len(part))
+            self.held.hold(exchange, len(part))
         if not body.is_complete():
             return SendResult(
                 SendStatus.broken,
@@ -314,7 +257,7 @@
         splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
         async for chunk in body.resp.content.iter_any():
             complete_events = splitter.feed(chunk)
-            fits = self.held.fits(exchange, len(splitter.remainder))
+            fits = self.held.hold(exchange, len(splitter.remainder))
             if splitter.broken or not fits:
                 return SendResult(
                     SendStatus.broken,
--- a/tests/unit/test_routed_holding.py
+++ b/tests/unit/test_routed_holding.py
@@ -19,7 +19,7 @@
 def fill(held):
     """Hold back as much as fits; return the calls."""
     calls = [make_exchange(0)]
-    while held.fits(calls[-1], _LARGE):
+    while held.hold(calls[-1], _LARGE):
         calls.append(make_exchange(len(calls)))
         assert len(calls) < 100
     return calls
@@ -30,11 +30,11 @@
     held = HeldBytes()
     calls = fill(held)
     other = make_exchange('other')
-    assert not held.fits(other, _LARGE)
-    assert held.fits(other, _SMALL)
+    assert not held.hold(other, _LARGE)
+    assert held.hold(other, _SMALL)
     held.release(calls[0].call.call_id)
     held.release(calls[1].call.call_id)
-    assert held.fits(other, _LARGE)
+    assert held.hold(other, _LARGE)
 
 
 def test_kept_failure_counts_until_its_call_ends():
@@ -42,8 +42,8 @@
     held = HeldBytes()
     calls = fill(held)
     for number, _ in enumerate(calls):
-        held.fits(make_exchange(number, kept=_LARGE), 0)
-    assert not held.fits(make_exchange('other'), _LARGE)
+        held.hold(make_exchange(number, kept=_LARGE), 0)
+    assert not held.hold(make_exchange('other'), _LARGE)
     for call in calls:
         held.release(call.call.call_id)
     assert fill(held)[1:] != []
