Let stand-ins listen where no outgoing connection takes their port

Cause: a cut link frees its port at 127.0.0.1 and binds it again later. Outgoing connections of all processes get ports of the same address meanwhile, and so do servers of other runs.

The fault needs a taken port and was not brought about on purpose. Stand-ins that listen again now do so at an address of the test run's own network, which no outgoing connection has as its source. No check is changed.

--- a/fakes/links.py
+++ b/fakes/links.py
@@ -5,6 +5,7 @@
 import socket
 from dataclasses import dataclass, field
 
+from fakes.addresses import STAND_IN_HOST
 from fakes.upstream import reset
 
 # Connections that fill the queue of a socket that accepts none.
@@ -38,7 +39,7 @@
         self._blocked.clear()
         _, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(
-            self._relay, '127.0.0.1', int(port or 0)
+            self._relay, STAND_IN_HOST, int(port or 0)
         )
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -12,6 +12,8 @@
 
 from aiohttp import web
 
+from fakes.addresses import STAND_IN_HOST
+
 _MAX_ITEMS_PER_PAGE = 3
 _ERA_HEADER = 'Store-Era'
 
@@ -48,7 +50,7 @@
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _runner: web.AppRunner | None = None
 
-    async def start(self, host: str = '127.0.0.1') -> None:
+    async def start(self, host: str = STAND_IN_HOST) -> None:
         """Listen on a free port, or on that of before if it was stopped."""
         app = web.Application()
         app.on_response_prepare.append(self._add_era)
--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -14,6 +14,8 @@
 
 import httptools
 
+from fakes.addresses import STAND_IN_HOST
+
 Headers = dict[str, str]
 STREAM_EVENT_COUNT = 6
 STREAM_HEADERS = {
@@ -124,7 +126,7 @@
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _reset_on_use: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self, host: str = '127.0.0.1') -> None:
+    async def start(self, host: str = STAND_IN_HOST) -> None:
         """Listen on a free port, or on that of before if it was stopped."""
         _, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -16,6 +16,7 @@
 
 from demo.processes import find_free_ports
 from fakes import scripts as scripts  # Registers the scripted answers.
+from fakes.addresses import LOOPBACK_NET as LOOPBACK_NET
 from fakes.modelengine import ModelEngine
 from fakes.store import StoreStandIn
 from fakes.upstream import UpstreamStandIn
@@ -27,13 +28,6 @@
 
 WAIT_TIMEOUT_S = 20
 _POLL_INTERVAL_S = 0.02
-# Test runs beside each other have networks of their own: a port that is free
-# when it is looked for may be taken by the other run before it is bound.
-_NETS_PER_BYTE = 256
-LOOPBACK_NET = (
-    f'127.{1 + os.getpid() // _NETS_PER_BYTE % 254}'
-    f'.{os.getpid() % _NETS_PER_BYTE}'
-)
 
 
 @dataclass(slots=True)
