--- a/src/bilberryspoke/_internal/network/peers.py
+++ b/src/bilberryspoke/_internal/network/peers.py
@@ -18,10 +18,9 @@
 
 _MIN_RECONNECT_INTERVAL_MS = 50
 _MAX_RECONNECT_INTERVAL_MS = 100
-# For each peer.
+# For each peer, in each direction. libzmq ends the process (signal 6) if a
+# connection breaks while its queue of received messages is full.
 _MAX_QUEUED_ENVELOPES = 10_000
-# For each peer. What is not received yet waits at the sender.
-_MAX_RECEIVED_ENVELOPES = 8
 _CLOSE_LINGER_MS = 200
 # A configuration of the project's own interface may be as large.
 _MAX_ENVELOPE_BYTES = 64_000_000
@@ -84,7 +83,7 @@
         address cannot be bound.
         """
         self._inbound.setsockopt(zmq.MAXMSGSIZE, self._max_envelope_bytes)
-        self._inbound.setsockopt(zmq.RCVHWM, _MAX_RECEIVED_ENVELOPES)
+        self._inbound.setsockopt(zmq.RCVHWM, _MAX_QUEUED_ENVELOPES)
         try:
             self._inbound.bind(f'tcp://{host}:{port or "*"}')
         except zmq.ZMQError as exc:
