Skip bodies and install protocols of connections in one place each

Found on reading the whole change once more; no behaviour is meant to change. A body that does not matter was read to its end within limits twice, for answers to earlier calls and for refusals; both call skip_body now, with the limits that they had. KeepAliveConnector installed its protocol by hand beside BoundedConnector, and is one now. The set-up of an upstream that copies stood five times in the tests; their assertions are untouched.

--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -15,9 +15,7 @@
 from bilberryspoke._internal.network.routing.handoff import (
     find_not_run_reason,
 )
-from bilberryspoke._internal.platform.responseheaders import (
-    ResponseHeaders,
-)
+from bilberryspoke._internal.platform.responseheaders import ResponseHeaders
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -4,13 +4,10 @@
 import math
 from typing import Any
 
-from aiohttp import ClientError
-
 from bilberryspoke._internal.network.clock import read_boottime
-from bilberryspoke._internal.platform.headerfields import (
-    find_req_id,
-)
+from bilberryspoke._internal.platform.headerfields import find_req_id
 from bilberryspoke._internal.utils.boundedprotocol import BoundedProtocol
+from bilberryspoke._internal.utils.boundedreads import skip_body
 
 # Bounds the memory for request ids.
 _MAX_CALLS = 100
@@ -98,22 +95,12 @@
         if is_due or self.surplus >= _MAX_SURPLUS_ANSWERS:
             return False
         self.surplus += 1
-        return await _skip_body(body)
+        return await skip_body(
+            body, max_bytes=_MAX_SURPLUS_BYTES, timeout_s=_SURPLUS_TIMEOUT_S
+        )
 
     def _answers_earlier_call(self, message: Any) -> bool:
         req_id = find_req_id(message.raw_headers)
         if req_id is None or req_id == self._req_id:
             return False
         return hash(req_id) in self._earlier_ids
-
-
-async def _skip_body(payload: Any) -> bool:
-    """Read a body to its end; return whether it was within the limits."""
-    left = _MAX_SURPLUS_BYTES
-    try:
-        async with asyncio.timeout(_SURPLUS_TIMEOUT_S):
-            while not payload.at_eof() and left >= 0:
-                left -= len(await payload.readany())
-    except (TimeoutError, ClientError):
-        return False
-    return left >= 0
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -1,7 +1,6 @@
 """Keep-alive connections to upstreams."""
 
 import asyncio
-import functools
 import math
 import socket
 import struct
@@ -10,13 +9,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-import aiohttp
-
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.callprotocol import CallProtocol
-from bilberryspoke._internal.platform.headerfields import (
-    get_sent_req_id,
-)
+from bilberryspoke._internal.platform.headerfields import get_sent_req_id
+from bilberryspoke._internal.utils.boundedprotocol import BoundedConnector
 
 # A connection is not reused during the last part of its keep-alive time: the
 # upstream could close it while the request is on its way.
@@ -68,7 +64,7 @@
 )
 
 
-class KeepAliveConnector(aiohttp.TCPConnector):
+class KeepAliveConnector(BoundedConnector):
     """Connector that reuses a connection only if it is safe to use.
 
     A pooled connection is closed instead if bytes arrived on it after its last
@@ -77,6 +73,8 @@
     pool for other calls.
     """
 
+    protocol_type = CallProtocol
+
     def __init__(self, *, force_close: bool = False) -> None:
         """Create a connector without a limit on connections.
 
@@ -88,7 +86,6 @@
             force_close=force_close,
             socket_factory=_make_socket,
         )
-        self._factory = functools.partial(CallProtocol, loop=self._loop)
         self._opened_connections = 0
 
     async def connect(
--- a/src/bilberryspoke/_internal/network/routing/draining.py
+++ b/src/bilberryspoke/_internal/network/routing/draining.py
@@ -5,6 +5,8 @@
 import aiohttp
 import structlog
 
+from bilberryspoke._internal.utils.boundedreads import skip_body
+
 logger = structlog.get_logger()
 
 # Limits for a body that is read only to use its connection again.
@@ -55,16 +57,9 @@
 
 async def _drain(resp: aiohttp.ClientResponse) -> None:
     try:
-        async with asyncio.timeout(_TIMEOUT_S):
-            await _read_body(resp.content)
-    except (TimeoutError, aiohttp.ClientError, OSError):
-        return
+        await skip_body(
+            resp.content, max_bytes=_MAX_BYTES, timeout_s=_TIMEOUT_S
+        )
     finally:
         # Keeps a connection whose body was read to its end.
         resp.close()
-
-
-async def _read_body(body: aiohttp.StreamReader) -> None:
-    async for _ in body.iter_any():
-        if body.total_bytes > _MAX_BYTES:
-            return
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -11,9 +11,7 @@
     RelayFailure,
     Send,
 )
-from bilberryspoke._internal.platform.headerfields import (
-    RawHeaders,
-)
+from bilberryspoke._internal.platform.headerfields import RawHeaders
 
 _CONNECTION_CLOSE = (b'connection', b'close')
 
--- a/src/bilberryspoke/_internal/network/routing/handoff.py
+++ b/src/bilberryspoke/_internal/network/routing/handoff.py
@@ -5,9 +5,7 @@
 
 from collections.abc import Iterable
 
-from bilberryspoke._internal.platform.headerfields import (
-    RawHeaders,
-)
+from bilberryspoke._internal.platform.headerfields import RawHeaders
 
 # Maximum number of sends that reach an upstream, for the helper.
 _MAX_ATTEMPTS = b'bilberryspoke-max-attempts'
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -7,9 +7,7 @@
 
 from bilberryspoke._internal.models.routing_effects import ProbeUpstream
 from bilberryspoke._internal.models.routing_events import UpstreamProbed
-from bilberryspoke._internal.platform.requestheaders import (
-    PROBE_PATH,
-)
+from bilberryspoke._internal.platform.requestheaders import PROBE_PATH
 from bilberryspoke._internal.utils.boundedprotocol import BoundedConnector
 from bilberryspoke._internal.utils.resending import forbid_resending
 
--- a/src/bilberryspoke/_internal/network/routing/outgoing.py
+++ b/src/bilberryspoke/_internal/network/routing/outgoing.py
@@ -6,9 +6,7 @@
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.exchange import Exchange
 from bilberryspoke._internal.network.routing.handoff import make_attempts_header
-from bilberryspoke._internal.platform.headerfields import (
-    RawHeaders,
-)
+from bilberryspoke._internal.platform.headerfields import RawHeaders
 from bilberryspoke._internal.platform.requestheaders import (
     HandoffHeaders,
     SendHeaders,
--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -156,12 +156,14 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Connector whose connections are those of ``BoundedProtocol``."""
+    """Connector whose connections are those of ``protocol_type``."""
+
+    protocol_type: type[BoundedProtocol] = BoundedProtocol
 
     def __init__(self, **options: Any) -> None:
         """Create a connector; ``options`` are those of aiohttp's."""
         super().__init__(**options)
-        self._factory = functools.partial(BoundedProtocol, loop=self._loop)
+        self._factory = functools.partial(self.protocol_type, loop=self._loop)
 
 
 def _split(raw: bytes) -> Iterator[bytes]:
--- a/src/bilberryspoke/_internal/utils/boundedreads.py
+++ b/src/bilberryspoke/_internal/utils/boundedreads.py
@@ -1,4 +1,6 @@
-"""Reading of HTTP answers with a bound on their size."""
+"""Reading of the bodies of HTTP answers within limits."""
+
+import asyncio
 
 import aiohttp
 
@@ -35,3 +37,21 @@
             resp.close()
             raise AnswerTooLargeError(max_bytes)
     return bytes(body)
+
+
+async def skip_body(
+    body: aiohttp.StreamReader, *, max_bytes: int, timeout_s: float
+) -> bool:
+    """Read a body to its end without keeping it.
+
+    Returns whether it ended within ``max_bytes`` bytes and ``timeout_s``
+    seconds.
+    """
+    remaining_bytes = max_bytes
+    try:
+        async with asyncio.timeout(timeout_s):
+            while not body.at_eof() and remaining_bytes >= 0:
+                remaining_bytes -= len(await body.readany())
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        return False
+    return remaining_bytes >= 0
--- a/tests/functional/test_routed_surplus_answers.py
+++ b/tests/functional/test_routed_surplus_answers.py
@@ -47,6 +47,13 @@
                 await upstream.stop()
 
 
+def start_copying(moved):
+    """Let an upstream refuse and copy without waiting, whatever its id."""
+    moved.answers_any = True
+    moved.answer_refusal.set()
+    moved.send_copy.set()
+
+
 @pytest.mark.parametrize('others', [0, 1])
 def test_copy_of_misdirected_answer_ends_no_later_send(others):
     # An upstream's copy of its 421 ended the send that it was running.
@@ -83,9 +90,7 @@
     # The next send went to another id on the same connection.
     async def run():
         async with run_moved_fleet(service, script) as (fleet, moved):
-            moved.answers_any = True
-            moved.answer_refusal.set()
-            moved.send_copy.set()
+            start_copying(moved)
             await list_upstream(fleet, 'i-after', moved.address, service)
             moved.answers.append(status)
             resp = await fleet.call(path, 'm1', method='POST')
@@ -102,9 +107,7 @@
     # A caller that used its id again got the copy, and its call ran.
     async def run():
         async with run_moved_fleet('app', 'whole') as (fleet, moved):
-            moved.answers_any = True
-            moved.answer_refusal.set()
-            moved.send_copy.set()
+            start_copying(moved)
             moved.answers.append(status)
             first = await fleet.call('/once/', 'm1', method='POST')
             assert first.status == 503
@@ -120,9 +123,7 @@
     # The connection was closed at the copy, and the call failed.
     async def run():
         async with run_moved_fleet('app', 'whole') as (fleet, moved):
-            moved.answers_any = True
-            moved.answer_refusal.set()
-            moved.send_copy.set()
+            start_copying(moved)
             moved.answers.append('503')
             refused = await fleet.call('/once/', 'm1', method='POST')
             assert refused.status == 503
--- a/tests/functional/test_routed_surplus_borders.py
+++ b/tests/functional/test_routed_surplus_borders.py
@@ -22,7 +22,10 @@
     register_script,
     write_whole,
 )
-from tests.functional.test_routed_surplus_answers import run_moved_fleet
+from tests.functional.test_routed_surplus_answers import (
+    run_moved_fleet,
+    start_copying,
+)
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 # An engine that still works on a call this long after it was sent elsewhere
@@ -259,9 +262,7 @@
     # Only the first of two ids was compared where a connection was chosen.
     async def run():
         async with run_moved_fleet('app', 'whole') as (fleet, moved):
-            moved.answers_any = True
-            moved.answer_refusal.set()
-            moved.send_copy.set()
+            start_copying(moved)
             moved.answers.append('503')
             assert await _call_with_ids(fleet, '/once/', 'a', 'm1') != 200
             status = await _call_with_ids(fleet, '/once/', 'b', 'm1')
@@ -372,9 +373,7 @@
     async def run():
         async with run_moved_fleet('app', 'whole') as (fleet, moved):
             assert isinstance(moved, CopyingUpstream)
-            moved.answers_any = True
-            moved.answer_refusal.set()
-            moved.send_copy.set()
+            start_copying(moved)
             moved.answers.append('503')
             first = await fleet.call('/once/', 'm1', method='POST')
             assert first.status == 503
--- a/tests/unit/test_routed_numbers.py
+++ b/tests/unit/test_routed_numbers.py
@@ -11,9 +11,7 @@
 from bilberryspoke._internal.models.routing_events import UpstreamChanged
 from bilberryspoke._internal.models.routing_messages import RoutingHeartbeat
 from bilberryspoke._internal.platform.records import decode_upstream
-from bilberryspoke._internal.platform.requestheaders import (
-    parse_call_headers,
-)
+from bilberryspoke._internal.platform.requestheaders import parse_call_headers
 from tests.lib.platformdata import build_server_entry
 from tests.lib.routedcore import DRAFT_ROUTE, RoutedCore, build_call
 
