Take no head that joins two answers for the head of one

What callers saw: status 500 with the seal, headers and body of their own 200, or 200 with the seal and body of a failure (MIXED).

Cause: an upstream's copy of an earlier answer breaks off within its status line or a header, and the sound answer follows right behind. The parser reads both as one head: "HTTP/1.1 500 InternHTTP/1.1 200 OK", then the headers of the second. The id there is the call's own, and it proved the status of another answer.

Evidence: test_head_that_joins_two_answers_reaches_no_caller, each cut from byte 1 on.

Why it works: an answer that begins within a head brings its whole status line, which no header of a sound answer has. Such a head ends the send as broken, before anything in it is believed: the id, "not run", limits, leaving. `send_broken` names the cause.

--- /dev/null
+++ b/fakes/stuttering.py
@@ -0,0 +1,65 @@
+"""Answers of an upstream that stutters: it begins one again or adds another.
+
+The pieces come with pauses in between, so that each of them is read by itself.
+"""
+
+import asyncio
+
+from fakes.upstream import (
+    Run,
+    UpstreamStandIn,
+    make_body,
+    register_script,
+    write_whole,
+)
+
+PAUSE_S = 0.05
+SEALED_HEADERS = {'Server': 'stand-in'}
+
+
+class _Recorder:
+    """Collects the bytes of an answer instead of a connection."""
+
+    def __init__(self) -> None:
+        self.raw = bytearray()
+
+    def write(self, raw: bytes) -> None:
+        self.raw += raw
+
+
+def make_answer(
+    run: Run, status: int = 200, body: bytes | None = None
+) -> bytes:
+    """Return an answer with its length, as it would be sent."""
+    recorder = _Recorder()
+    own_body = make_body(run) if body is None else body
+    write_whole(recorder, run, status, own_body, SEALED_HEADERS)
+    return bytes(recorder.raw)
+
+
+async def write_pieces(writer: asyncio.StreamWriter, *pieces: bytes) -> None:
+    """Write pieces of answers with pauses in between."""
+    for number, piece in enumerate(pieces):
+        if number:
+            await asyncio.sleep(PAUSE_S)
+        writer.write(piece)
+        await writer.drain()
+
+
+def register_cut_copy(status: int, length: int, next_status: int) -> str:
+    """Register a copy that is cut, right before an answer; return its name.
+
+    The copy is of an answer to another call with ``status``, cut after
+    ``length`` bytes. The answer to the call has ``next_status``.
+    """
+    name = f'copy of {status} cut after {length}, then {next_status}'
+
+    @register_script(name)
+    async def answer_behind_cut_copy(
+        upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        earlier = Run('GET', '', {'x-attempt-id': 'earlier'}, b'')
+        copy = make_answer(earlier, status, b'failed')[:length]
+        await write_pieces(writer, copy, make_answer(run, next_status))
+
+    return name
--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -105,7 +105,8 @@
     ``instance`` is its instance id; calls that expect another one are refused.
     ``address`` is host and port, ``connections`` counts those accepted so far.
     ``answers`` names the scripts of its next answers; when they are used up,
-    the script named ``default`` answers. ``runs`` are the calls that ran,
+    the script named ``default`` answers. ``scripts`` names those of calls by
+    their request id, before all others. ``runs`` are the calls that ran,
     ``refused_at`` is when those refused unexecuted arrived, in seconds of the
     monotonic clock. Setting ``release`` lets
     scripts that wait for it go on. ``stated`` are headers that all of its
@@ -115,6 +116,7 @@
     instance: str
     default: str = 'whole'
     answers: list[str] = field(default_factory=list)
+    scripts: dict[str, str] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
     refused_at: list[float] = field(default_factory=list)
     connections: int = 0
@@ -194,6 +196,11 @@
                 answer_task.cancel()
             writer.close()
 
+    def _choose_script(self, run: Run) -> str:
+        if run.req_id in self.scripts:
+            return self.scripts[run.req_id]
+        return self.answers.pop(0) if self.answers else self.default
+
     async def _answer(self, run: Run, writer: asyncio.StreamWriter) -> None:
         expected = run.headers.get('x-expect-instance', self.instance)
         if expected != self.instance:
@@ -204,7 +211,7 @@
         if run.target == PROBE_PATH and self.answers_probes:
             write_whole(writer, run, 200, b'{}', sealed=False)
             return
-        name = self.answers.pop(0) if self.answers else self.default
+        name = self._choose_script(run)
         # The script refuses the call, so it does not count as run.
         if name == 'busy':
             self.refused_at.append(run.arrived_at)
--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -15,6 +15,9 @@
 from bilberryspoke._internal.network.routing.handoff import (
     find_not_run_reason,
 )
+from bilberryspoke._internal.network.routing.joinedanswers import (
+    is_joined_head,
+)
 from bilberryspoke._internal.platform.responseheaders import ResponseHeaders
 
 
@@ -33,9 +36,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of an answer, as received and decoded."""
+    """Status line and headers of an answer, as received and decoded.
+
+    ``reason`` is the phrase behind the status.
+    """
 
     status: int
+    reason: str
     raw: Iterable[tuple[bytes, bytes]]
     headers: ResponseHeaders
 
@@ -49,12 +56,14 @@
     again, and the connection of a broken answer is to be closed.
     """
     headers = head.headers
+    if is_joined_head(head.reason, head.raw):
+        return _break('joined answers: a status line within the head')
     if isinstance(effect, HandOff) and headers.req_id is None:
         # Only answers of upstreams, which helpers pass on, have an id.
         reason = find_not_run_reason(head.raw)
         if reason is not None:
             return _judge_helper_refusal(reason)
-    if not answers_call(call, headers):
+    if not answers_call(call, head):
         return _break(f'response has the id {headers.req_id}')
     if headers.not_run:
         return _judge_refusal(head)
@@ -68,13 +77,15 @@
     return None
 
 
-def answers_call(call: RoutedCall, headers: ResponseHeaders) -> bool:
-    """Return whether an answer names the call.
+def answers_call(call: RoutedCall, head: AnswerHead) -> bool:
+    """Return whether a head is whole and names the call.
 
     Upstreams repeat the id of a request in each answer. One without an id may
     belong to any other request.
     """
-    return (headers.req_id or '') == call.req_id
+    if is_joined_head(head.reason, head.raw):
+        return False
+    return (head.headers.req_id or '') == call.req_id
 
 
 def _judge_helper_refusal(reason: str) -> SendResult:
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.routing.joinedanswers import (
+    is_joined_head,
+)
 from bilberryspoke._internal.platform.headerfields import find_req_id
 from bilberryspoke._internal.utils.boundedprotocol import BoundedProtocol
 from bilberryspoke._internal.utils.boundedreads import skip_body
@@ -100,6 +103,8 @@
         )
 
     def _answers_earlier_call(self, message: Any) -> bool:
+        if is_joined_head(message.reason, message.raw_headers):
+            return False
         req_id = find_req_id(message.raw_headers)
         if req_id is None or req_id == self._req_id:
             return False
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -189,12 +189,11 @@
             self.connector.record_keep_alive(
                 connection.protocol, headers.keep_alive_s
             )
-        result = judge_head(
-            exchange.call,
-            effect,
-            AnswerHead(resp.status, resp.raw_headers, headers),
+        head = AnswerHead(
+            resp.status, resp.reason or '', resp.raw_headers, headers
         )
-        if isinstance(effect, Send) and answers_call(exchange.call, headers):
+        result = judge_head(exchange.call, effect, head)
+        if isinstance(effect, Send) and answers_call(exchange.call, head):
             report_statements(self._submit, effect, headers)
         if result is not None:
             return result
--- /dev/null
+++ b/tests/functional/test_routed_joined_answers.py
@@ -0,0 +1,73 @@
+"""Upstreams that stutter: bytes of several answers that look like one."""
+
+import asyncio
+
+import pytest
+
+from fakes.stuttering import (
+    make_answer,
+    register_cut_copy,
+)
+from fakes.upstream import Run
+from tests.lib.routedfleet import run_routed_fleet
+
+_CALLS_AT_ONCE = 24
+
+
+def _list_lengths(step=1):
+    """Return the lengths after which an answer can be cut."""
+    run = Run('', '', {'x-attempt-id': 'c0000'}, b'')
+    return range(1, len(make_answer(run)), step)
+
+
+async def _call(fleet, path, number, script, limit):
+    """Send a call that gets a script; return why the answer is mixed."""
+    async with limit:
+        upstream = fleet.upstreams['i-app0']
+        req_id = f'c{number:04}'
+        upstream.scripts[req_id] = script
+        resp = await fleet.call(path, req_id, method='POST')
+    return req_id, resp
+
+
+async def _call_all(path, scripts):
+    """Send a call for each script; return the answers by script."""
+    async with run_routed_fleet(scripted_engines=0, app_upstreams=1) as fleet:
+        limit = asyncio.Semaphore(_CALLS_AT_ONCE)
+        calls = [
+            _call(fleet, path, number, script, limit)
+            for number, script in enumerate(scripts)
+        ]
+        answered = await asyncio.gather(*calls)
+    return dict(zip(scripts, answered, strict=True))
+
+
+def _list_mixed(answers, status=200):
+    """Return the scripts whose caller got a whole answer but the right one."""
+    mixed = {}
+    for script, (req_id, resp) in answers.items():
+        own = (
+            resp.status == status
+            and resp.body == f'answer to {req_id}'.encode()
+            and resp.headers['x-response-seal'] == f'seal-of-{req_id}'
+            and resp.headers['server'] == 'stand-in'
+        )
+        if 'x-response-seal' in resp.headers and resp.whole and not own:
+            mixed[script] = (resp.status, resp.headers, resp.body)
+    return mixed
+
+
+@pytest.mark.parametrize('path', ['/safe/', '/once/'])
+@pytest.mark.parametrize(
+    ('status', 'next_status'), [(500, 200), (200, 500), (503, 200), (204, 200)]
+)
+def test_head_that_joins_two_answers_reaches_no_caller(
+    path, status, next_status
+):
+    # The cut copy's status came with the headers and body of the answer.
+    scripts = [
+        register_cut_copy(status, length, next_status)
+        for length in _list_lengths()
+    ]
+    answers = asyncio.run(_call_all(path, scripts))
+    assert not _list_mixed(answers, next_status)
