Take no body that joins two answers for the body of one

What callers saw: status 200 with the upstream's seal, and a body that begins with their answer and goes on with the head of another: "ansHTTP/1.1 200" (MIXED).

Cause: an upstream stops within the body of its answer and answers again on the same connection. The length says where a body ends, not what it is made of: the begin of the second answer fills it up. What is left of it behind the end is no answer, which closed the connection without a word on the body before.

Evidence: test_answer_that_begins_again_is_not_taken_for_one, cut at each byte.

Why it works: all bytes of a body are searched for the head of an answer. One that names a call of the connection is proof, wherever it ends. Where the body ends within what may be such a head, the rest must follow at once, and is no answer: then the send is broken. It is waited for 50 ms, only for bodies that end so. A text that quotes some head is sound. The body has a module of its own, answerbody.py.

--- a/fakes/stuttering.py
+++ b/fakes/stuttering.py
@@ -63,3 +63,17 @@
         await write_pieces(writer, copy, make_answer(run, next_status))
 
     return name
+
+
+def register_begun_again(length: int) -> str:
+    """Register an answer that begins again after ``length`` bytes."""
+    name = f'begun again after {length}'
+
+    @register_script(name)
+    async def answer_again(
+        upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        answer = make_answer(run)
+        await write_pieces(writer, answer[:length], answer)
+
+    return name
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -0,0 +1,65 @@
+"""Body of an answer, and what shows that it is whole and the only one."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from bilberryspoke._internal.network.routing.connections import CallConnection
+from bilberryspoke._internal.network.routing.joinedanswers import BodyScan
+from bilberryspoke._internal.platform.responseheaders import ResponseHeaders
+
+# Details of sends that end as broken, for the log.
+HEAD_WITHIN_BODY = 'joined answers: a head within the body'
+HEAD_AT_END_OF_BODY = 'joined answers: the begin of a head ends the body'
+
+# The rest of another answer arrives with its begin, or right behind it.
+_REST_TIMEOUT_S = 0.05
+
+
+class AnswerBody:
+    """Body of an answer that is being received.
+
+    ``scan`` gets all of its bytes. ``resp`` and ``headers`` are those of the
+    answer, ``connection`` the one that it came over.
+    """
+
+    def __init__(
+        self,
+        resp: aiohttp.ClientResponse,
+        headers: ResponseHeaders,
+        connection: CallConnection,
+    ) -> None:
+        """Create the body of an answer whose head was received."""
+        self.resp = resp
+        self.headers = headers
+        self.scan = BodyScan(connection.protocol.carried)
+        self._connection = connection
+
+    def is_complete(self) -> bool:
+        """Return whether a body that has been read to its end is complete.
+
+        A body without a length ends when its connection does. It is complete
+        only if the connection was closed cleanly, not reset.
+        """
+        if self.headers.has_length:
+            return True
+        close_future = self._connection.close_future
+        if close_future is None or not close_future.done():
+            return False
+        return not close_future.cancelled() and close_future.exception() is None
+
+    async def ends_with_begin_of_head(self) -> bool:
+        """Return whether the end of a complete body is that of another answer.
+
+        Behind a body with a length the rest of that answer must follow.
+        """
+        if not self.scan.open_bytes:
+            return False
+        if not self.headers.has_length:
+            return False
+        has_junk = self._connection.protocol.has_junk
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_REST_TIMEOUT_S):
+                await has_junk.wait()
+        return has_junk.is_set()
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -49,10 +49,7 @@
         """Return whether a call with this request id may be sent on it."""
         if not self.calls:
             return True
-        is_new = (
-            req_id != self._req_id and hash(req_id) not in self._earlier_ids
-        )
-        return is_new and self.is_reusable()
+        return not self.carried(req_id) and self.is_reusable()
 
     def is_reusable(self) -> bool:
         """Return whether another call may be sent on it after the last one."""
@@ -62,6 +59,10 @@
             and not self.should_close
         )
 
+    def carried(self, req_id: str) -> bool:
+        """Return whether a call with this request id was sent on it."""
+        return req_id == self._req_id or hash(req_id) in self._earlier_ids
+
     def begin_call(self, req_id: str) -> None:
         """Note that the next call is sent on it."""
         if self.calls:
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -64,6 +64,14 @@
 )
 
 
+def get_answer_connection() -> CallConnection:
+    """Return the connection over which the current task gets its answer."""
+    connection = call_connection.get()
+    if connection is None:
+        raise LookupError('no connection carries the call of this task')
+    return connection
+
+
 class KeepAliveConnector(BoundedConnector):
     """Connector that reuses a connection only if it is safe to use.
 
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -1,8 +1,6 @@
 """Client that sends routed calls to upstreams and relays the responses."""
 
-import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import aiohttp
 from yarl import URL
@@ -21,6 +19,11 @@
     UpstreamProbed,
 )
 from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
+from bilberryspoke._internal.network.routing.answerbody import (
+    HEAD_AT_END_OF_BODY,
+    HEAD_WITHIN_BODY,
+    AnswerBody,
+)
 from bilberryspoke._internal.network.routing.answerheads import (
     AnswerHead,
     SendResult,
@@ -30,6 +33,7 @@
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
     call_connection,
+    get_answer_connection,
 )
 from bilberryspoke._internal.network.routing.draining import BodyDrains
 from bilberryspoke._internal.network.routing.eventstream import EventSplitter
@@ -184,11 +188,10 @@
         resp: aiohttp.ClientResponse,
     ) -> SendResult:
         headers = parse_response_headers(resp.status, resp.raw_headers)
-        connection = call_connection.get()
-        if connection is not None:
-            self.connector.record_keep_alive(
-                connection.protocol, headers.keep_alive_s
-            )
+        connection = get_answer_connection()
+        self.connector.record_keep_alive(
+            connection.protocol, headers.keep_alive_s
+        )
         head = AnswerHead(
             resp.status, resp.reason or '', resp.raw_headers, headers
         )
@@ -197,9 +200,7 @@
             report_statements(self._submit, effect, headers)
         if result is not None:
             return result
-        body = _ResponseBody(
-            resp, headers, connection.close_future if connection else None
-        )
+        body = AnswerBody(resp, headers, connection)
         if resp.status == 200 and exchange.call.route.streams:
             return await self._relay_events(exchange, effect, body)
         return await self._relay_body(exchange, effect, body)
@@ -208,7 +209,7 @@
         self,
         exchange: Exchange,
         effect: Send | HandOff,
-        body: '_ResponseBody',
+        body: AnswerBody,
     ) -> SendResult:
         status = body.resp.status
         if exchange.started:
@@ -218,6 +219,9 @@
             )
         held = bytearray()
         async for chunk in body.resp.content.iter_chunked(READ_BUFFER_BYTES):
+            body.scan.feed(chunk)
+            if body.scan.found:
+                return SendResult(SendStatus.broken, HEAD_WITHIN_BODY)
             part = chunk
             if not exchange.started:
                 held += chunk
@@ -235,6 +239,8 @@
                 'response ended before it was complete',
                 connection_lost=True,
             )
+        if await body.ends_with_begin_of_head():
+            return SendResult(SendStatus.broken, HEAD_AT_END_OF_BODY)
         response = BufferedResponse(status, body.headers.forwarded, bytes(held))
         if status >= 500 and not exchange.started:
             exchange.held = response
@@ -250,7 +256,7 @@
         self,
         exchange: Exchange,
         effect: Send | HandOff,
-        body: '_ResponseBody',
+        body: AnswerBody,
     ) -> SendResult:
         goes_on = exchange.started and exchange.last_event_id is not None
         splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
@@ -291,33 +297,6 @@
         return SendResult(SendStatus.finished, 'status 200')
 
 
-@dataclass(slots=True)
-class _ResponseBody:
-    """Response being received.
-
-    ``close_future`` is done when its connection closes.
-    """
-
-    resp: aiohttp.ClientResponse
-    headers: ResponseHeaders
-    close_future: asyncio.Future[None] | None
-
-    def is_complete(self) -> bool:
-        """Return whether a body that has been read to its end is complete.
-
-        A body without a length ends when its connection does. It is complete
-        only if the connection was closed cleanly, not reset.
-        """
-        if self.headers.has_length:
-            return True
-        if self.close_future is None or not self.close_future.done():
-            return False
-        return (
-            not self.close_future.cancelled()
-            and self.close_future.exception() is None
-        )
-
-
 def _close_connection(resp: aiohttp.ClientResponse) -> None:
     """Close the connection of a response, also if it is in the pool.
 
--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -5,6 +5,7 @@
 number of answers that nobody has read yet.
 """
 
+import asyncio
 import functools
 from collections.abc import Iterator
 from typing import Any
@@ -26,6 +27,7 @@
 _MAX_UNREAD_ANSWERS = 64
 _MAX_UNREAD_BYTES = 1_048_576
 
+_ANSWER_BEGIN = b'HTTP/1.'
 _STATUS_SWITCHING = 101
 _FIRST_FINAL_STATUS = 200
 
@@ -54,11 +56,15 @@
     ``AnswerLimitError``. Answers that were complete before can still be read.
     Bytes that arrive after an answer, before the next request, close it at
     once.
+
+    ``has_junk`` is set once bytes arrived that neither begin an answer nor
+    belong to one.
     """
 
     def __init__(self, *args: Any, **options: Any) -> None:
         """Create the protocol of a connection that is being opened."""
         super().__init__(*args, **options)
+        self.has_junk = asyncio.Event()
         self._exceeded = False
         self._answers = 0
         self._interim_answers = 0
@@ -116,12 +122,17 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none resume what the parser has put off."""
         if data and self._is_between_requests():
+            if not _may_begin_answer(data):
+                self.has_junk.set()
             self._end('bytes without a request')
         for piece in _split(data):
             if self._exceeded or self._exception is not None:
                 return
             progress = self._describe_progress()
             super().data_received(piece)
+            if self._exception is not None and not self._exceeded:
+                # The parser made nothing of them.
+                self.has_junk.set()
             self._count_bytes(
                 len(piece), progressed=self._describe_progress() != progress
             )
@@ -172,6 +183,10 @@
         yield raw[start : start + _PIECE_BYTES]
 
 
+def _may_begin_answer(raw: bytes) -> bool:
+    return raw[: len(_ANSWER_BEGIN)] == _ANSWER_BEGIN[: len(raw)]
+
+
 def _is_interim(status: int) -> bool:
     # aiohttp takes 101 for an answer.
     return status < _FIRST_FINAL_STATUS and status != _STATUS_SWITCHING
--- a/tests/functional/test_routed_joined_answers.py
+++ b/tests/functional/test_routed_joined_answers.py
@@ -6,6 +6,7 @@
 
 from fakes.stuttering import (
     make_answer,
+    register_begun_again,
     register_cut_copy,
 )
 from fakes.upstream import Run
@@ -71,3 +72,11 @@
     ]
     answers = asyncio.run(_call_all(path, scripts))
     assert not _list_mixed(answers, next_status)
+
+
+@pytest.mark.parametrize('path', ['/safe/', '/once/'])
+def test_answer_that_begins_again_is_not_taken_for_one(path):
+    # The second answer filled up the length of the first one.
+    scripts = [register_begun_again(length) for length in _list_lengths()]
+    answers = asyncio.run(_call_all(path, scripts))
+    assert not _list_mixed(answers)
