Doubt a body that ends with its connection within a head

What callers saw: their answer and a copy of it as one body, status 200, sealed (MIXED).

Cause: such a body has no end but that of its connection. What an upstream adds before it closes is part of it by the framing.

Evidence: test_answer_before_the_end_of_a_connection_is_no_part_of_another, a copy that is whole or cut from byte 4 on.

Why it works: nothing can follow such a body that would tell, so that the begin of a head at its end is enough for a doubt, from four bytes on ("HTTP"). Fewer end many sound bodies: a copy that is cut within "HTTP" is still not told from the body. Calls that may be repeated go elsewhere, others end with 502.

--- a/fakes/stuttering.py
+++ b/fakes/stuttering.py
@@ -10,6 +10,7 @@
     UpstreamStandIn,
     make_body,
     register_script,
+    write_head,
     write_whole,
 )
 
@@ -37,6 +38,13 @@
     return bytes(recorder.raw)
 
 
+def make_head(run: Run, **headers: str) -> bytes:
+    """Return a head with status 200 and some headers, as it would be sent."""
+    recorder = _Recorder()
+    write_head(recorder, run, 200, {**SEALED_HEADERS, **headers})
+    return bytes(recorder.raw)
+
+
 async def write_pieces(writer: asyncio.StreamWriter, *pieces: bytes) -> None:
     """Write pieces of answers with pauses in between."""
     for number, piece in enumerate(pieces):
@@ -77,3 +85,22 @@
         await write_pieces(writer, answer[:length], answer)
 
     return name
+
+
+def register_unframed_copy(length: int | None) -> str:
+    """Register an answer that ends with its connection, and a copy before.
+
+    The copy is cut after ``length`` bytes, or whole if that is None.
+    """
+    name = f'unframed, copy cut after {length}'
+
+    @register_script(name)
+    async def answer_unframed_twice(
+        upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        head = make_head(run, Connection='close')
+        copy = make_answer(run)[:length]
+        await write_pieces(writer, head + make_body(run), copy)
+        writer.close()
+
+    return name
--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -15,6 +15,8 @@
 
 # The rest of another answer arrives with its begin, or right behind it.
 _REST_TIMEOUT_S = 0.05
+# Fewer bytes that look like the begin of a head end many sound bodies.
+_MIN_DOUBTED_BYTES = 4
 
 
 class AnswerBody:
@@ -52,12 +54,13 @@
     async def ends_with_begin_of_head(self) -> bool:
         """Return whether the end of a complete body is that of another answer.
 
-        Behind a body with a length the rest of that answer must follow.
+        Behind a body with a length the rest of that answer must follow. What
+        would follow a body that ends with its connection is never received.
         """
         if not self.scan.open_bytes:
             return False
         if not self.headers.has_length:
-            return False
+            return self.scan.open_bytes >= _MIN_DOUBTED_BYTES
         has_junk = self._connection.protocol.has_junk
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_REST_TIMEOUT_S):
--- a/tests/functional/test_routed_joined_answers.py
+++ b/tests/functional/test_routed_joined_answers.py
@@ -8,6 +8,7 @@
     make_answer,
     register_begun_again,
     register_cut_copy,
+    register_unframed_copy,
 )
 from fakes.upstream import Run
 from tests.lib.routedfleet import run_routed_fleet
@@ -80,3 +81,12 @@
     scripts = [register_begun_again(length) for length in _list_lengths()]
     answers = asyncio.run(_call_all(path, scripts))
     assert not _list_mixed(answers)
+
+
+@pytest.mark.parametrize('path', ['/safe/', '/once/'])
+def test_answer_before_the_end_of_a_connection_is_no_part_of_another(path):
+    # Two answers were relayed as the body of the first one.
+    lengths = [None, *range(4, max(_list_lengths()))]
+    scripts = [register_unframed_copy(length) for length in lengths]
+    answers = asyncio.run(_call_all(path, scripts))
+    assert not _list_mixed(answers)
