Search streams for the heads of other answers

Cause: of an event only its id is compared, and only if it has one. A plain answer between two events is no event with an id, and what comes before the next blank line goes to the caller; a stream that stops before the first id and begins again is relayed as one.

Evidence: test_stream_has_no_bytes_of_another_answer.

Why it works: the bytes of a stream are searched as those of a body are, before any event in them is relayed. A head has no blank line of the kind that ends events, so that none of it is relayed before its id was read.

--- a/fakes/stuttering.py
+++ b/fakes/stuttering.py
@@ -9,6 +9,7 @@
     Run,
     UpstreamStandIn,
     make_body,
+    make_event,
     register_script,
     write_head,
     write_whole,
@@ -16,6 +17,7 @@
 
 PAUSE_S = 0.05
 SEALED_HEADERS = {'Server': 'stand-in'}
+_EVENTS = 6
 
 
 class _Recorder:
@@ -104,3 +106,51 @@
         writer.close()
 
     return name
+
+
+def register_stuttering_stream(
+    *, framed: bool, events: int, length: int
+) -> str:
+    """Register a stream that begins again within an event.
+
+    The first one breaks off after some ``events`` and ``length`` bytes of the
+    next one. It has a length that would fit both, or ends with its connection.
+    """
+    name = f'stream begun again after {events}, {length}, framed {framed}'
+
+    @register_script(name)
+    async def answer_stream_again(
+        upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        all_events = _make_events(run)
+        begun = b''.join(all_events[:events]) + all_events[events][:length]
+        again = make_head(run) + all_events[0]
+        fields = {'Connection': 'close'}
+        if framed:
+            size = len(begun + again + b''.join(all_events[1:]))
+            fields = {'Content-Length': str(size)}
+        first = make_head(run, **fields) + begun
+        await write_pieces(writer, first, again, *all_events[1:])
+        writer.close()
+
+    return name
+
+
+@register_script('plain answer among events')
+async def answer_among_events(
+    upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+) -> None:
+    """Add a plain answer between the events of a stream without a length."""
+    first, *others = _make_events(run)
+    if len(others) < _EVENTS - 1:
+        # It resumes a stream.
+        await write_pieces(writer, make_head(run) + first, *others)
+    else:
+        plain = make_answer(run) + others[0]
+        await write_pieces(writer, make_head(run) + first, plain, *others[1:])
+    writer.close()
+
+
+def _make_events(run: Run) -> list[bytes]:
+    first = int(run.headers.get('last-event-id', 0)) + 1
+    return [make_event(run, each) for each in range(first, _EVENTS + 1)]
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -261,6 +261,9 @@
         goes_on = exchange.started and exchange.last_event_id is not None
         splitter = EventSplitter(exchange.last_event_id, expects_next=goes_on)
         async for chunk in body.resp.content.iter_any():
+            body.scan.feed(chunk)
+            if body.scan.found:
+                return SendResult(SendStatus.broken, HEAD_WITHIN_BODY)
             complete_events = splitter.feed(chunk)
             fits = self.held.hold(exchange, len(splitter.remainder))
             if splitter.broken or not fits:
--- a/tests/functional/test_routed_joined_answers.py
+++ b/tests/functional/test_routed_joined_answers.py
@@ -8,9 +8,10 @@
     make_answer,
     register_begun_again,
     register_cut_copy,
+    register_stuttering_stream,
     register_unframed_copy,
 )
-from fakes.upstream import Run
+from fakes.upstream import Run, make_stream
 from tests.lib.routedfleet import run_routed_fleet
 
 _CALLS_AT_ONCE = 24
@@ -90,3 +91,45 @@
     scripts = [register_unframed_copy(length) for length in lengths]
     answers = asyncio.run(_call_all(path, scripts))
     assert not _list_mixed(answers)
+
+
+def _call_stream(path, script):
+    async def run():
+        async with run_routed_fleet(app_upstreams=0) as fleet:
+            first_answer = [script]
+            for upstream in fleet.upstreams.values():
+                upstream.default = 'stream_unframed'
+                upstream.answers = first_answer
+            return await fleet.call(path, 'c1', method='POST', body=b'p')
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize('path', ['/stream/', '/resume/'])
+@pytest.mark.parametrize(
+    'script',
+    [
+        'plain answer among events',
+        *(
+            register_stuttering_stream(
+                framed=framed, events=events, length=length
+            )
+            for framed in (True, False)
+            for events, length in ((0, 1), (0, 8), (3, 0), (3, 8))
+        ),
+    ],
+)
+def test_stream_has_no_bytes_of_another_answer(path, script):
+    # The head of an answer stood among the events of a stream.
+    answer = _call_stream(path, script)
+    expected = make_stream('c1')
+    if path == '/resume/':
+        assert (answer.status, answer.body) == (200, expected)
+        assert answer.whole
+    elif answer.status == 200:
+        assert expected.startswith(answer.body)
+        assert not answer.whole
+    else:
+        # Nothing of it was relayed.
+        assert answer.status == 502
+        assert 'x-response-seal' not in answer.headers
