Search a body for ids in time that grows with its length

What callers saw: nothing, for as long as a VM searched. A body with a status line and an id's name, then blanks without a line end, took the cube of their number: 800 blanks 0.63 s, 16,000 more than the 20 s of a test, all calls of the VM waiting meanwhile. Model text may hold that.

Cause: three parts of the pattern for an id match the same blanks.

Evidence: test_body_of_blanks_behind_an_id_keeps_no_vm_busy failed before (timeout of the caller at 20 s).

Why it works: the pattern takes a line as a whole, blanks are stripped afterwards.

--- a/src/bilberryspoke/_internal/network/routing/joinedanswers.py
+++ b/src/bilberryspoke/_internal/network/routing/joinedanswers.py
@@ -25,7 +25,7 @@
     rb"(?:\r|\r?\n[!#-'*+.^`|~\w-]*+)?\Z"
 )
 _REQ_ID_LINE = re.compile(
-    rb'\n%s:[ \t]*([^\r\n]*?)[ \t]*\r?\n' % re.escape(REQUEST_ID),
+    rb'\n%s:([^\r\n]*+)\r?\n' % re.escape(REQUEST_ID),
     re.IGNORECASE,
 )
 # Longer ones are no heads of answers.
@@ -81,7 +81,7 @@
         # With the line end behind the last line of the head.
         lines = searched[head.start() : head.end() + 2]
         return any(
-            self._knows_id(line.group(1).decode('latin-1'))
+            self._knows_id(line.group(1).strip(b' \t').decode('latin-1'))
             for line in _REQ_ID_LINE.finditer(lines)
         )
 
--- /dev/null
+++ b/tests/functional/test_routed_joined_borders.py
@@ -0,0 +1,34 @@
+"""Bytes of several answers that look like one, at the borders of the search."""
+
+import asyncio
+
+from fakes.stuttering import make_answer, write_pieces
+from fakes.upstream import register_script
+from tests.lib.routedfleet import run_routed_fleet
+
+
+async def _call_once(path, script, req_id='c1', **options):
+    """Return the answer to a call that gets a script at one upstream."""
+    async with run_routed_fleet(scripted_engines=0, app_upstreams=1) as fleet:
+        fleet.upstreams['i-app0'].scripts[req_id] = script
+        return await fleet.call(path, req_id, method='POST', **options)
+
+
+def _register(name, make_pieces, *, closes=False):
+    """Register an answer in pieces, which a function makes of its run."""
+
+    @register_script(name)
+    async def answer_in_pieces(upstream, run, writer):
+        await write_pieces(writer, *make_pieces(run))
+        if closes:
+            writer.close()
+
+    return name
+
+
+def test_body_of_blanks_behind_an_id_keeps_no_vm_busy():
+    # The search for an id took the cube of the blanks behind its name.
+    body = b'HTTP/1.1 200 OK\nX-Attempt-Id:' + b' ' * 16_000
+    script = _register('blanks', lambda run: [make_answer(run, body=body)])
+    answer = asyncio.run(_call_once('/safe/', script))
+    assert (answer.status, answer.body) == (200, body)
