Hold back the begin of a head at the end of what is relayed

What callers saw: status 200 with the seal, a whole body by its length, its last bytes the begin of another head: "xxxHTTP" (MIXED).

Cause: bodies over 1 MiB, and shorter ones once 8 MiB are held back, are relayed while they arrive. Their last part was written before it was judged, and a caller with all bytes of a length has a whole answer, whatever the VM does then.

Evidence: test_long_body_ends_within_a_head_before_its_caller_has_it_all failed before. test_long_body_that_ends_like_a_head_arrives_whole is the control; it held before too.

Why it works: bytes that may be the begin of a head stay behind until what follows shows what they are, or the end of the body was judged.

--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -222,17 +222,17 @@
             body.scan.feed(chunk)
             if body.scan.found:
                 return SendResult(SendStatus.broken, HEAD_WITHIN_BODY)
-            part = chunk
+            held += chunk
             if not exchange.started:
-                held += chunk
                 if self.held.hold(exchange, len(held)):
                     continue
-                part = bytes(held)
-                held.clear()
                 await exchange.start(status, body.headers.forwarded)
+            # A caller with all bytes of a length has a whole answer.
+            part = bytes(held[: len(held) - body.scan.open_bytes])
+            held = held[len(part) :]
             await exchange.write(part)
             # A caller that reads slowly takes it by the next write.
-            self.held.hold(exchange, len(part))
+            self.held.hold(exchange, len(part) + len(held))
         if not body.is_complete():
             return SendResult(
                 SendStatus.broken,
--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -32,3 +32,27 @@
     script = _register('blanks', lambda run: [make_answer(run, body=body)])
     answer = asyncio.run(_call_once('/safe/', script))
     assert (answer.status, answer.body) == (200, body)
+
+
+def test_long_body_ends_within_a_head_before_its_caller_has_it_all():
+    # A body too long to be held back was whole at its caller before the doubt.
+    long_body = b'x' * 1_500_000
+
+    def make_pieces(run):
+        answer = make_answer(run, body=long_body)
+        return answer[:-4], answer
+
+    script = _register('long, begun again', make_pieces)
+    answer = asyncio.run(_call_once('/safe/', script))
+    assert not answer.whole
+
+
+def test_long_body_that_ends_like_a_head_arrives_whole():
+    long_body = b'x' * 1_500_000 + b'HTTP'
+    script = _register(
+        'long, ends like a head',
+        lambda run: [make_answer(run, body=long_body)],
+    )
+    answer = asyncio.run(_call_once('/safe/', script))
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.body == long_body
