End a call at once when the chunks of its answer break

What callers saw: status 504 at their deadline, where another answer stood among the chunks of theirs, or where their last chunk was due. Calls and streams that may be repeated went nowhere else, a place at the upstream was taken meanwhile.

Cause: when the parser makes nothing of bytes behind the head of a message, it forgets the body, and aiohttp then tells only those that wait for a head, not the reader of the body. Without chunks the framing is never wrong within a body.

Evidence: test_chunks_that_another_answer_breaks_end_their_call_at_once, three ways to break chunks; all three got 504 before, 502 now.

Why it works: the connection itself fails the body that is being received, as it does when a limit is reached.

--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -131,8 +131,11 @@
             progress = self._describe_progress()
             super().data_received(piece)
             if self._exception is not None and not self._exceeded:
-                # The parser made nothing of them.
+                # The parser made nothing of them, and tells no reader.
                 self.has_junk.set()
+                self._break_body(
+                    aiohttp.ClientPayloadError('bytes that are no part of it')
+                )
             self._count_bytes(
                 len(piece), progressed=self._describe_progress() != progress
             )
@@ -158,13 +161,16 @@
             return
         self._exceeded = True
         exc = AnswerLimitError(surplus)
-        body = self._payload
-        if body is not None and not body.is_eof():
-            body.set_exception(exc)
+        self._break_body(exc)
         self.set_exception(exc)
         if self.transport is not None:
             self.transport.abort()
 
+    def _break_body(self, exc: aiohttp.ClientPayloadError) -> None:
+        body = self._payload
+        if body is not None and not body.is_eof():
+            body.set_exception(exc)
+
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections are those of ``protocol_type``."""
--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from fakes.stuttering import make_answer, write_pieces
+import pytest
+
+from fakes.stuttering import make_answer, make_head, write_pieces
 from fakes.upstream import register_script
 from tests.lib.routedfleet import run_routed_fleet
 
@@ -56,3 +58,18 @@
     answer = asyncio.run(_call_once('/safe/', script))
     assert (answer.status, answer.whole) == (200, True)
     assert answer.body == long_body
+
+
+@pytest.mark.parametrize(
+    'first',
+    [b'f\r\nanswer', b'6\r\nanswer\r\n', b'6\r\nanswer\r\n0\r\n'],
+)
+def test_chunks_that_another_answer_breaks_end_their_call_at_once(first):
+    # Nobody told the reader of the body: it waited until the call's deadline.
+    def make_pieces(run):
+        head = make_head(run, **{'Transfer-Encoding': 'chunked'})
+        return head + first, make_answer(run)
+
+    script = _register(f'chunks broken after {first}', make_pieces)
+    answer = asyncio.run(_call_once('/safe/', script))
+    assert (answer.status, answer.body) == (502, b'upstream_broken')
