Keep no cookies of upstreams for other callers' calls

What callers saw: from the code and a test, no report: a call went out with the cookie that the upstream had set in the answer to another caller.

Cause: the client session of the own interface had aiohttp's default store of cookies, which all calls share. It keeps those of upstreams that have a host name; for addresses it keeps none, so that no test on the loopback address saw it. The sessions of the platform's interface have had none all along.

Evidence: test_cookie_of_one_caller_goes_with_no_call_of_another failed before (the second call had `session=r1`) and passes.

Why it works: the session has a store that keeps nothing; what callers send and what upstreams set is relayed as before.

--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -84,6 +84,8 @@
             timeout=timeout,
             connector=BoundedConnector(limit=0, force_close=True),
             auto_decompress=False,
+            # A cookie belongs to the caller whose answer set it.
+            cookie_jar=aiohttp.DummyCookieJar(),
             middlewares=(forbid_resending,),
         )
 
