Take no head that joins two answers on the own interface

Cause: an upstream breaks off within its status line or a header and answers again on the connection. The parser reads both as one head, "HTTP/1.1 500 StatHTTP/1.1 200 Status" and the headers of the second. The routed path refuses such heads since, the own interface did not.

Evidence: test_own_interface_joined_answers.py cuts heads at each byte, for calls and for calls that another VM forwards, and once for orders and load reports.

Why it works: the check of the routed path, is_joined_head, runs in a middleware of the client, before anything in the head is believed and for all that is sent. The attempt ends as broken with the cause in its detail.

--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -9,6 +9,7 @@
 from bilberryspoke._internal.config.settings import LimitSettings
 from bilberryspoke._internal.models.effects import Dispatch, OrderModelLoad
 from bilberryspoke._internal.models.requests import AttemptStatus
+from bilberryspoke._internal.network.answerchecks import refuse_joined_heads
 from bilberryspoke._internal.network.answers import AnswerStore
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.clock import read_boottime
@@ -86,7 +87,7 @@
             auto_decompress=False,
             # A cookie belongs to the caller whose answer set it.
             cookie_jar=aiohttp.DummyCookieJar(),
-            middlewares=(forbid_resending,),
+            middlewares=(forbid_resending, refuse_joined_heads),
         )
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -0,0 +1,130 @@
+"""Upstreams of the own interface that begin an answer anew within it."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from bilberryspoke._internal.models.effects import OrderModelLoad
+from bilberryspoke._internal.models.requests import AttemptStatus
+from tests.lib.ownupstream import (
+    Answered,
+    ScriptedUpstream,
+    make_call,
+    run_call,
+    run_client,
+    write_pieces,
+)
+
+_BODY = b'answer to r1'
+
+
+def _make_answer(body: bytes = _BODY, status: int = 200) -> bytes:
+    return (
+        b'HTTP/1.1 %d Status\r\nServer: stand-in\r\nX-Cost: 3\r\n'
+        b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
+    )
+
+
+def _list_cuts(raw: bytes) -> range:
+    return range(1, raw.index(b'\r\n\r\n') + 4)
+
+
+def _cut_head(first: bytes, whole: bytes):
+    """Return a script that cuts an answer within its head and begins anew.
+
+    The number in a request's id is that of the bytes before the cut.
+    """
+
+    async def answer(received, writer):
+        length = int(received.req_id or 0)
+        await write_pieces(writer, first[:length], whole)
+
+    return answer
+
+
+def _is_own(answered: Answered, status: int = 200) -> bool:
+    return (
+        answered.status == status
+        and answered.body == _BODY
+        and answered.headers[b'x-cost'] == b'3'
+    )
+
+
+@pytest.mark.parametrize(('first', 'status'), [(500, 200), (200, 500)])
+@pytest.mark.parametrize('is_forwarded', [False, True])
+def test_head_that_joins_two_answers_reaches_no_caller(
+    first, status, is_forwarded
+):
+    # The status of the cut answer came with the body of the whole one.
+    cut, whole = _make_answer(status=first), _make_answer(status=status)
+
+    async def run():
+        script = _cut_head(cut, whole)
+        async with ScriptedUpstream(script) as upstream, run_client() as client:
+
+            async def call(length):
+                answered = Answered()
+                if is_forwarded:
+                    to_send = make_call(str(length), answered)
+                    answered.result = await client.forward(
+                        to_send, upstream.url
+                    )
+                    return answered
+                return await run_call(client, upstream.url, str(length))
+
+            calls = [call(length) for length in _list_cuts(cut)[:-1]]
+            return await asyncio.gather(*calls)
+
+    for answered in asyncio.run(run()):
+        if answered.result.status is AttemptStatus.finished:
+            assert _is_own(answered, status)
+        else:
+            assert not answered.status
+
+
+def test_joined_head_is_no_refusal():
+    # A refusal that was cut made a call that ran count as not run.
+    cut = _make_answer(status=503).replace(
+        b'Server: stand-in', b'X-Request-Outcome: not_run'
+    )
+
+    async def run():
+        script = _cut_head(cut, _make_answer())
+        async with ScriptedUpstream(script) as upstream, run_client() as client:
+            calls = [
+                run_call(client, upstream.url, str(length))
+                for length in _list_cuts(cut)[:-1]
+            ]
+            return await asyncio.gather(*calls)
+
+    for answered in asyncio.run(run()):
+        assert answered.result.status is AttemptStatus.broken
+
+
+def test_joined_head_is_no_accepted_order():
+    # An engine that rejected an order counted as one that accepted it.
+    async def run():
+        async def answer(received, writer):
+            cut = b'HTTP/1.1 200 O'
+            await write_pieces(writer, cut, _make_answer(status=409))
+
+        async with ScriptedUpstream(answer) as upstream, run_client() as client:
+            order = OrderModelLoad('u', 'm', 1)
+            assert not await client.post_order(upstream.url, order, 1.0)
+
+    asyncio.run(run())
+
+
+def test_joined_head_is_no_load_report():
+    # The status was that of a report, and the body that of a failure.
+    async def run():
+        async def answer(received, writer):
+            whole = _make_answer(b'{"running":1,"waiting":1}', 500)
+            await write_pieces(writer, b'HTTP/1.1 200 O', whole)
+
+        async with ScriptedUpstream(answer) as upstream, run_client() as client:
+            with pytest.raises(aiohttp.ClientError, match='joined'):
+                await client.read_load_report(upstream.url, 1.0)
+
+    asyncio.run(run())
