End the read of a body whose bytes are malformed

What callers saw: 504 at their deadline, on both interfaces, after an upstream broke off within its chunks and began again on the connection.

Cause: the parser's error reaches whoever waits for a head, and closes the connection, but aiohttp does not tell the reader of the body. It waits until a timeout.

Why it works: BoundedProtocol fails the body that is being read with the error of the parser, as an error of the payload, which all readers expect.

--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -122,6 +122,8 @@
                 return
             progress = self._describe_progress()
             super().data_received(piece)
+            if self._exception is not None:
+                self._fail_body(_make_payload_error(self._exception))
             self._count_bytes(
                 len(piece), progressed=self._describe_progress() != progress
             )
@@ -147,13 +149,20 @@
             return
         self._exceeded = True
         exc = AnswerLimitError(surplus)
-        body = self._payload
-        if body is not None and not body.is_eof():
-            body.set_exception(exc)
+        self._fail_body(exc)
         self.set_exception(exc)
         if self.transport is not None:
             self.transport.abort()
 
+    def _fail_body(self, exc: BaseException) -> None:
+        """Fail the reads of the current body unless it is complete.
+
+        aiohttp lets them wait if the bytes of a body are malformed.
+        """
+        body = self._payload
+        if body is not None and not body.is_eof():
+            body.set_exception(exc)
+
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections are those of ``protocol_type``."""
@@ -172,6 +181,13 @@
         yield raw[start : start + _PIECE_BYTES]
 
 
+def _make_payload_error(cause: BaseException) -> aiohttp.ClientPayloadError:
+    # The parser's errors are none that readers of a body expect.
+    exc = aiohttp.ClientPayloadError(f'malformed body: {cause}')
+    exc.__cause__ = cause
+    return exc
+
+
 def _is_interim(status: int) -> bool:
     # aiohttp takes 101 for an answer.
     return status < _FIRST_FINAL_STATUS and status != _STATUS_SWITCHING
--- a/tests/functional/test_own_interface_joined_answers.py
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -128,3 +128,30 @@
                 await client.read_load_report(upstream.url, 1.0)
 
     asyncio.run(run())
+
+
+_CHUNKED = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('stream', [False, True])
+@pytest.mark.parametrize(
+    'cut', [b'c\r\nans', b'3\r\nans\r\n'], ids=['within', 'between']
+)
+def test_answer_that_begins_again_in_chunks_ends_its_attempt(stream, cut):
+    # Nobody told the reader of the body that its bytes were malformed.
+    whole = _CHUNKED + b'c\r\nanswer to r1\r\n0\r\n\r\n'
+
+    async def run():
+        async def answer(received, writer):
+            await write_pieces(writer, _CHUNKED + cut, whole)
+
+        async with ScriptedUpstream(answer) as upstream, run_client() as client:
+            async with asyncio.timeout(5):
+                return await run_call(client, upstream.url, 'r1', stream=stream)
+
+    answered = asyncio.run(run())
+    assert answered.result.status is AttemptStatus.broken
+    assert not answered.body
