Break answers of the own interface with other bytes behind them

Cause: an upstream stops within a body with a length and answers again on the connection. The begin of the second answer fills up the length of the first, and nobody looked at what came behind it. The parser takes such bytes for a malformed answer, but its error reaches only whoever waits for a head.

Control: line ends, whole answers and cut ones behind an answer still leave it to its caller.

Why it works: a connection carries one call, so that what is behind its answer and begins no other one shows that the end is not where the head says. The body fails before its reader gets to its end, as both arrive in one read. Bytes that come in a later read are not waited for.

--- /dev/null
+++ b/src/bilberryspoke/_internal/network/singlecall.py
@@ -0,0 +1,31 @@
+"""Client connections of the own interface, each of which carries one call."""
+
+from bilberryspoke._internal.utils.boundedprotocol import (
+    BoundedConnector,
+    BoundedProtocol,
+    make_payload_error,
+)
+
+
+class SingleCallProtocol(BoundedProtocol):
+    """Connection that carries one call.
+
+    Bytes behind the answer that are no answer fail it, as its end is then not
+    where its head says. Other answers behind it are passed over.
+    """
+
+    def end_malformed(self, cause: BaseException) -> None:
+        """Fail the reads of the body, also if it is complete by its head."""
+        super().end_malformed(cause)
+        if self._body is not None:
+            self._body.set_exception(make_payload_error(cause))
+
+
+class SingleCallConnector(BoundedConnector):
+    """Connector that opens a connection for each call."""
+
+    protocol_type = SingleCallProtocol
+
+    def __init__(self) -> None:
+        """Create a connector without a limit on connections."""
+        super().__init__(limit=0, force_close=True)
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -23,7 +23,7 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
 )
-from bilberryspoke._internal.utils.boundedprotocol import BoundedConnector
+from bilberryspoke._internal.network.singlecall import SingleCallConnector
 from bilberryspoke._internal.utils.boundedreads import read_body
 from bilberryspoke._internal.utils.resending import forbid_resending
 
@@ -83,7 +83,7 @@
         )
         self._session = aiohttp.ClientSession(
             timeout=timeout,
-            connector=BoundedConnector(limit=0, force_close=True),
+            connector=SingleCallConnector(),
             auto_decompress=False,
             # A cookie belongs to the caller whose answer set it.
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -113,6 +113,13 @@
         else:
             super().feed_data(data, size)
 
+    def end_malformed(self, cause: BaseException) -> None:
+        """Fail the reads of the current body: no answer has bytes like these.
+
+        aiohttp lets them wait. ``cause`` is the error of the parser.
+        """
+        self._fail_body(make_payload_error(cause))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none resume what the parser has put off."""
         if data and self._is_between_requests():
@@ -123,7 +130,7 @@
             progress = self._describe_progress()
             super().data_received(piece)
             if self._exception is not None:
-                self._fail_body(_make_payload_error(self._exception))
+                self.end_malformed(self._exception)
             self._count_bytes(
                 len(piece), progressed=self._describe_progress() != progress
             )
@@ -155,10 +162,7 @@
             self.transport.abort()
 
     def _fail_body(self, exc: BaseException) -> None:
-        """Fail the reads of the current body unless it is complete.
-
-        aiohttp lets them wait if the bytes of a body are malformed.
-        """
+        """Fail the reads of the current body unless it is complete."""
         body = self._payload
         if body is not None and not body.is_eof():
             body.set_exception(exc)
@@ -181,8 +185,11 @@
         yield raw[start : start + _PIECE_BYTES]
 
 
-def _make_payload_error(cause: BaseException) -> aiohttp.ClientPayloadError:
-    # The parser's errors are none that readers of a body expect.
+def make_payload_error(cause: BaseException) -> aiohttp.ClientPayloadError:
+    """Return the error that readers of a malformed body get.
+
+    They do not expect those of the parser.
+    """
     exc = aiohttp.ClientPayloadError(f'malformed body: {cause}')
     exc.__cause__ = cause
     return exc
--- a/tests/functional/test_own_interface_joined_answers.py
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -130,6 +130,56 @@
     asyncio.run(run())
 
 
+async def _call(*pieces: bytes, forward: bool = False) -> Answered:
+    """Return what the caller gets if an upstream writes these pieces."""
+
+    async def answer(received, writer):
+        await write_pieces(writer, *pieces)
+
+    async with ScriptedUpstream(answer) as upstream, run_client() as client:
+        if not forward:
+            return await run_call(client, upstream.url, 'r1')
+        answered = Answered()
+        call = make_call('r1', answered)
+        answered.result = await client.forward(call, upstream.url)
+        return answered
+
+
+@pytest.mark.parametrize('forward', [False, True])
+def test_answer_that_begins_again_in_its_body_reaches_no_caller(forward):
+    # The length of the first was filled up with the begin of the second.
+    whole = _make_answer()
+    start = len(whole) - len(_BODY)
+
+    async def run():
+        calls = [
+            _call(whole[:length], whole, forward=forward)
+            for length in range(start, len(whole))
+        ]
+        return await asyncio.gather(*calls)
+
+    for answered in asyncio.run(run()):
+        assert answered.result.status is AttemptStatus.broken
+        assert not answered.status
+
+
+def test_bytes_behind_the_end_break_an_answer_however_they_are_read():
+    # They broke it only if they were read together with its head.
+    whole = _make_answer() + b'surplus'
+    for length in (0, whole.index(_BODY), whole.index(_BODY) + 1):
+        answered = asyncio.run(_call(whole[:length], whole[length:]))
+        assert answered.result.status is AttemptStatus.broken
+
+
+@pytest.mark.parametrize('surplus', [b'\r\n', _make_answer(), b'HTTP/1.1 20'])
+def test_answer_reaches_its_caller_before_others(surplus):
+    # Control: what begins as an answer does not end the one before it.
+    whole = _make_answer() + surplus
+    for length in (0, whole.index(_BODY), whole.index(_BODY) + 1):
+        answered = asyncio.run(_call(whole[:length], whole[length:]))
+        assert _is_own(answered)
+
+
 _CHUNKED = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
