Break bodies of the own interface that hold another answer

Cause: an answer without a length ends with its connection. A copy that the upstream writes before it closes, whole or cut, is part of the body by the framing. A JSON answer with a length can get the begin of a second one if the read ends where the length does.

Evidence: test_answer_without_length_and_a_copy_reach_no_caller_as_one (copies cut after each byte from "HTTP/1" on, calls and forwards) and test_json_that_begins_again_in_a_later_read_reaches_no_caller failed before and pass. Controls: a text that names a status line, and a body with a length that holds a whole head, still reach their callers.

Why it works: a status line with its end, within an answer that nothing ends, or within JSON, which has no line ends in its texts, is the begin of another answer. At the very end of an answer without a length, "HTTP/1" is enough.

The price: a sound answer without a length that holds a raw status line, or ends within one, counts as broken; a call to run once then ends as unknown. Cuts before "HTTP/1" can't be told from text, and neither can a body with a length that is no JSON, holds a head and has nothing behind it in its last read.

--- a/src/bilberryspoke/_internal/network/answerchecks.py
+++ b/src/bilberryspoke/_internal/network/answerchecks.py
@@ -4,6 +4,8 @@
 upstream may still break off its answer and begin again on the connection.
 """
 
+import re
+
 import aiohttp
 
 from bilberryspoke._internal.exceptions import BilberryspokeError
@@ -11,6 +13,11 @@
     is_joined_head,
 )
 
+# Within a body a status line counts with its end only: text may speak of HTTP.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]*)?\r\n')
+# Begin of one that the end of its connection cut off.
+_CUT_STATUS_LINE = re.compile(rb'HTTP/1(?:\.(?:[01](?: [^\r\n]*)?)?)?\r?\Z')
+
 
 class JoinedAnswerError(BilberryspokeError, aiohttp.ClientError):
     """Bytes of several answers were received as one; none of them is used.
@@ -40,3 +47,28 @@
         resp.close()
         raise JoinedAnswerError('a status line within the head')
     return resp
+
+
+def check_body(resp: aiohttp.ClientResponse, body: bytes) -> None:
+    """Raise JoinedAnswerError for a body that has a status line within it.
+
+    It shows joined answers where nothing says where the body ends, and in JSON,
+    which has no line ends within text. Other bodies may have any bytes within
+    their length.
+    """
+    has_end = _has_end(resp)
+    if has_end and not resp.content_type.endswith('json'):
+        return
+    is_joined = _STATUS_LINE.search(body) is not None
+    is_cut = not has_end and _CUT_STATUS_LINE.search(body) is not None
+    if is_joined or is_cut:
+        raise JoinedAnswerError('a status line within the body')
+
+
+def _has_end(resp: aiohttp.ClientResponse) -> bool:
+    """Return whether the framing says where the body ends.
+
+    Otherwise it ends with its connection.
+    """
+    encoding = resp.headers.get('transfer-encoding', '')
+    return 'content-length' in resp.headers or 'chunked' in encoding.lower()
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from bilberryspoke._internal.models.requests import AttemptStatus
+from bilberryspoke._internal.network.answerchecks import check_body
 from bilberryspoke._internal.network.answers import (
     AnswerStore,
     RecordedAnswer,
@@ -141,13 +142,15 @@
 ) -> AttemptResult:
     """Relay a response after reading its body completely.
 
-    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``.
+    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``, and
+    ``JoinedAnswerError`` if it has bytes of several answers.
 
     An operation's answer is stored in ``answers`` before it is sent, so that
     a retry with the same key gets it even if the caller has gone.
     ``answers`` is None for a call forwarded to the VM that owns its key.
     """
     body = await read_body(resp, _MAX_ANSWER_BYTES)
+    check_body(resp, body)
     headers = {
         name.lower(): text
         for name, text in resp.headers.items()
--- a/tests/functional/test_own_interface_joined_answers.py
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -130,11 +130,16 @@
     asyncio.run(run())
 
 
-async def _call(*pieces: bytes, forward: bool = False) -> Answered:
-    """Return what the caller gets if an upstream writes these pieces."""
+async def _call(*pieces: bytes | None, forward: bool = False) -> Answered:
+    """Return what the caller gets if an upstream writes these pieces.
+
+    None at the end closes the connection.
+    """
 
     async def answer(received, writer):
-        await write_pieces(writer, *pieces)
+        await write_pieces(writer, *filter(None, pieces))
+        if pieces[-1] is None:
+            writer.close()
 
     async with ScriptedUpstream(answer) as upstream, run_client() as client:
         if not forward:
@@ -180,6 +185,56 @@
         assert _is_own(answered)
 
 
+_UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Cost: 3\r\n\r\n' + _BODY
+
+
+@pytest.mark.parametrize('forward', [False, True])
+def test_answer_without_length_and_a_copy_reach_no_caller_as_one(forward):
+    # The copy came before the connection's end, and was taken for its body.
+    whole = _make_answer()
+
+    async def run():
+        # Shorter begins are no sign of another answer.
+        calls = [
+            _call(_UNFRAMED, whole[:length], None, forward=forward)
+            for length in range(len(b'HTTP/1'), len(whole) + 1)
+        ]
+        return await asyncio.gather(*calls)
+
+    for answered in asyncio.run(run()):
+        assert answered.result.status is AttemptStatus.broken
+        assert not answered.status
+
+
+def test_json_that_begins_again_in_a_later_read_reaches_no_caller():
+    # The read ended where the length did, with the second body still to come.
+    first = _make_answer(b'{"a":1}' + b' ' * 99).replace(
+        b'Server: stand-in', b'Content-Type: application/json'
+    )
+    cut = first.index(b'{') + 3
+    missing_bytes = len(first) - cut
+    answered = asyncio.run(
+        _call(first[:cut], first[:missing_bytes], first[missing_bytes:])
+    )
+    assert answered.result.status is AttemptStatus.broken
+    assert not answered.status
+
+
+@pytest.mark.parametrize(
+    'whole',
+    [
+        _UNFRAMED,
+        _make_answer(b'HTTP/1.1 200 OK\r\n\r\nin a body with a length'),
+        _UNFRAMED + b' over HTTP/1.1, status line "HTTP/1.1 200 OK".\n',
+    ],
+)
+def test_answer_that_speaks_of_http_reaches_its_caller(whole):
+    # Control: a status line alone shows no other answer.
+    answered = asyncio.run(_call(whole, None))
+    assert answered.result.status is AttemptStatus.finished
+    assert whole.endswith(b'\r\n\r\n' + answered.body)
+
+
 _CHUNKED = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
