Relay no events behind the end mark of a stream

Cause: [DONE] counted only at the end of what one read brought. A stream without a length ends with its connection; a copy that came in the same read was relayed as its rest.

Why it works: events are cut behind the first [DONE] before they are counted, kept for a resume and relayed; the attempt ends there as before.

--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -79,6 +79,7 @@
             )
         if not raw_events:
             continue
+        raw_events = _cut_behind_done(raw_events)
         call.delivered += raw_events.count(_EVENT_END)
         if record_events is not None:
             record_events(raw_events)
@@ -93,6 +94,12 @@
     )
 
 
+def _cut_behind_done(raw_events: bytes) -> bytes:
+    """Return the events up to the first [DONE], which ends a stream."""
+    done = raw_events.find(_DONE_EVENT)
+    return raw_events if done < 0 else raw_events[: done + len(_DONE_EVENT)]
+
+
 async def _send_events(call: Call, raw: bytes) -> None:
     call.sending = True
     await call.send(
--- a/tests/functional/test_own_interface_joined_answers.py
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -130,7 +130,9 @@
     asyncio.run(run())
 
 
-async def _call(*pieces: bytes | None, forward: bool = False) -> Answered:
+async def _call(
+    *pieces: bytes | None, forward: bool = False, stream: bool = False
+) -> Answered:
     """Return what the caller gets if an upstream writes these pieces.
 
     None at the end closes the connection.
@@ -143,7 +145,7 @@
 
     async with ScriptedUpstream(answer) as upstream, run_client() as client:
         if not forward:
-            return await run_call(client, upstream.url, 'r1')
+            return await run_call(client, upstream.url, 'r1', stream=stream)
         answered = Answered()
         call = make_call('r1', answered)
         answered.result = await client.forward(call, upstream.url)
@@ -260,3 +262,22 @@
     answered = asyncio.run(run())
     assert answered.result.status is AttemptStatus.broken
     assert not answered.body
+
+
+_EVENTS = (
+    b'data: {"a":"HTTP/1.1 200 OK\\r\\n"}\n\n'
+    b'data: {"a":"b"}\n\ndata: [DONE]\n\n'
+)
+
+
+def _make_stream(framing: bytes) -> bytes:
+    return b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (framing, _EVENTS)
+
+
+@pytest.mark.parametrize('copy', [_EVENTS, _make_stream(b'')])
+def test_events_behind_done_are_not_relayed(copy):
+    # A copy in the same read came as the rest of the stream.
+    for pieces in ([_make_stream(b'') + copy], [_make_stream(b''), copy]):
+        answered = asyncio.run(_call(*pieces, None, stream=True))
+        assert answered.result.status is AttemptStatus.finished
+        assert answered.body == _EVENTS
