Break streams of the own interface that hold another answer

Cause: a stream that ends with its connection has nothing that bounds the bytes of a second answer, and events are relayed without being parsed.

Evidence: test_stream_that_begins_again_is_relayed_up_to_there cuts a stream at each byte; [close] failed before and passes, [length] is a control that passed before. Its events name an escaped status line, which does not count.

Why it works: events are JSON, which has no line ends within texts, so that a status line with its end shows another answer. The attempt is broken before the events of that read are relayed, and is resumed elsewhere as any other. A stream that goes on without a head, at another event, can't be told from a sound one: events have no numbers on this interface.

--- a/src/bilberryspoke/_internal/network/answerchecks.py
+++ b/src/bilberryspoke/_internal/network/answerchecks.py
@@ -65,6 +65,15 @@
         raise JoinedAnswerError('a status line within the body')
 
 
+def check_events(raw: bytes) -> None:
+    """Raise JoinedAnswerError for events that have a status line within them.
+
+    They are in JSON, too.
+    """
+    if _STATUS_LINE.search(raw):
+        raise JoinedAnswerError('a status line within the events')
+
+
 def _has_end(resp: aiohttp.ClientResponse) -> bool:
     """Return whether the framing says where the body ends.
 
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -5,7 +5,10 @@
 import aiohttp
 
 from bilberryspoke._internal.models.requests import AttemptStatus
-from bilberryspoke._internal.network.answerchecks import check_body
+from bilberryspoke._internal.network.answerchecks import (
+    check_body,
+    check_events,
+)
 from bilberryspoke._internal.network.answers import (
     AnswerStore,
     RecordedAnswer,
@@ -64,7 +67,8 @@
 
     Only complete events are relayed; bytes of an incomplete one wait for its
     end, so that a resumed answer continues at an event's boundary. An
-    attempt whose stream ends without ``[DONE]`` is broken.
+    attempt whose stream ends without ``[DONE]`` is broken. Raises
+    ``JoinedAnswerError`` before it relays bytes of several answers.
     """
     tail = b''
     if not call.started:
@@ -80,6 +84,7 @@
         if not raw_events:
             continue
         raw_events = _cut_behind_done(raw_events)
+        check_events(raw_events)
         call.delivered += raw_events.count(_EVENT_END)
         if record_events is not None:
             record_events(raw_events)
--- a/tests/functional/test_own_interface_joined_answers.py
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -274,6 +274,28 @@
     return b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (framing, _EVENTS)
 
 
+_FRAMINGS = [b'', b'Content-Length: %d\r\n' % len(_EVENTS)]
+
+
+@pytest.mark.parametrize('framing', _FRAMINGS, ids=['close', 'length'])
+def test_stream_that_begins_again_is_relayed_up_to_there(framing):
+    # The head of the second answer came as part of an event.
+    whole = _make_stream(framing)
+    start = len(whole) - len(_EVENTS)
+
+    async def run():
+        calls = [
+            _call(whole[:length], whole, None, stream=True)
+            for length in range(start, len(whole))
+        ]
+        return await asyncio.gather(*calls)
+
+    for answered in asyncio.run(run()):
+        assert answered.result.status is AttemptStatus.broken
+        assert _EVENTS.startswith(answered.body)
+        assert not answered.body or answered.body.endswith(b'\n\n')
+
+
 @pytest.mark.parametrize('copy', [_EVENTS, _make_stream(b'')])
 def test_events_behind_done_are_not_relayed(copy):
     # A copy in the same read came as the rest of the stream.
