Take no answer for whole whose connection was reset

Cause: an answer without a length ends with its connection. aiohttp ends its body in the same way whether the connection was closed or reset, and the reset was not looked at. The routed path looks at it (`_ResponseBody.is_complete`).

Why it works: the reads of an unfinished body fail when the connection ends with an error, before it is taken for complete. An upstream that crashes may close its connection cleanly; such an answer without a length can't be told from a whole one.

--- a/src/bilberryspoke/_internal/network/singlecall.py
+++ b/src/bilberryspoke/_internal/network/singlecall.py
@@ -1,5 +1,7 @@
 """Client connections of the own interface, each of which carries one call."""
 
+import aiohttp
+
 from bilberryspoke._internal.utils.boundedprotocol import (
     BoundedConnector,
     BoundedProtocol,
@@ -20,6 +22,15 @@
         if self._body is not None:
             self._body.set_exception(make_payload_error(cause))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the reads of the body if the connection was not just closed.
+
+        aiohttp takes a reset for the end of a body without a length.
+        """
+        if exc is not None:
+            self._fail_body(aiohttp.ClientPayloadError(f'not whole: {exc}'))
+        super().connection_lost(exc)
+
 
 class SingleCallConnector(BoundedConnector):
     """Connector that opens a connection for each call."""
