--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -5,6 +5,10 @@
 import aiohttp
 
 from bilberryspoke._internal.models.requests import AttemptStatus
+from bilberryspoke._internal.network.answerchecks import (
+    check_body,
+    check_events,
+)
 from bilberryspoke._internal.network.answers import (
     AnswerStore,
     RecordedAnswer,
@@ -63,7 +67,8 @@
 
     Only complete events are relayed; bytes of an incomplete one wait for its
     end, so that a resumed answer continues at an event's boundary. An
-    attempt whose stream ends without ``[DONE]`` is broken.
+    attempt whose stream ends without ``[DONE]`` is broken. Raises
+    ``JoinedAnswerError`` before it relays bytes of several answers.
     """
     tail = b''
     if not call.started:
@@ -78,6 +83,8 @@
             )
         if not raw_events:
             continue
+        raw_events = _cut_behind_done(raw_events)
+        check_events(raw_events)
         call.delivered += raw_events.count(_EVENT_END)
         if record_events is not None:
             record_events(raw_events)
@@ -92,6 +99,12 @@
     )
 
 
+def _cut_behind_done(raw_events: bytes) -> bytes:
+    """Return the events up to the first [DONE], which ends a stream."""
+    done = raw_events.find(_DONE_EVENT)
+    return raw_events if done < 0 else raw_events[: done + len(_DONE_EVENT)]
+
+
 async def _send_events(call: Call, raw: bytes) -> None:
     call.sending = True
     await call.send(
@@ -141,13 +154,15 @@
 ) -> AttemptResult:
     """Relay a response after reading its body completely.
 
-    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``.
+    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``, and
+    ``JoinedAnswerError`` if it has bytes of several answers.
 
     An operation's answer is stored in ``answers`` before it is sent, so that
     a retry with the same key gets it even if the caller has gone.
     ``answers`` is None for a call forwarded to the VM that owns its key.
     """
     body = await read_body(resp, _MAX_ANSWER_BYTES)
+    check_body(resp, body)
     headers = {
         name.lower(): text
         for name, text in resp.headers.items()
--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -119,6 +119,14 @@
         else:
             super().feed_data(data, size)
 
+    def end_malformed(self, cause: BaseException) -> None:
+        """Fail the reads of the current body: no answer has bytes like these.
+
+        aiohttp lets them wait. ``cause`` is the error of the parser.
+        """
+        self.has_junk.set()
+        self._fail_body(make_payload_error(cause))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; none resume what the parser has put off."""
         if data and self._is_between_requests():
@@ -131,11 +139,7 @@
             progress = self._describe_progress()
             super().data_received(piece)
             if self._exception is not None and not self._exceeded:
-                # The parser made nothing of them, and tells no reader.
-                self.has_junk.set()
-                self._break_body(
-                    aiohttp.ClientPayloadError('bytes that are no part of it')
-                )
+                self.end_malformed(self._exception)
             self._count_bytes(
                 len(piece), progressed=self._describe_progress() != progress
             )
@@ -161,12 +165,13 @@
             return
         self._exceeded = True
         exc = AnswerLimitError(surplus)
-        self._break_body(exc)
+        self._fail_body(exc)
         self.set_exception(exc)
         if self.transport is not None:
             self.transport.abort()
 
-    def _break_body(self, exc: aiohttp.ClientPayloadError) -> None:
+    def _fail_body(self, exc: BaseException) -> None:
+        """Fail the reads of the current body unless it is complete."""
         body = self._payload
         if body is not None and not body.is_eof():
             body.set_exception(exc)
@@ -193,6 +198,16 @@
     return raw[: len(_ANSWER_BEGIN)] == _ANSWER_BEGIN[: len(raw)]
 
 
+def make_payload_error(cause: BaseException) -> aiohttp.ClientPayloadError:
+    """Return the error that readers of a malformed body get.
+
+    They do not expect those of the parser.
+    """
+    exc = aiohttp.ClientPayloadError(f'malformed body: {cause}')
+    exc.__cause__ = cause
+    return exc
+
+
 def _is_interim(status: int) -> bool:
     # aiohttp takes 101 for an answer.
     return status < _FIRST_FINAL_STATUS and status != _STATUS_SWITCHING
