Let upstreams of the soak stutter, and judge all sealed answers

Sealed answers carry X-Answer with status and id. The verdict asks that status, seal, X-Answer, Server and body of each sealed answer are the call's own, that an answer that is not whole is the begin of the own one, and that what the router writes itself has nothing of an upstream's.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,6 +40,7 @@
         copying=args.copying,
         late=args.late,
         same_id=args.same_id,
+        stuttering=args.stuttering,
     )
     folder = Path(args.logs) if args.logs else None
     if folder is not None:
@@ -101,7 +102,7 @@
     parser.add_argument('--data-centres', type=int, default=2)
     parser.add_argument('--app-upstreams', type=int, default=4)
     parser.add_argument('--engines', type=int, default=4)
-    for name in ('refusing', 'copying', 'late', 'same-id'):
+    for name in ('refusing', 'copying', 'late', 'same-id', 'stuttering'):
         parser.add_argument(
             f'--{name}', type=float, default=0, help='fraction, see SoakSize'
         )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,9 +6,8 @@
 import time
 from dataclasses import dataclass, field
 
-from fakes.upstream import Run, make_body, make_event
+from tests.soak.belonging import ReceivedAnswer, find_foreign_part
 from tests.soak.machines import Machine
-from tests.soak.upstreams import EVENTS, STREAM_PATHS
 
 # Statuses that promise that the call did not run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -31,8 +30,8 @@
     """One attempt of a caller, by its own request id, and its outcome.
 
     The outcome is a status, with ``cut off`` behind it if the answer was not
-    whole, or says why there is none. ``foreign`` is whether the body of a
-    status 200 is not the answer to this call.
+    whole, or says why there is none. ``foreign`` names a part of the answer
+    that is not the call's own, and is empty if there is none.
     """
 
     req_id: str
@@ -43,7 +42,7 @@
     outcome: str = 'open'
     status: int = 0
     ended_at: float = 0.0
-    foreign: bool = False
+    foreign: str = ''
 
     @property
     def promised(self) -> bool:
@@ -122,6 +121,7 @@
         except (OSError, TimeoutError):
             attempt.outcome = 'no connection'
             return 0.05
+        answer = ReceivedAnswer()
         try:
             async with asyncio.timeout_at(
                 deadline_at
@@ -129,13 +129,17 @@
                 + asyncio.get_running_loop().time()
             ):
                 return await self._exchange(
-                    attempt, connection, method, deadline_at
+                    attempt, connection, method, deadline_at, answer
                 )
         except TimeoutError:
             attempt.outcome = 'gave up'
         except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
             attempt.outcome = f'{type(exc).__name__} {attempt.status}'
             attempt.status = 0
+        finally:
+            attempt.foreign = find_foreign_part(
+                attempt.path, attempt.req_id, answer
+            )
         connection.writer.transport.abort()
         return None
 
@@ -169,6 +173,7 @@
         connection: _Connection,
         method: str,
         deadline_at: float,
+        answer: ReceivedAnswer,
     ) -> float | None:
         wait_ms = max(1, int((deadline_at - time.monotonic()) * 1000))
         body = b'' if method == 'GET' else b'x' * 300
@@ -183,15 +188,20 @@
         raw = await reader.readuntil(b'\r\n\r\n')
         lines = raw.decode('latin-1').split('\r\n')
         attempt.status = int(lines[0].split()[1])
-        headers = dict(
-            line.lower().split(': ', 1) for line in lines[1:] if ': ' in line
-        )
-        body = await _read_body(reader, headers)
-        attempt.foreign = attempt.status == 200 and body != _make_answer(
-            attempt
-        )
+        answer.pairs = [
+            tuple(line.lower().split(': ', 1))
+            for line in lines[1:]
+            if ': ' in line
+        ]
+        answer.status = attempt.status
+        headers = dict(answer.pairs)
+        await _read_body(reader, headers, answer)
+        answer.whole = True
         attempt.outcome = str(attempt.status)
-        if headers.get('connection') == 'close':
+        if _ends_with_connection(headers):
+            attempt.outcome += ' by close'
+            connection.writer.close()
+        elif headers.get('connection') == 'close':
             connection.writer.close()
         else:
             connection.idle_since = time.monotonic()
@@ -202,22 +212,32 @@
 
 
 async def _read_body(
-    reader: asyncio.StreamReader, headers: dict[str, str]
-) -> bytes:
-    if 'chunked' not in headers.get('transfer-encoding', ''):
-        return await reader.readexactly(int(headers.get('content-length', 0)))
-    body = b''
-    while True:
-        size = int(await reader.readuntil(b'\r\n'), 16)
-        body += (await reader.readexactly(size + 2))[:-2]
-        if not size:
-            return body
-
-
-def _make_answer(attempt: Attempt) -> bytes:
-    """Return the body that the whole answer to a call has."""
-    run = Run('', attempt.path, {'x-attempt-id': attempt.req_id}, b'')
-    if attempt.path in STREAM_PATHS:
-        numbers = range(1, EVENTS + 1)
-        return b''.join(make_event(run, number) for number in numbers)
-    return make_body(run)
+    reader: asyncio.StreamReader,
+    headers: dict[str, str],
+    answer: ReceivedAnswer,
+) -> None:
+    """Read the body of an answer, which has what came if it breaks off."""
+    if _ends_with_connection(headers):
+        answer.body += await reader.read()
+    elif 'chunked' in headers.get('transfer-encoding', ''):
+        while size := int(await reader.readuntil(b'\r\n'), 16):
+            await _read_part(reader, size, answer)
+            await reader.readexactly(2)
+        await reader.readuntil(b'\r\n')
+    else:
+        await _read_part(reader, int(headers['content-length']), answer)
+
+
+async def _read_part(
+    reader: asyncio.StreamReader, size: int, answer: ReceivedAnswer
+) -> None:
+    try:
+        answer.body += await reader.readexactly(size)
+    except asyncio.IncompleteReadError as exc:
+        answer.body += exc.partial
+        raise
+
+
+def _ends_with_connection(headers: dict[str, str]) -> bool:
+    """Whether only the close of its connection ends an answer."""
+    return not {'content-length', 'transfer-encoding'} & headers.keys()
--- a/tests/soak/copies.py
+++ b/tests/soak/copies.py
@@ -40,14 +40,16 @@
 class Copier:
     """Sends copies of an upstream's answers on the connections they went over.
 
-    ``fraction`` is that of the answers that are copied. ``counts`` is shared by
-    all upstreams: copies by kind of answer, moment and what the connection
-    carried then; and calls whose id came before.
+    ``fraction`` is that of the answers that are copied, ``stuttering`` that of
+    the answers that are copied in part. ``counts`` is shared by all upstreams:
+    copies by kind of answer, moment and what the connection carried then; and
+    calls whose id came before.
     """
 
     source: random.Random
     counts: Counter[str]
     fraction: float = 0.0
+    stuttering: float = 0.0
     _connections: WeakKeyDictionary = field(default_factory=WeakKeyDictionary)
     _arrived_ids: set[str] = field(default_factory=set)
     _tasks: set[asyncio.Task] = field(default_factory=set)
@@ -75,8 +77,21 @@
         connection = self._connections.setdefault(writer, _Connection())
         connection.req_id = ''
         connection.in_answer = False
-        if self.source.random() >= self.fraction:
-            return
+        if self.stuttering and self.source.random() < self.stuttering:
+            self._copy(writer, connection, self._cut(answer))
+        if self.source.random() < self.fraction:
+            self._copy(writer, connection, answer)
+
+    def _cut(self, answer: Answer) -> Answer:
+        length = self.source.randrange(1, len(answer.raw))
+        return Answer(f'{answer.kind}, cut', answer.req_id, answer.raw[:length])
+
+    def _copy(
+        self,
+        writer: asyncio.StreamWriter,
+        connection: _Connection,
+        answer: Answer,
+    ) -> None:
         moment = self.source.choice(_MOMENTS)
         if moment == 'at once':
             self._send(writer, connection, answer, moment)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -35,7 +35,8 @@
 
     ``refusing``, ``copying`` and ``late`` are fractions for all upstreams:
     calls that they refuse, answers that they copy, refusals that come late.
-    ``same_id`` is the fraction of the repeated calls that keep their id.
+    ``same_id`` is the fraction of the repeated calls that keep their id,
+    ``stuttering`` that of the answers that stutter.
     """
 
     machines: int = 6
@@ -46,6 +47,7 @@
     copying: float = 0.0
     late: float = 0.0
     same_id: float = 0.0
+    stuttering: float = 0.0
 
 
 @dataclass(slots=True)
@@ -83,6 +85,8 @@
         upstream.refusing = self.size.refusing
         upstream.late = self.size.late
         upstream.copier.fraction = self.size.copying
+        upstream.copier.stuttering = self.size.stuttering
+        upstream.stutterer.fraction = self.size.stuttering
 
     def list_beside(self, upstream: SoakUpstream) -> None:
         """Write the entry of an upstream under its id now, and leave others."""
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -19,16 +19,25 @@
     write_head,
     write_whole,
 )
+from tests.soak.belonging import (
+    ANSWER_HEADER,
+    EVENTS,
+    STREAM_PATHS,
+    make_failure,
+    name_answer,
+)
 from tests.soak.copies import Answer, Copier
+from tests.soak.stutters import Recorder, Reply, Stutterer, make_raw
 
 _WORK_S = (0.01, 0.12)
-EVENTS = 12
-STREAM_PATHS = frozenset(('/stream/', '/resume/'))
 _EVENT_INTERVAL_S = 0.06
 _EXTRA_DELAY_S = 0.03
 # Delay of a late refusal; a call of the route ``once`` has 0.8 s.
 _LATE_S = (0.0, 0.7)
 _REFUSALS = (503, 429)
+_FAILURES = {'fail': 500, 'shed': 503}
+# Of the answers of an upstream that stutters, besides its faults.
+_FAILING = 0.2
 _LAST_CHUNK = b'0\r\n\r\n'
 _NOT_RUN = {'X-Not-Executed': '1'}
 
@@ -57,8 +66,8 @@
     500 and 503 after the run, ``extra`` sends the answer twice, ``mute`` sends
     none, ``cut`` closes within the answer. ``refusing`` is the fraction of the
     calls that it refuses, ``late`` that of the refusals that come late, and
-    ``copier`` sends copies of answers. ``records`` and ``counts`` are shared
-    by all.
+    ``copier`` sends copies of answers, ``stutterer`` two where one is due.
+    ``records`` and ``counts`` are shared by all.
     """
 
     records: list[WorkRecord] = field(default_factory=list)
@@ -69,6 +78,7 @@
     late: float = 0.0
     slots: int = 6
     copier: Copier | None = None
+    stutterer: Stutterer | None = None
     _free: asyncio.Semaphore | None = None
     _accepted: int = 0
 
@@ -76,11 +86,12 @@
         """Create the slots."""
         self._free = asyncio.Semaphore(self.slots)
         self.copier = Copier(self.source, self.counts)
+        self.stutterer = Stutterer(self.source, self.counts)
 
     async def _answer(self, run: Run, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             if run.target == PROBE_PATH:
-                write_whole(writer, run, 200, b'{}', sealed=False)
+                await self._answer_probe(run, writer)
                 return
             status = self._choose_refusal(run)
             self.copier.begin_call(run, writer)
@@ -94,6 +105,15 @@
             finally:
                 self._accepted -= 1
 
+    async def _answer_probe(
+        self, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        reply = Reply(run, 200, [b'{}'], {}, sealed=False)
+        if self.stutterer.draw():
+            await self.stutterer.send(reply, writer)
+        else:
+            write_whole(writer, run, 200, b'{}', sealed=False)
+
     def _choose_refusal(self, run: Run) -> int | None:
         """Return the status of a refusal, None if the call runs."""
         expected = run.headers.get('x-expect-instance', self.instance)
@@ -111,23 +131,19 @@
         if self.source.random() < self.late:
             await asyncio.sleep(self.source.uniform(*_LATE_S))
         self.counts[f'refusal {status}'] += 1
-        self._send_whole(run, writer, status, b'', _NOT_RUN, sealed=False)
-
-    def _send_whole(
-        self,
-        run: Run,
-        writer: asyncio.StreamWriter,
-        status: int,
-        body: bytes,
-        headers: dict[str, str] | None = None,
-        *,
-        sealed: bool = True,
-    ) -> None:
-        recorder = _Recorder()
-        write_whole(recorder, run, status, body, headers, sealed=sealed)
-        raw = bytes(recorder.raw)
-        writer.write(raw)
-        self.copier.end_answer(writer, Answer(str(status), run.req_id, raw))
+        reply = Reply(run, status, [b''], _NOT_RUN, sealed=False)
+        await self._send(reply, writer)
+
+    async def _send(self, reply: Reply, writer: asyncio.StreamWriter) -> None:
+        """Send an answer, which may stutter."""
+        if self.stutterer.draw():
+            self.copier.begin_answer(writer)
+            answer = await self.stutterer.send(reply, writer)
+        else:
+            answer = _make_whole(reply)
+            writer.write(answer.raw)
+            self.stutterer.note(answer)
+        self.copier.end_answer(writer, answer)
 
     async def _work(self, run: Run, writer: asyncio.StreamWriter) -> None:
         resumes = 'last-event-id' in run.headers
@@ -157,34 +173,39 @@
         self, run: Run, writer: asyncio.StreamWriter
     ) -> None:
         fault = self._draw_fault()
+        if not fault and self.stutterer.draw(_FAILING):
+            fault = 'fail'
         if fault == 'lose':
             reset(writer)
-        elif fault == 'fail':
-            self._send_whole(run, writer, 500, b'failed')
-        elif fault == 'shed':
-            self._send_whole(run, writer, 503, b'failed')
+        elif fault in _FAILURES:
+            await self._send(_make_failed(run, _FAILURES[fault]), writer)
         elif fault == 'mute':
             await asyncio.sleep(3600)
         elif fault == 'cut':
             self.copier.begin_answer(writer)
-            write_head(writer, run, 200, {'Content-Length': '100'})
+            headers = {'Content-Length': '100', **_name(run, 200)}
+            write_head(writer, run, 200, headers)
             writer.write(make_body(run))
             writer.close()
         else:
-            self._send_whole(run, writer, 200, make_body(run))
+            reply = Reply(run, 200, [make_body(run)], _name(run, 200))
+            await self._send(reply, writer)
         if fault == 'extra':
             await asyncio.sleep(self.source.uniform(0, _EXTRA_DELAY_S))
-            write_whole(writer, run, 200, make_body(run))
+            write_whole(writer, run, 200, make_body(run), _name(run, 200))
 
     async def _write_events(
         self, run: Run, writer: asyncio.StreamWriter
     ) -> None:
         fault = self._draw_fault()
-        recorder = _Recorder()
+        first = int(run.headers.get('last-event-id', 0)) + 1
+        if self.stutterer.draw():
+            await self._stutter_events(run, writer, first)
+            return
+        recorder = Recorder()
         self.copier.begin_answer(writer)
-        write_head(recorder, run, 200, STREAM_HEADERS)
+        write_head(recorder, run, 200, {**STREAM_HEADERS, **_name(run, 200)})
         writer.write(bytes(recorder.raw))
-        first = int(run.headers.get('last-event-id', 0)) + 1
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(_EVENT_INTERVAL_S)
             if fault and number == EVENTS // 2:
@@ -197,14 +218,33 @@
         recorder.write(_LAST_CHUNK)
         kind = '200, resumed' if first > 1 else '200, stream'
         answer = Answer(kind, run.req_id, bytes(recorder.raw))
+        self.stutterer.note(answer)
         self.copier.end_answer(writer, answer)
 
+    async def _stutter_events(
+        self, run: Run, writer: asyncio.StreamWriter, first: int
+    ) -> None:
+        headers = {'Content-Type': 'text/event-stream', **_name(run, 200)}
+        events = [make_event(run, each) for each in range(first, EVENTS + 1)]
+        reply = Reply(run, 200, events, headers, interval_s=_EVENT_INTERVAL_S)
+        self.copier.begin_answer(writer)
+        answer = await self.stutterer.send(reply, writer)
+        self.copier.end_answer(writer, answer)
+
+
+def _name(run: Run, status: int) -> dict[str, str]:
+    """Return headers by which a caller tells whose answer it has."""
+    return {
+        'Server': 'stand-in',
+        ANSWER_HEADER: name_answer(status, run.req_id),
+    }
+
 
-class _Recorder:
-    """Collects the bytes of an answer instead of a connection."""
+def _make_failed(run: Run, status: int) -> Reply:
+    return Reply(run, status, [make_failure(run)], _name(run, status))
 
-    def __init__(self) -> None:
-        self.raw = bytearray()
 
-    def write(self, raw: bytes) -> None:
-        self.raw += raw
+def _make_whole(reply: Reply) -> Answer:
+    """Return an answer with its length."""
+    raw = make_raw(reply, 'length')
+    return Answer(str(reply.status), reply.run.req_id, raw)
--- a/tests/soak/verdict.py
+++ b/tests/soak/verdict.py
@@ -49,7 +49,7 @@
         outcome = f'{attempt.path} {attempt.outcome}'
         verdict.outcomes[outcome] = verdict.outcomes.get(outcome, 0) + 1
         if attempt.foreign:
-            verdict.foreign.append(_describe(attempt))
+            verdict.foreign.append(f'{_describe(attempt)} {attempt.foreign}')
     for attempts in by_call.values():
         _judge_call(verdict, attempts, runs)
     for machine in fleet.machines:
