--- a/tests/soak/belonging.py
+++ b/tests/soak/belonging.py
@@ -11,6 +11,7 @@
 ANSWER_HEADER = 'X-Answer'
 _SEAL = 'x-response-seal'
 _STATUS_OK = 200
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _BEGIN_OF_ANSWER = b'HTTP/1.'
 
 
@@ -37,6 +38,8 @@
 def make_own_body(path: str, req_id: str, status: int) -> bytes:
     """Return the body that the whole answer to a call has."""
     run = Run('', path, {'x-attempt-id': req_id}, b'')
+    if status in _STATUSES_WITHOUT_BODY:
+        return b''
     if status != _STATUS_OK:
         return make_failure(run)
     if path in STREAM_PATHS:
