--- a/tests/functional/test_routed_stutter_borders.py
+++ b/tests/functional/test_routed_stutter_borders.py
@@ -144,6 +144,8 @@
         calls += [ScriptedCall(each) for each in interim]
     answers = asyncio.run(call_at_one(calls))
     assert not list_foreign(answers)
+    # A body whose chunks are malformed kept its caller until the deadline.
+    assert not [call for call, each in answers.items() if each.status == 504]
 
 
 def test_answer_without_a_body_that_breaks_off_gives_no_part_to_a_caller():
