--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -5,9 +5,12 @@
 import pytest
 
 from fakes.stuttering import make_answer, make_head, write_pieces
-from fakes.upstream import register_script
+from fakes.upstream import make_body, register_script
 from tests.lib.routedfleet import run_routed_fleet
 
+_KNOWN_RED_52 = pytest.mark.xfail(reason='KNOWN-RED.txt, 52', strict=True)
+_KNOWN_RED_54 = pytest.mark.xfail(reason='KNOWN-RED.txt, 54', strict=True)
+
 
 async def _call_once(path, script, req_id='c1', **options):
     """Return the answer to a call that gets a script at one upstream."""
@@ -108,3 +111,81 @@
     script = _register('quoted', lambda run: [make_answer(run, body=text)])
     answer = asyncio.run(_call_once('/once/', script))
     assert (answer.status, answer.body) == (200, text)
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 51', strict=True)
+def test_answer_that_begins_again_bit_by_bit_is_not_taken_for_one():
+    # The bytes that tell come later than the wait for them.
+    def make_pieces(run):
+        answer = make_answer(run)
+        return answer[:-8], answer[:8], *[b''] * 20, answer[8:]
+
+    script = _register('begun again bit by bit', make_pieces)
+    answer = asyncio.run(_call_once('/once/', script))
+    assert (answer.status, answer.body) == (502, b'upstream_broken')
+
+
+@pytest.mark.parametrize('reason', [b'Scripted', b'OK (mostly)'])
+@pytest.mark.parametrize(
+    'length',
+    [pytest.param(3, marks=_KNOWN_RED_52), 4, 16, 32],
+)
+def test_cut_copy_before_the_end_of_a_connection_is_no_part_of_a_body(
+    length, reason, request
+):
+    # Too few bytes, or an odd reason, are taken for text.
+    if length > 16 and reason != b'Scripted':
+        request.applymarker(_KNOWN_RED_52)
+
+    def make_pieces(run):
+        head = make_head(run, Connection='close')
+        copy = make_answer(run).replace(b'Scripted', reason)
+        return head + make_body(run), copy[:length]
+
+    name = f'unframed, copy with {reason} cut after {length}'
+    script = _register(name, make_pieces, closes=True)
+    answer = asyncio.run(_call_once('/once/', script))
+    assert (answer.status, answer.body) == (502, b'upstream_broken')
+
+
+@pytest.mark.parametrize('end', [b'', b'H', b'HTTP/1.1 404 Not Found.'])
+def test_sound_text_before_the_end_of_a_connection_arrives(end):
+    _check_unframed_text(b'text ' + end)
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 53', strict=True)
+def test_sound_text_that_ends_with_a_protocol_and_its_connection_arrives():
+    # Such a text is doubted, and a call that may run once gets 502.
+    _check_unframed_text(b'It is a header of HTTP')
+
+
+def _check_unframed_text(text):
+    script = _register(
+        f'unframed {text}',
+        lambda run: [make_head(run, Connection='close') + text],
+        closes=True,
+    )
+    answer = asyncio.run(_call_once('/once/', script))
+    assert (answer.status, answer.body) == (200, text)
+
+
+@pytest.mark.parametrize(
+    ('text', 'pieces'),
+    [
+        (b'text', 3),
+        (b'text', 2),
+        pytest.param(b'text', 1, marks=_KNOWN_RED_54),
+        pytest.param(b'It ends with an H', 2, marks=_KNOWN_RED_54),
+    ],
+)
+def test_junk_behind_a_sound_answer_spares_it(text, pieces):
+    # The parser loses a head of the same read; junk behind "H" is no "TTP".
+    def make_pieces(run):
+        head, body = make_answer(run, body=text)[: -len(text)], text
+        if pieces == 1:
+            return [head + body + b'junk']
+        return [head, body + b'junk'] if pieces == 2 else [head, body, b'junk']
+
+    script = _register(f'{text}, junk in piece {pieces}', make_pieces)
+    answer = asyncio.run(_call_once('/once/', script))
+    assert (answer.status, answer.body) == (200, text)
