Take answers without a body for complete without a length

What callers saw: 502 instead of a 204, a 304 or the answer to HEAD, if the upstream sent no length with it. HTTP forbids a length with 204 and leaves it open for the others.

Cause: the end of an answer without a length was taken for that of its connection, which had not closed.

Why it works: these answers end with their head, which is checked like any other.

--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -17,6 +17,7 @@
 _REST_TIMEOUT_S = 0.05
 # Fewer bytes that look like the begin of a head end many sound bodies.
 _MIN_DOUBTED_BYTES = 4
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class AnswerBody:
@@ -42,9 +43,10 @@
         """Return whether a body that has been read to its end is complete.
 
         A body without a length ends when its connection does. It is complete
-        only if the connection was closed cleanly, not reset.
+        only if the connection was closed cleanly, not reset. An answer that
+        has no body in any case ends with its head.
         """
-        if self.headers.has_length:
+        if self.headers.has_length or _has_no_body(self.resp):
             return True
         close_future = self._connection.close_future
         if close_future is None or not close_future.done():
@@ -67,3 +69,7 @@
             async with asyncio.timeout(_REST_TIMEOUT_S):
                 await has_junk.wait()
         return has_junk.is_set()
+
+
+def _has_no_body(resp: aiohttp.ClientResponse) -> bool:
+    return resp.method == 'HEAD' or resp.status in _STATUSES_WITHOUT_BODY
--- a/tests/functional/test_routed_stutter_borders.py
+++ b/tests/functional/test_routed_stutter_borders.py
@@ -302,6 +302,26 @@
     assert not list_foreign(answers)
 
 
+def test_answer_without_a_body_needs_no_length():
+    # Its caller got 502, as the end of its connection was waited for.
+    calls = [
+        ScriptedCall(
+            register_pieces(
+                f'{method} {status}, no length',
+                lambda run, status=status: [framed('none', status=status)(run)],
+            ),
+            path,
+            method,
+        )
+        for method, status in _BODYLESS
+        for path in _PATHS
+    ]
+    answers = asyncio.run(call_at_one(calls))
+    assert not list_foreign(answers)
+    statuses = [status for _, status in _BODYLESS for _ in _PATHS]
+    assert [each.status for each in answers.values()] == statuses
+
+
 @pytest.mark.parametrize('service', ['app', 'llm'])
 def test_call_that_a_helper_relays_has_no_part_of_another_answer(service):
     # The VM of the caller has lost its links; the helpers' upstreams stutter.
