Take the head of any call for one where nothing ends a body

What callers saw: their answer and, behind it, the whole failure of another call that had gone over another connection, as one body of status 200 (MIXED).

Cause: the head of an answer within a body was believed only with an id of a call of the connection. A body with a length has bytes behind it that tell besides; one that ends with its connection has not.

Why it works: a head with the id of any call, in raw lines, shows another answer in a body that nothing else bounds. The price: such a body that quotes a raw head with a request id counts as broken.

--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -36,7 +36,9 @@
         """Create the body of an answer whose head was received."""
         self.resp = resp
         self.headers = headers
-        self.scan = BodyScan(connection.protocol.carried)
+        self.scan = BodyScan(
+            connection.protocol.carried if headers.has_length else _is_any_id
+        )
         self._connection = connection
 
     def is_complete(self) -> bool:
@@ -71,5 +73,13 @@
         return has_junk.is_set()
 
 
+def _is_any_id(req_id: str) -> bool:
+    """Return whether an id in a body that nothing ends is that of a call.
+
+    The copy may have come over another connection first.
+    """
+    return bool(req_id)
+
+
 def _has_no_body(resp: aiohttp.ClientResponse) -> bool:
     return resp.method == 'HEAD' or resp.status in _STATUSES_WITHOUT_BODY
--- a/src/bilberryspoke/_internal/network/routing/joinedanswers.py
+++ b/src/bilberryspoke/_internal/network/routing/joinedanswers.py
@@ -46,13 +46,13 @@
 class BodyScan:
     """Looks for the begin of another answer within a body.
 
-    ``found`` is whether the head of an answer with the id of a call of this
-    connection stands in the body. A text that quotes some other head is a
-    sound body. ``has_status_line`` is whether any status line stands in it.
+    ``found`` is whether the head of an answer with an id that is known stands
+    in the body. A text that quotes some other head is a sound body.
+    ``has_status_line`` is whether any status line stands in it.
     """
 
     def __init__(self, knows_id: Callable[[str], bool]) -> None:
-        """Create a scan; ``knows_id`` tells ids of the connection's calls."""
+        """Create a scan; ``knows_id`` returns whether an id is a call's."""
         self.found = False
         self.has_status_line = False
         self._knows_id = knows_id
--- a/tests/functional/test_routed_stutter_borders.py
+++ b/tests/functional/test_routed_stutter_borders.py
@@ -276,11 +276,28 @@
     assert asyncio.run(run())
 
 
+def _check_failure_behind(framing, first_bytes, second_bytes):
+    """Check that no caller gets bytes of a failure as part of its answer."""
+
+    def make_pieces(run):
+        first = framed(framing)(run)
+        end = None if first_bytes is None else find_body(first) + first_bytes
+        return first[:end], make_failure(run)[:second_bytes]
+
+    name = f'{framing} {first_bytes} {second_bytes}'
+    script = register_pieces(name, make_pieces, closes=True)
+    answers = asyncio.run(call_at_one([ScriptedCall(script)]))
+    assert not list_foreign(answers)
+
+
+def test_answer_that_another_connection_carried_is_no_part_of_a_body():
+    # A whole answer was taken for text, as its id was not the connection's.
+    _check_failure_behind('close', None, None)
+
+
 @pytest.mark.parametrize(
     ('framing', 'first_bytes', 'second_bytes'),
     [
-        # A whole answer that another connection has carried.
-        ('close', None, None),
         # A copy that is cut within "HTTP".
         ('close', None, 3),
         # A copy that ends where the body is full.
@@ -291,15 +308,7 @@
 def test_second_answer_that_nothing_proves_reaches_no_caller(
     framing, first_bytes, second_bytes
 ):
-    def make_pieces(run):
-        first = framed(framing)(run)
-        end = None if first_bytes is None else find_body(first) + first_bytes
-        return first[:end], make_failure(run)[:second_bytes]
-
-    name = f'{framing} {first_bytes} {second_bytes}'
-    script = register_pieces(name, make_pieces, closes=True)
-    answers = asyncio.run(call_at_one([ScriptedCall(script)]))
-    assert not list_foreign(answers)
+    _check_failure_behind(framing, first_bytes, second_bytes)
 
 
 def test_answer_without_a_body_needs_no_length():
