Doubt a body that ends within a head whatever its reason phrase

What callers saw: a body without a length that goes on with "HTTP/1.1 200 OK (mostly)" and a part of the next line, under status 200 (MIXED).

Cause: the begin of a head was known by the characters of usual reason phrases alone.

Evidence: test_cut_copy_before_the_end_of_a_connection_is_no_part_of_a_body[32-OK (mostly)], a part of KNOWN-RED 52, passes now. Controls with quoted heads hold.

Why it works: behind any reason phrase the line end of a head, CR LF, shows one.

--- a/src/bilberryspoke/_internal/network/routing/joinedanswers.py
+++ b/src/bilberryspoke/_internal/network/routing/joinedanswers.py
@@ -18,9 +18,10 @@
     rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,128}+'
     rb"(?:\r?\n[!#-'*+.^`|~\w-]+:[^\r\n]*+)*+"
 )
-# The same with a usual reason phrase, up to the end of the received bytes.
+# The same up to the end of the received bytes, with a usual reason phrase or
+# with the line end of heads.
 _OPEN_HEAD = re.compile(
-    rb"HTTP/1\.[01] [1-5]\d\d[ \w'-]{0,64}+"
+    rb"HTTP/1\.[01] [1-5]\d\d(?:[ \w'-]{0,64}+|[^\r\n]{0,128}+(?=\r\n))"
     rb"(?:\r?\n[!#-'*+.^`|~\w-]+:[^\r\n]*+)*+"
     rb"(?:\r|\r?\n[!#-'*+.^`|~\w-]*+)?\Z"
 )
--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -131,12 +131,9 @@
     [pytest.param(3, marks=_KNOWN_RED_52), 4, 16, 32],
 )
 def test_cut_copy_before_the_end_of_a_connection_is_no_part_of_a_body(
-    length, reason, request
+    length, reason
 ):
-    # Too few bytes, or an odd reason, are taken for text.
-    if length > 16 and reason != b'Scripted':
-        request.applymarker(_KNOWN_RED_52)
-
+    # Too few bytes, or an odd reason, were taken for text.
     def make_pieces(run):
         head = make_head(run, Connection='close')
         copy = make_answer(run).replace(b'Scripted', reason)
