Take no bytes before the request for its answer

Cause: aiohttp keeps what arrives on a connection without a request for the next one. The connection is closed for such bytes between two requests, not before the first one, the only one there is since each connection carries one call.

Evidence: test_bytes_before_the_request_are_no_answer_to_it failed before (the connection stayed open; without that check, the bytes were read as the answer) and passes.

Why it works: the connection is closed at once, and the call that would have used it ends as broken. What arrives after the request was sent, however early, is its answer.

--- a/src/bilberryspoke/_internal/network/singlecall.py
+++ b/src/bilberryspoke/_internal/network/singlecall.py
@@ -16,6 +16,12 @@
     where its head says. Other answers behind it are passed over.
     """
 
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; none before the request answer it."""
+        if data and self._parser is None:
+            self._end('bytes before the request')
+        super().data_received(data)
+
     def end_malformed(self, cause: BaseException) -> None:
         """Fail the reads of the body, also if it is complete by its head."""
         super().end_malformed(cause)
