--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -4,8 +4,18 @@
 
 import pytest
 
+from bilberryspoke._internal.config.settings import LimitSettings
+from bilberryspoke._internal.network.answers import AnswerStore
+from bilberryspoke._internal.network.upstreams import UpstreamClient
 from fakes.stuttering import make_answer, make_head, write_pieces
-from fakes.upstream import make_body, register_script
+from fakes.upstream import (
+    STREAM_EVENT_COUNT,
+    make_body,
+    make_event,
+    make_stream,
+    register_script,
+)
+from tests.functional.test_routed_surplus_borders import run_own_call
 from tests.lib.routedfleet import run_routed_fleet
 
 _KNOWN_RED_52 = pytest.mark.xfail(reason='KNOWN-RED.txt, 52', strict=True)
@@ -186,3 +196,48 @@
     script = _register(f'{text}, junk in piece {pieces}', make_pieces)
     answer = asyncio.run(_call_once('/once/', script))
     assert (answer.status, answer.body) == (200, text)
+
+
+@pytest.mark.parametrize('length', [40, 70, 100])
+def test_stream_of_chunks_that_begins_again_goes_on_elsewhere(length):
+    def make_pieces(run):
+        first = int(run.headers.get('last-event-id', 0)) + 1
+        numbers = range(first, STREAM_EVENT_COUNT + 1)
+        events = [make_event(run, number) for number in numbers]
+        chunks = [b'%x\r\n%s\r\n' % (len(each), each) for each in events]
+        head = make_head(run, **{'Transfer-Encoding': 'chunked'})
+        answer = head + b''.join(chunks) + b'0\r\n\r\n'
+        return [answer] if first > 1 else [answer[: len(head) + length], answer]
+
+    script = _register(f'chunks of a stream, {length}', make_pieces)
+
+    async def run():
+        async with run_routed_fleet(app_upstreams=0) as fleet:
+            for upstream in fleet.upstreams.values():
+                upstream.default = script
+            return await fleet.call('/resume/', 'c1', method='POST', body=b'p')
+
+    answer = asyncio.run(run())
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.body == make_stream('c1')
+
+
+def test_own_interface_gives_no_caller_an_answer_that_begins_again():
+    # The bodies of that interface are searched for nothing.
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n'
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        await write_pieces(writer, head + b'r1', head + b'r1' * 32)
+
+    async def run():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = UpstreamClient(LimitSettings(), AnswerStore())
+        try:
+            return await run_own_call(client, f'http://127.0.0.1:{port}', 'r1')
+        finally:
+            await client.close()
+            server.close()
+
+    assert b'HTTP' not in asyncio.run(run())
--- a/tests/functional/test_routed_surplus_borders.py
+++ b/tests/functional/test_routed_surplus_borders.py
@@ -415,7 +415,7 @@
             _write_plain(writer, copied)
 
 
-async def _run_own_call(client, url, req_id):
+async def run_own_call(client, url, req_id):
     """Run a repeatable call of the own interface; return the body sent."""
     body = bytearray()
 
@@ -454,7 +454,7 @@
             bodies = []
             for req_id in ('r1', 'r2'):
                 url = f'http://127.0.0.1:{port}'
-                bodies.append(await _run_own_call(client, url, req_id))
+                bodies.append(await run_own_call(client, url, req_id))
                 await asyncio.sleep(2 * _PAUSE_S)
             assert bodies == [b'r1', b'r2']
         finally:
