--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -12,11 +12,13 @@
 from bilberryspoke._internal.core.routing.state import RoutingState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.helperends import EndCause
 from bilberryspoke._internal.models.routing import (
     NOT_RECEIVED_SEND_STATUSES,
     SendStatus,
 )
 from bilberryspoke._internal.models.routing_effects import HandOff, LogDecision
+from bilberryspoke._internal.models.routing_events import SendEnded
 from bilberryspoke._internal.utils.hashing import hash_parts
 
 _MAX_HELPERS_PER_CALL = 3
@@ -166,17 +168,52 @@
 
 
 def record_helper_end(
-    state: VmState, call_state: CallState, status: SendStatus, now: float
+    state: VmState, call_state: CallState, event: SendEnded, now: float
 ) -> None:
-    """Record whether a helper served a call."""
+    """Record what the end of a handed-off call says of its helper.
+
+    One that passes on an upstream's answer or refusal reached it.
+    """
     service = call_state.call.service
     memory = state.routing.helpers[service]
     helper = call_state.helper
-    if status in NOT_RECEIVED_SEND_STATUSES:
+    if event.status in NOT_RECEIVED_SEND_STATUSES:
         call_state.tried_helpers.append(helper)
-        memory.record_failure(helper, now)
         state.emit(Count('handoffs_refused', service))
-    elif status is SendStatus.broken:
-        memory.record_failure(helper, now)
-    elif status is SendStatus.finished:
+    else:
+        call_state.sends += _count_sends_left(call_state)
+    if _says_that_upstream_is_reached(event):
         memory.record_service(helper, now)
+    elif _says_that_helper_fails(call_state, event):
+        memory.record_failure(helper, now)
+
+
+def may_hand_off_again(event: SendEnded) -> bool:
+    """Return whether the end of a handed-off call leaves it sends to make.
+
+    Other ends than these may have run, or are the same at any other VM. How
+    many upstreams may get the call is checked besides: the helper has made all
+    of these sends unless the call must run at most once.
+    """
+    return event.status is SendStatus.unsent or (
+        event.status is SendStatus.refused and event.cause is EndCause.upstream
+    )
+
+
+def _says_that_upstream_is_reached(event: SendEnded) -> bool:
+    return event.cause is EndCause.upstream or event.status in {
+        SendStatus.finished,
+        SendStatus.failed,
+    }
+
+
+def _says_that_helper_fails(call_state: CallState, event: SendEnded) -> bool:
+    """Return whether a helper can't help, as far as the end of a call shows.
+
+    A connection that ends within an answer may be the upstream's end, which
+    the helper passes on in this way.
+    """
+    if event.cause is EndCause.unstated:
+        is_lost = event.status in {SendStatus.unsent, SendStatus.broken}
+        return is_lost and call_state.last_progress_at is None
+    return event.cause is EndCause.helper
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -24,7 +24,10 @@
     list_fingerprints,
 )
 from bilberryspoke._internal.core.routing.groups import note_tight_arrival
-from bilberryspoke._internal.core.routing.handoff import record_helper_end
+from bilberryspoke._internal.core.routing.handoff import (
+    may_hand_off_again,
+    record_helper_end,
+)
 from bilberryspoke._internal.core.routing.links import (
     check_upstream,
     suspect_link,
@@ -158,7 +161,7 @@
     now: float,
 ) -> None:
     if call_state.helper:
-        record_helper_end(state, call_state, event.status, now)
+        record_helper_end(state, call_state, event, now)
         return
     upstream = state.routing.upstreams.get(call_state.instance)
     if event.status in NOT_RECEIVED_SEND_STATUSES:
@@ -270,8 +273,7 @@
         or now >= call_state.call.deadline_at
     ):
         return False
-    if call_state.helper and event.status is not SendStatus.unsent:
-        # The helper has made the sends that the call may have.
+    if call_state.helper and not may_hand_off_again(event):
         return False
     if not may_retry(call_state, event, sends=call_state.sends):
         return False
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from bilberryspoke._internal.models.helperends import EndCause
 from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     ListedUpstream,
@@ -194,6 +195,7 @@
     when the upstream crashed.
     ``connection``: the connection of the send and which of its calls it was,
     for the log; empty if none was opened.
+    ``cause``: what another VM that the call was handed off to says of its end.
     """
 
     call_id: str
@@ -205,6 +207,7 @@
     connection_lost: bool = False
     upstream_crashed: bool = False
     connection: str = ''
+    cause: EndCause = EndCause.unstated
 
 
 RoutingEvent = (
--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bilberryspoke._internal.models.helperends import EndCause, HelperEnd
 from bilberryspoke._internal.models.routing import (
-    NO_ROOM,
     RoutedCall,
     SendStatus,
 )
 from bilberryspoke._internal.models.routing_effects import HandOff, Send
 from bilberryspoke._internal.network.routing.handoff import (
-    find_not_run_reason,
+    find_helper_end,
 )
 from bilberryspoke._internal.network.routing.joinedanswers import (
     is_joined_head,
@@ -26,12 +26,13 @@
     """How a send ended; the core gets it as part of ``SendEnded``.
 
     ``connection_lost`` is whether the upstream closed the connection before
-    its answer was complete.
+    its answer was complete. ``cause`` is what a helper says of its end.
     """
 
     status: SendStatus
     detail: str = ''
     connection_lost: bool = False
+    cause: EndCause = EndCause.unstated
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +61,9 @@
         return _break('joined answers: a status line within the head')
     if isinstance(effect, HandOff) and headers.req_id is None:
         # Only answers of upstreams, which helpers pass on, have an id.
-        reason = find_not_run_reason(head.raw)
-        if reason is not None:
-            return _judge_helper_refusal(reason)
+        helper_end = find_helper_end(head.raw)
+        if helper_end is not None:
+            return _judge_helper_end(helper_end, head)
     if not answers_call(call, head):
         return _break(f'response has the id {headers.req_id}')
     if headers.not_run:
@@ -88,9 +89,12 @@
     return (head.headers.req_id or '') == call.req_id
 
 
-def _judge_helper_refusal(reason: str) -> SendResult:
-    status = SendStatus.refused if reason == NO_ROOM else SendStatus.unsent
-    return SendResult(status, f'helper: {reason}')
+def _judge_helper_end(helper_end: HelperEnd, head: AnswerHead) -> SendResult:
+    return SendResult(
+        helper_end.status,
+        f'helper: status {head.status}, by {helper_end.cause.value}',
+        cause=helper_end.cause,
+    )
 
 
 def _judge_refusal(head: AnswerHead) -> SendResult:
--- a/src/bilberryspoke/_internal/network/routing/handoff.py
+++ b/src/bilberryspoke/_internal/network/routing/handoff.py
@@ -5,12 +5,20 @@
 
 from collections.abc import Iterable
 
+from bilberryspoke._internal.models.helperends import (
+    HelperEnd,
+    judge_may_have_run,
+    judge_not_run,
+)
 from bilberryspoke._internal.platform.headerfields import RawHeaders
 
 # Maximum number of sends that reach an upstream, for the helper.
 _MAX_ATTEMPTS = b'bilberryspoke-max-attempts'
 # Why the helper refused a call that did not run and will not run.
 _NOT_RUN_REASON = b'bilberryspoke-not-run'
+# Why the helper ended a call that may have run. VMs of before 2026-12 don't
+# write it.
+_MAY_HAVE_RUN_REASON = b'bilberryspoke-may-have-run'
 
 
 def make_attempts_header(max_attempts: int) -> tuple[bytes, bytes]:
@@ -32,14 +40,20 @@
     return [pair for pair in headers if pair[0] != _MAX_ATTEMPTS]
 
 
-def make_reason_header(reason: str) -> tuple[bytes, bytes]:
-    """Return the header by which a helper says that a call did not run."""
-    return (_NOT_RUN_REASON, reason.encode('latin-1'))
+def make_reason_header(reason: str, *, not_run: bool) -> tuple[bytes, bytes]:
+    """Return the header by which a helper says why it ended a call.
 
-
-def find_not_run_reason(raw: Iterable[tuple[bytes, bytes]]) -> str | None:
-    """Return why a helper did not run a call, None if it does not say so."""
-    for name, text in raw:
-        if name.lower() == _NOT_RUN_REASON:
-            return text.decode('latin-1')
-    return None
+    ``not_run`` is whether the call certainly did not run.
+    """
+    name = _NOT_RUN_REASON if not_run else _MAY_HAVE_RUN_REASON
+    return (name, reason.encode('latin-1'))
+
+
+def find_helper_end(raw: Iterable[tuple[bytes, bytes]]) -> HelperEnd | None:
+    """Return how a helper says that a call ended, None if it does not say."""
+    texts = {name.lower(): text.decode('latin-1') for name, text in raw}
+    reason = texts.get(_NOT_RUN_REASON)
+    if reason is not None:
+        return judge_not_run(reason)
+    reason = texts.get(_MAY_HAVE_RUN_REASON)
+    return None if reason is None else judge_may_have_run(reason)
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -306,8 +306,8 @@
         ]
         if retry_after_s is not None:
             headers.append((b'retry-after', f'{retry_after_s:.3f}'.encode()))
-        if self._takes_handoffs and not_run:
-            headers.append(make_reason_header(reason))
+        if self._takes_handoffs:
+            headers.append(make_reason_header(reason, not_run=not_run))
         return BufferedResponse(status, headers, body)
 
     async def _watch_caller(self, call_id: str, receive: Any) -> None:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -139,6 +139,7 @@
             connection_lost=result.connection_lost,
             upstream_crashed=crashed,
             connection=connection.describe() if connection else '',
+            cause=result.cause,
         )
 
     async def _send_request(
--- a/tests/functional/test_routed_cuts.py
+++ b/tests/functional/test_routed_cuts.py
@@ -1,6 +1,7 @@
 """Routing processes that are cut off from all upstreams, but nothing else."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -19,6 +20,11 @@
 MIN_RELATIVE_SHARE = 2 / 3
 
 
+# A hundred answers of an upstream that refuses, fails and resets some calls.
+FAULTS = ['busy'] * 12 + ['error'] * 10 + ['reset'] * 3 + ['whole'] * 75
+ANSWERS = 10_000
+
+
 def count_served(answers):
     return sum(answer.status == 200 and answer.whole for answer in answers)
 
@@ -65,6 +71,39 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ('nodes', 'path'),
+    [(2, '/once/'), (3, '/safe/'), (6, '/once/'), (2, '/stream/')],
+)
+def test_callers_of_a_cut_off_process_are_served_while_upstreams_fail_calls(
+    nodes, path
+):
+    """A call that an upstream refused kept its helper from all calls."""
+    service = 'llm' if path == '/stream/' else 'app'
+
+    async def run():
+        async with run_cut_fleet(nodes=nodes, service=service) as cuts:
+            draw = random.Random(49)
+            faults = FAULTS
+            if service == 'llm':
+                faults = [each.replace('whole', 'stream') for each in FAULTS]
+            for upstream in cuts.upstreams:
+                upstream.answers = draw.choices(faults, k=ANSWERS)
+            await cuts.send_calls(1.0, per_s=CALLS_PER_S, prefix='a', path=path)
+            cuts.cut([0], 'reset')
+            await cuts.send_calls(
+                STABILITY_WINDOW_S, per_s=CALLS_PER_S, prefix='b', path=path
+            )
+            answers = await cuts.send_calls(
+                6.0, per_s=CALLS_PER_S, prefix='c', path=path
+            )
+            served = [count_served(each) / len(each) for each in answers]
+            others = sum(served[1:]) / (nodes - 1)
+            assert served[0] >= MIN_RELATIVE_SHARE * others
+
+    asyncio.run(run())
+
+
 def test_processes_that_are_all_cut_off_refuse_in_time_as_not_run():
     """Nobody can help, and no caller is kept waiting for it."""
 
--- a/tests/lib/cutcores.py
+++ b/tests/lib/cutcores.py
@@ -1,7 +1,10 @@
 """Cores of several VMs, some of which reach no upstream."""
 
+import dataclasses
+from collections import Counter
 from collections.abc import Iterable
 
+from bilberryspoke._internal.models.helperends import EndCause
 from bilberryspoke._internal.models.routing import (
     Route,
     RoutedCall,
@@ -9,7 +12,9 @@
 )
 from bilberryspoke._internal.models.routing_effects import (
     HandOff,
+    LogDecision,
     RefuseCall,
+    RelayFailure,
     Send,
 )
 from bilberryspoke._internal.models.routing_events import (
@@ -17,6 +22,11 @@
     SendEnded,
     SendProgressed,
 )
+from bilberryspoke._internal.network.routing.handoff import (
+    find_helper_end,
+    make_reason_header,
+)
+from bilberryspoke._internal.utils.hashing import hash_parts
 from tests.lib.corefleet import MESSAGE_DELAY_S, CoreFleet
 from tests.lib.routedcore import READ_ROUTE, build_call
 
@@ -29,6 +39,29 @@
 # A connection that hangs is closed after this time.
 _USER_TIMEOUT_S = 1.5
 _HANDOFF_PREFIX = 'handoff-'
+_SHARE_STEPS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Faults:
+    """The shares of calls that upstreams refuse, fail and break off."""
+
+    refused: float = 0.0
+    failed: float = 0.0
+    broken: float = 0.0
+
+    def choose_status(self, send: Send) -> SendStatus:
+        """Return how a send ends that reaches its upstream."""
+        drawn = hash_parts('fault', send.call_id, send.attempt, send.instance)
+        share = drawn % _SHARE_STEPS / _SHARE_STEPS
+        for status, bound in (
+            (SendStatus.refused, self.refused),
+            (SendStatus.failed, self.refused + self.failed),
+            (SendStatus.broken, self.refused + self.failed + self.broken),
+        ):
+            if share < bound:
+                return status
+        return SendStatus.finished
 
 
 class CutCores(CoreFleet):
@@ -40,7 +73,11 @@
     connections open and are reset once a call is sent. ``live``: so are new
     ones, while the one that a VM has to each upstream works on. ``served`` and
     ``refused`` hold the ids of calls by what their callers got, ``handoffs``
-    counts the calls that VMs handed off.
+    counts the calls that VMs handed off. ``faults`` is what upstreams do with
+    the calls that reach them. ``sends`` counts these by the id of the caller's
+    call, ``runs`` those among them that ran, ``lost_sends`` those that a cut
+    lost by their VM. ``not_run`` are the calls that VMs refused as not run.
+    ``log_lines`` counts the decisions that each VM logged, by their name.
     """
 
     def __init__(
@@ -52,6 +89,12 @@
         self.served: list[str] = []
         self.refused: list[str] = []
         self.handoffs = 0
+        self.faults = Faults()
+        self.sends: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.lost_sends: Counter[str] = Counter()
+        self.not_run: set[str] = set()
+        self.log_lines: Counter[tuple[str, str]] = Counter()
         self._cut: set[str] = set()
         self._pooled: set[tuple[str, str]] = set()
         self._busy: set[tuple[str, str]] = set()
@@ -90,9 +133,21 @@
             elif isinstance(effect, HandOff):
                 self._hand_off(name, effect)
             elif isinstance(effect, RefuseCall):
-                self._answer(effect.call_id, SendStatus.unsent)
+                self._refuse(effect)
+            elif isinstance(effect, RelayFailure):
+                self._answer(effect.call_id, SendStatus.failed)
+            elif isinstance(effect, LogDecision):
+                self.log_lines[name, effect.event] += 1
         return effects
 
+    def _refuse(self, refusal: RefuseCall) -> None:
+        """Tell a caller, or the VM that handed a call off, of a refusal."""
+        if refusal.not_run:
+            self.not_run.add(refusal.call_id)
+        header = make_reason_header(refusal.reason, not_run=refusal.not_run)
+        end = find_helper_end([header])
+        self._answer(refusal.call_id, end.status, end.cause)
+
     def _submit_call(self, name: str, call: RoutedCall) -> None:
         self._calls[call.call_id] = call
         self.handle(name, CallArrived(call))
@@ -112,23 +167,57 @@
         link = (name, send.instance)
         is_live = self.how == 'live' and link not in self._busy
         if self._is_cut_from(name, send.instance) and not is_live:
+            self.lost_sends[name] += 1
             delay_s, ended = self._fail(name, send)
             self._at(self.now + delay_s, lambda: self._end(name, ended))
             return
         self._busy.add(link)
+        caller_id = self._find_caller_id(send.call_id)
+        self.sends[caller_id] += 1
+        status = self.faults.choose_status(send)
+        if status is not SendStatus.refused:
+            self.runs[caller_id] += 1
         run_s = _RUN_S
         delays_s: tuple[float, ...] = (_RUN_S,)
         if self._calls[send.call_id].route.streams:
             run_s = _STREAM_RUN_S
             delays_s = _EVENT_DELAYS_S
-        for number, delay_s in enumerate(delays_s):
-            event = SendProgressed(send.call_id, send.attempt, number + 1)
+        if status is SendStatus.broken:
+            # A stream breaks off after its first event, a plain call before
+            # any byte of its answer.
+            delays_s = delays_s[: len(delays_s) - 1]
+        elif status is not SendStatus.finished:
+            run_s, delays_s = _RUN_S, ()
+        first = (send.last_event_id or 0) + 1
+        for number, delay_s in enumerate(delays_s, first):
             self._at(
                 self.now + delay_s,
-                lambda each=event: self.handle(name, each),
+                lambda number=number: self._progress(name, send, number),
+            )
+        ended = SendEnded(
+            send.call_id,
+            send.attempt,
+            status,
+            delivered=bool(delays_s) or send.last_event_id is not None,
+            last_event_id=first if delays_s else send.last_event_id,
+            connection_lost=status is SendStatus.broken,
+        )
+        self._at(self.now + run_s, lambda: self._finish(link, ended))
+
+    def _find_caller_id(self, call_id: str) -> str:
+        while call_id in self._origin_of:
+            call_id = self._origin_of[call_id][1].call_id
+        return call_id
+
+    def _progress(self, name: str, send: Send | HandOff, number: int) -> None:
+        """Let an event of a stream arrive, also where it was handed off."""
+        self.handle(name, SendProgressed(send.call_id, send.attempt, number))
+        if send.call_id in self._origin_of:
+            origin, handoff = self._origin_of[send.call_id]
+            self._at(
+                self.now + MESSAGE_DELAY_S,
+                lambda: self._progress(origin, handoff, number),
             )
-        finished = SendEnded(send.call_id, send.attempt, SendStatus.finished)
-        self._at(self.now + run_s, lambda: self._finish(link, finished))
 
     def _finish(self, link: tuple[str, str], finished: SendEnded) -> None:
         self._busy.discard(link)
@@ -162,19 +251,35 @@
         self.handoffs += 1
         call_id = f'{_HANDOFF_PREFIX}{self.handoffs}'
         self._origin_of[call_id] = (name, effect)
-        route = self._calls[effect.call_id].route
-        call = build_call(call_id, route, now=self.now, handed_off=True)
+        origin = self._calls[effect.call_id]
+        route = dataclasses.replace(
+            origin.route, max_attempts=effect.max_attempts
+        )
+        call = build_call(
+            call_id,
+            route,
+            now=self.now,
+            handed_off=True,
+            req_id=origin.req_id,
+            last_event_id=effect.last_event_id,
+            resumed_req_id=origin.stream_req_id,
+        )
         self._at(
             self.now + MESSAGE_DELAY_S,
             lambda: self._submit_call(effect.helper, call),
         )
 
-    def _answer(self, call_id: str, status: SendStatus) -> None:
+    def _answer(
+        self,
+        call_id: str,
+        status: SendStatus,
+        cause: EndCause = EndCause.unstated,
+    ) -> None:
         """Pass the end of a call on to its caller."""
         if not call_id.startswith(_HANDOFF_PREFIX):
             served = status is SendStatus.finished
             (self.served if served else self.refused).append(call_id)
             return
         name, effect = self._origin_of[call_id]
-        ended = SendEnded(effect.call_id, effect.attempt, status)
+        ended = SendEnded(effect.call_id, effect.attempt, status, cause=cause)
         self._at(self.now + MESSAGE_DELAY_S, lambda: self._end(name, ended))
