Send no call to upstreams known to be out of reach

What changed: an upstream that a send or a probe did not reach gets no call until a probe reaches it; the caller gets 503, not run, with a time to come back, and a few probes are due within 0.25 s. The one exception is as before: a VM that knows no other, and a call that may have run, which no refusal could promise anything about. Answers that are lost no longer count as reached ones for an upstream out of reach.

Why it works: the probes that run anyway find out when a link is back, so that no call has to.

--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -21,6 +21,7 @@
     get_reached_fraction,
     hand_off,
 )
+from bilberryspoke._internal.core.routing.links import hasten_probes
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.promptcache import record_sent_parts
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
@@ -72,11 +73,14 @@
     routing = state.routing
     usable = list_usable_upstreams(routing, call_state, now)
     reached_fraction = get_reached_fraction(routing, call_state, now)
-    if exceeds_share(call_state, reached_fraction) and (
-        _hand_off_if_possible(state, call_state, now)
-    ):
+    must_leave = exceeds_share(call_state, reached_fraction) or (
+        reached_fraction < MIN_REACHED_FRACTION
+        and all(each.health.is_out_of_reach for each in usable)
+    )
+    if must_leave and _hand_off_if_possible(state, call_state, now):
         return
     if not usable or (not reached_fraction and call_state.call.handed_off):
+        hasten_probes(routing, call_state.call.service, now)
         _end_without_upstream(state, call_state, before, now)
         return
     placement = None
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -78,7 +78,8 @@
 
     Those that served a call lately are preferred. So are those in this data
     centre, unless another there could not help lately: the links of a whole
-    data centre may be cut.
+    data centre may be cut. One that could not help lately gets a call only if
+    there is no other, and the next one a while later.
     """
     call = call_state.call
     if call.handed_off or state.settings.handoff_port is None:
@@ -87,13 +88,15 @@
         return None
     memory = state.routing.helpers[call.service]
     failed = memory.list_failed(now)
-    able = [
+    untried = [
         peer
         for peer in state.routing.peers.values()
         if peer.name not in call_state.tried_helpers
-        and peer.name not in failed
         and is_alive(state, peer, now)
     ]
+    able = [peer for peer in untried if peer.name not in failed]
+    if not able:
+        able = [peer for peer in untried if memory.is_due(peer.name, now)]
     proven = memory.list_proven(now)
     if not _explores(call_state, proven):
         able = [each for each in able if each.name in proven] or able
@@ -126,6 +129,7 @@
 ) -> None:
     """Hand a call off to another VM."""
     call = call_state.call
+    state.routing.helpers[call.service].begin_trial(helper.name, now)
     call_state.begin_send(now)
     call_state.instance = ''
     call_state.helper = helper.name
--- a/src/bilberryspoke/_internal/core/routing/helpermemory.py
+++ b/src/bilberryspoke/_internal/core/routing/helpermemory.py
@@ -8,6 +8,8 @@
 # A helper that could not serve a call gets no other of that service for this
 # time, and one that did is preferred for as long.
 _MEMORY_S = 5.0
+# If no other is left, one of them gets a call again after this time.
+_TRIAL_INTERVAL_S = 0.5
 
 
 @dataclass(slots=True)
@@ -38,6 +40,17 @@
         self._forget_old(now)
         return set(self._failed_at)
 
+    def is_due(self, name: str, now: float) -> bool:
+        """Return whether a VM may be tried again, if no other is left."""
+        if name not in self._failed_at:
+            return True
+        return now >= self._failed_at[name] + _TRIAL_INTERVAL_S
+
+    def begin_trial(self, name: str, now: float) -> None:
+        """Give a VM that did not serve a call one more, and no other yet."""
+        failed = self._failed_at.keys() & {name}
+        self._failed_at.update(dict.fromkeys(failed, now))
+
     def list_proven(self, now: float) -> set[str]:
         """Return the VMs that served a call lately."""
         self._forget_old(now)
--- a/src/bilberryspoke/_internal/core/routing/links.py
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -25,6 +25,8 @@
 _MAX_LOST_ALONE = 2
 # Upstreams without a lost send that are probed first.
 _CONTROLS = 3
+# An upstream out of reach is probed after this time if calls lack it.
+_HASTENED_PROBE_S = 0.25
 # Probes of one review that are under way at the same time.
 _MAX_AWAITED_PROBES = 64
 
@@ -113,6 +115,20 @@
     _proceed(state, service, review, now)
 
 
+def hasten_probes(routing: RoutingState, service: str, now: float) -> None:
+    """Probe a few upstreams of a service soon, as calls have to be refused.
+
+    If one answers, all others are probed at once.
+    """
+    lost = [
+        upstream
+        for upstream in routing.list_accepting_upstreams(service)
+        if upstream.health.is_out_of_reach
+    ]
+    for upstream in lost[:_CONTROLS]:
+        upstream.health.hasten_probe(now + _HASTENED_PROBE_S)
+
+
 def review_links(state: VmState, now: float) -> None:
     """Begin the probes whose turn it is."""
     for service, review in state.routing.link_reviews.items():
--- a/src/bilberryspoke/_internal/core/routing/passivehealth.py
+++ b/src/bilberryspoke/_internal/core/routing/passivehealth.py
@@ -56,6 +56,20 @@
         """
         return self.unreachable or now < self.unresponsive_until
 
+    @property
+    def is_out_of_reach(self) -> bool:
+        """Whether a send or a probe was last known not to reach it.
+
+        A connection that was lost, or silence, shows it only once a probe
+        failed as well.
+        """
+        return self.unreachable and self.consecutive_unreachable > 0
+
+    def hasten_probe(self, due_at: float) -> None:
+        """Probe at this time already, unless a probe is under way."""
+        if self.probe_at is not None:
+            self.probe_at = min(self.probe_at, due_at)
+
     def record_unreachable(self, now: float) -> None:
         """Record a send or a probe that did not reach the upstream."""
         self.record_misdirected(now)
@@ -102,7 +116,8 @@
 
         A refusal, a failure and an answer that broke off are no success.
         """
-        self.consecutive_unreachable = 0
+        if succeeded or not self.unreachable:
+            self.consecutive_unreachable = 0
         if succeeded:
             self.unresponsive_until = now
             self.unreachable = False
--- a/src/bilberryspoke/_internal/core/routing/selection.py
+++ b/src/bilberryspoke/_internal/core/routing/selection.py
@@ -44,10 +44,12 @@
 ) -> list[UpstreamState]:
     """Return the untried upstreams that accept new calls and can serve this.
 
-    Ejected ones are among them only if there are no others.
+    Ejected ones are among them only if there are no others. Those known to be
+    out of reach are left to probes. Only a VM without any other tries them, if
+    the call may have run: no refusal could promise that it did not.
     """
     accepting = routing.list_accepting_upstreams(call_state.call.service)
-    return _exclude_tried_and_ejected(accepting, call_state, now)
+    return _exclude_tried_and_ejected(routing, accepting, call_state, now)
 
 
 def choose_placement(
@@ -63,16 +65,18 @@
     service_conf = routing.table.services.get(service)
     if service_conf is None or service_conf.engine is None:
         accepting = routing.list_accepting_upstreams(service)
-        plain = _list_open(accepting, call_state, now)
+        plain = _list_open(routing, accepting, call_state, now)
         return _choose_less_loaded(routing, plain, call_state, now)
     own_group, other_group = split_into_groups(routing, call_state, now)
-    own_group = _list_open(own_group, call_state, now)
-    other_group = _list_open(other_group, call_state, now)
+    own_group = _list_open(routing, own_group, call_state, now)
+    other_group = _list_open(routing, other_group, call_state, now)
     if not own_group:
         # All engines of the group were tried, are unresponsive, or want no call
         # now.
         accepting = routing.list_accepting_upstreams(service)
-        own_group = other_group or _list_open(accepting, call_state, now)
+        own_group = other_group or _list_open(
+            routing, accepting, call_state, now
+        )
         other_group = []
     placements = list_placements(routing, own_group, call_state, now)
     call_state.needed_s = min(
@@ -102,6 +106,7 @@
 
 
 def _exclude_tried_and_ejected(
+    routing: RoutingState,
     accepting: list[UpstreamState],
     call_state: CallState,
     now: float,
@@ -116,16 +121,19 @@
     healthy = [
         upstream for upstream in untried if not upstream.health.is_ejected(now)
     ]
-    return healthy or untried
+    if healthy or (call_state.may_have_run and not routing.peers):
+        return healthy or untried
+    return [each for each in untried if not each.health.is_out_of_reach]
 
 
 def _list_open(
+    routing: RoutingState,
     accepting: list[UpstreamState],
     call_state: CallState,
     now: float,
 ) -> list[UpstreamState]:
     """Return those among usable upstreams that want a call now."""
-    usable = _exclude_tried_and_ejected(accepting, call_state, now)
+    usable = _exclude_tried_and_ejected(routing, accepting, call_state, now)
     return [upstream for upstream in usable if upstream.is_open(now)]
 
 
--- a/tests/unit/test_routed_cuts_beside_faults.py
+++ b/tests/unit/test_routed_cuts_beside_faults.py
@@ -12,6 +12,7 @@
 STABILITY_WINDOW_S = 3.0
 MEASURED_S = 10.0
 CALLS_PER_S = 20
+TRIALS_PER_S = 2
 # The share of the others' that calls at the cut-off VM are served, at least.
 MIN_RELATIVE_SHARE = 0.9
 SINGLE_STREAM_ROUTE = dataclasses.replace(
@@ -67,3 +68,43 @@
     _, shares = play_cut(vms, FAULTS[faults], ROUTES[route])
     cut_off, *others = shares.values()
     assert cut_off >= MIN_RELATIVE_SHARE * sum(others) / len(others)
+
+
+@pytest.mark.parametrize('vms', [2, 3, 6])
+@pytest.mark.parametrize('how', ['refuse', 'reset', 'hang', 'accept'])
+@pytest.mark.parametrize('route', ['safe', 'once', 'resumed'])
+def test_no_call_goes_to_upstreams_known_to_be_out_of_reach(vms, how, route):
+    """A VM without a helper sent calls over links that it knew to be cut."""
+    fleet = CutCores(
+        vms, warm_up_s=BUDGET_WINDOW_S, how=how, engines=16, plain_upstreams=4
+    )
+    names = sorted(fleet.cores)
+    send_calls(fleet, names, STABILITY_WINDOW_S, ROUTES[route], 'a')
+    fleet.cut = names
+    send_calls(fleet, names, STABILITY_WINDOW_S, ROUTES[route], 'b')
+    lost_before = fleet.lost_sends.total()
+    handoffs_before = fleet.handoffs
+    refused_before = len(fleet.refused)
+    shares = send_calls(fleet, names, MEASURED_S, ROUTES[route], 'c')
+    assert not sum(shares.values())
+    assert fleet.lost_sends.total() == lost_before
+    refused = fleet.refused[refused_before:]
+    assert len(refused) == MEASURED_S * CALLS_PER_S * vms
+    assert fleet.not_run.issuperset(refused)
+    # Each VM asks one that could not help at most twice a second.
+    trials = (MEASURED_S + 2) * TRIALS_PER_S * vms * (vms - 1)
+    assert fleet.handoffs - handoffs_before <= trials
+
+
+@pytest.mark.parametrize('how', ['refuse', 'reset', 'hang', 'accept'])
+def test_vms_that_were_all_cut_off_serve_again_soon_after_the_cut(how):
+    """Probes of upstreams that calls lack are not put off for seconds."""
+    fleet = CutCores(3, warm_up_s=BUDGET_WINDOW_S, how=how, plain_upstreams=4)
+    names = sorted(fleet.cores)
+    send_calls(fleet, names, STABILITY_WINDOW_S, READ_ROUTE, 'a')
+    fleet.cut = names
+    send_calls(fleet, names, MEASURED_S, READ_ROUTE, 'b')
+    fleet.cut = []
+    send_calls(fleet, names, 1.0, READ_ROUTE, 'c')
+    shares = send_calls(fleet, names, 1.0, READ_ROUTE, 'd')
+    assert set(shares.values()) == {1}
