Begin no review of links that has nothing left to probe

Cause: each second lost send began a review, also when every upstream was known to be out of reach. It had nothing to probe and ended at once.

Evidence: test_lost_sends_without_any_link_left_begin_no_review failed before.

Why it works: what was lost is kept for the question whether a crash was alone; the probes of each upstream out of reach go on and show when one is back.

--- a/src/bilberryspoke/_internal/core/routing/links.py
+++ b/src/bilberryspoke/_internal/core/routing/links.py
@@ -48,6 +48,10 @@
             review.suspects.pop(instance)
     if len(review.suspects) < _MIN_SUSPECTS or review.doubted:
         return
+    if not review.is_open and not _list_reached(state.routing, service, now):
+        # There is nothing left to find out, and nothing to doubt.
+        state.routing.link_reviews[service] = review.make_next()
+        return
     if not _hears_any(state.routing, service, now):
         review.doubted = True
         fields = {'service': service, 'suspects': sorted(review.suspects)}
--- a/tests/unit/test_routed_cuts_beside_faults.py
+++ b/tests/unit/test_routed_cuts_beside_faults.py
@@ -4,9 +4,16 @@
 
 import pytest
 
-from bilberryspoke._internal.models.routing import RetrySafety
+from bilberryspoke._internal.models.routing import RetrySafety, SendStatus
+from bilberryspoke._internal.models.routing_effects import LogDecision
 from tests.lib.cutcores import CutCores, Faults
-from tests.lib.routedcore import DRAFT_ROUTE, READ_ROUTE, RUN_ONCE_ROUTE
+from tests.lib.routedcore import (
+    DRAFT_ROUTE,
+    READ_ROUTE,
+    RUN_ONCE_ROUTE,
+    RoutedCore,
+    build_call,
+)
 
 BUDGET_WINDOW_S = 10.0
 STABILITY_WINDOW_S = 3.0
@@ -108,3 +115,21 @@
     send_calls(fleet, names, 1.0, READ_ROUTE, 'c')
     shares = send_calls(fleet, names, 1.0, READ_ROUTE, 'd')
     assert set(shares.values()) == {1}
+
+
+def test_lost_sends_without_any_link_left_begin_no_review():
+    """Each second of them began one that had nothing to probe."""
+    core = RoutedCore(engines=0, plain_upstreams=4)
+    calls = [build_call(f'c{number}', READ_ROUTE) for number in range(20)]
+    sends = [core.arrive(call, now=0.0) for call in calls]
+    for upstream in core.routing.upstreams.values():
+        upstream.health.record_unreachable(0.1)
+    events = []
+    for send in sends:
+        lost = core.end(send, SendStatus.broken, now=0.15, connection_lost=True)
+        events += [
+            effect.event for effect in lost if isinstance(effect, LogDecision)
+        ]
+    assert events.count('send_broken') == len(sends)
+    assert 'links_doubted' not in events
+    assert 'links_reviewed' not in events
