Count a handed-off call for the budget of the VM that makes its retries

One that runs once counts here, where its retries are made. A VM of before does not read the header: nobody counts the call then. Without the header it counts as before.

Why it works: the sum over all VMs counts each call once at most, as before.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -56,6 +56,8 @@
     that did not serve it. ``ended_sends`` says of each send that ended but did
     not finish, for the log, where it went, how it ended, after how many seconds
     and on which connection. ``connection`` is that of the last ended send.
+    ``counted`` is whether the call counts for a retry budget, here or, as far
+    as this VM told it so, at its helper.
     """
 
     call: RoutedCall
@@ -87,6 +89,7 @@
     tried_helpers: list[str] = field(default_factory=list)
     ended_sends: list[str] = field(default_factory=list)
     connection: str = ''
+    counted: bool = False
 
     def begin_send(self, now: float) -> None:
         """Start to count a send, after the call may have waited for it."""
--- a/src/bilberryspoke/_internal/core/routing/dispatch.py
+++ b/src/bilberryspoke/_internal/core/routing/dispatch.py
@@ -108,7 +108,9 @@
     helper = choose_helper(state, call_state, now)
     if helper is None:
         return False
-    _count_first_attempt(state, call_state, now)
+    if not call_state.call.allows_retry_after_run:
+        # Its retries are made here, the helper makes those of other calls.
+        _count_first_attempt(state, call_state, now)
     hand_off(state, call_state, helper, now)
     return True
 
@@ -216,9 +218,10 @@
 def _count_first_attempt(
     state: VmState, call_state: CallState, now: float
 ) -> None:
-    """Count a call for the retry budget, once at the VM where it arrived."""
+    """Count a call for the retry budget, at the VM that makes its retries."""
     call = call_state.call
-    if not call_state.attempt and not call.handed_off:
+    if not call_state.counted and not call.counted_before:
+        call_state.counted = True
         ensure_budget(state, call.service, now).record_first_send(now)
 
 
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -155,8 +155,11 @@
             deadline_at=call.deadline_at,
             max_attempts=_count_sends_left(call_state),
             last_event_id=call_state.last_event_id,
+            counted=call_state.counted,
         ),
     )
+    # The helper may have counted it, also if it could not serve it.
+    call_state.counted = True
 
 
 def _count_sends_left(call_state: CallState) -> int:
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -227,6 +227,7 @@
     the stream to be resumed; empty if the caller does not say.
     ``content_hash``: hash of method, path, query and body; 0 if not known.
     ``handed_off``: whether another VM handed it off to this one.
+    ``counted_before``: whether that VM counted it for its retry budget.
     """
 
     call_id: str
@@ -243,6 +244,7 @@
     resumed_req_id: str = ''
     content_hash: int = 0
     handed_off: bool = False
+    counted_before: bool = False
 
     @property
     def stream_req_id(self) -> str:
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -46,6 +46,7 @@
     ``deadline_at``: when the answer must be complete, in seconds of the
     boot-time clock.
     ``max_attempts``: maximum number of its sends that reach an upstream.
+    ``counted``: whether this VM counted the call for its retry budget.
     ``last_event_id``: as in ``Send``.
     """
 
@@ -56,6 +57,7 @@
     deadline_at: float
     max_attempts: int
     last_event_id: int | None = None
+    counted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/network/routing/handoff.py
+++ b/src/bilberryspoke/_internal/network/routing/handoff.py
@@ -14,6 +14,10 @@
 
 # Maximum number of sends that reach an upstream, for the helper.
 _MAX_ATTEMPTS = b'bilberryspoke-max-attempts'
+# That the other VM did not count the call for its retry budget, so that the
+# helper counts it if it sends it. VMs of before 2026-12 neither write nor read
+# it: nobody counts what a new VM hands off to an old one.
+_COUNTS_THERE = (b'bilberryspoke-counts', b'helper')
 # Why the helper refused a call that did not run and will not run.
 _NOT_RUN_REASON = b'bilberryspoke-not-run'
 # Why the helper ended a call that may have run. VMs of before 2026-12 don't
@@ -21,9 +25,19 @@
 _MAY_HAVE_RUN_REASON = b'bilberryspoke-may-have-run'
 
 
-def make_attempts_header(max_attempts: int) -> tuple[bytes, bytes]:
-    """Return the header that limits the sends of the helper."""
-    return (_MAX_ATTEMPTS, b'%d' % max_attempts)
+def make_limit_headers(max_attempts: int, *, counted: bool) -> RawHeaders:
+    """Return the headers that limit the sends of the helper.
+
+    ``counted`` is whether this VM counted the call for its retry budget.
+    """
+    limit = (_MAX_ATTEMPTS, b'%d' % max_attempts)
+    return [limit] if counted else [limit, _COUNTS_THERE]
+
+
+def parse_counted(raw: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether the other VM counted a call for its retry budget."""
+    name, text = _COUNTS_THERE
+    return dict(raw).get(name) != text
 
 
 def parse_max_attempts(raw: Iterable[tuple[bytes, bytes]], default: int) -> int:
@@ -37,7 +51,8 @@
 
 def drop_handoff_headers(headers: RawHeaders) -> RawHeaders:
     """Return headers without those that only VMs exchange."""
-    return [pair for pair in headers if pair[0] != _MAX_ATTEMPTS]
+    names = {_MAX_ATTEMPTS, _COUNTS_THERE[0]}
+    return [pair for pair in headers if pair[0] not in names]
 
 
 def make_reason_header(reason: str, *, not_run: bool) -> tuple[bytes, bytes]:
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -39,6 +39,7 @@
 from bilberryspoke._internal.network.routing.handoff import (
     drop_handoff_headers,
     make_reason_header,
+    parse_counted,
     parse_max_attempts,
 )
 from bilberryspoke._internal.network.routing.sending import CallSender
@@ -342,4 +343,9 @@
     """Return a call that another VM handed off, with the limit that it set."""
     max_attempts = parse_max_attempts(raw, call.route.max_attempts)
     route = dataclasses.replace(call.route, max_attempts=max_attempts)
-    return dataclasses.replace(call, route=route, handed_off=True)
+    return dataclasses.replace(
+        call,
+        route=route,
+        handed_off=True,
+        counted_before=parse_counted(raw),
+    )
--- a/src/bilberryspoke/_internal/network/routing/outgoing.py
+++ b/src/bilberryspoke/_internal/network/routing/outgoing.py
@@ -5,7 +5,7 @@
 from bilberryspoke._internal.models.routing_effects import HandOff, Send
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.exchange import Exchange
-from bilberryspoke._internal.network.routing.handoff import make_attempts_header
+from bilberryspoke._internal.network.routing.handoff import make_limit_headers
 from bilberryspoke._internal.platform.headerfields import RawHeaders
 from bilberryspoke._internal.platform.requestheaders import (
     HandoffHeaders,
@@ -82,5 +82,5 @@
     )
     return [
         *make_handoff_headers(exchange.forwarded, added),
-        make_attempts_header(effect.max_attempts),
+        *make_limit_headers(effect.max_attempts, counted=effect.counted),
     ]
--- a/tests/lib/cutcores.py
+++ b/tests/lib/cutcores.py
@@ -260,6 +260,7 @@
             route,
             now=self.now,
             handed_off=True,
+            counted_before=effect.counted,
             req_id=origin.req_id,
             last_event_id=effect.last_event_id,
             resumed_req_id=origin.stream_req_id,
--- a/tests/unit/test_helper_ends.py
+++ b/tests/unit/test_helper_ends.py
@@ -16,7 +16,13 @@
     AnswerHead,
     judge_head,
 )
-from bilberryspoke._internal.network.routing.handoff import make_reason_header
+from bilberryspoke._internal.network.routing.handoff import (
+    drop_handoff_headers,
+    make_limit_headers,
+    make_reason_header,
+    parse_counted,
+    parse_max_attempts,
+)
 from bilberryspoke._internal.platform.responseheaders import (
     parse_response_headers,
 )
@@ -155,3 +161,17 @@
     _, again = hand_off_and_end(SendStatus.refused, cause, route)
     assert bool(again) == is_sent_again
     assert all(each.max_attempts == 1 for each in again)
+
+
+@pytest.mark.parametrize('counted', [True, False])
+def test_helper_learns_whether_a_call_counts_for_the_retry_budget(counted):
+    """What VMs say to each other does not come from callers."""
+    headers = make_limit_headers(2, counted=counted)
+    assert parse_counted(headers) == counted
+    assert parse_max_attempts(headers, 3) == 2
+    assert not drop_handoff_headers(headers)
+
+
+def test_call_of_a_vm_of_before_counts_there():
+    """Such VMs count all calls that they hand off, and do not say so."""
+    assert parse_counted([(b'bilberryspoke-max-attempts', b'2')])
--- a/tests/unit/test_routed_cuts_beside_faults.py
+++ b/tests/unit/test_routed_cuts_beside_faults.py
@@ -6,6 +6,7 @@
 
 from bilberryspoke._internal.models.routing import RetrySafety, SendStatus
 from bilberryspoke._internal.models.routing_effects import LogDecision
+from tests.lib.corefleet import RETRY_RESERVE, RETRY_SHARE
 from tests.lib.cutcores import CutCores, Faults
 from tests.lib.routedcore import (
     DRAFT_ROUTE,
@@ -37,6 +38,7 @@
     'failed': Faults(failed=0.1),
     'broken': Faults(broken=0.05),
     'refused_failed': Faults(refused=0.12, failed=0.1),
+    'all': Faults(refused=0.12, failed=0.1, broken=0.03),
 }
 
 
@@ -133,3 +135,27 @@
     assert events.count('send_broken') == len(sends)
     assert 'links_doubted' not in events
     assert 'links_reviewed' not in events
+
+
+@pytest.mark.parametrize('vms', [2, 3, 6])
+@pytest.mark.parametrize('route', ROUTES)
+def test_handed_off_calls_use_no_more_retries_than_the_budget_allows(
+    vms, route
+):
+    """They count once, at the VM that makes their retries."""
+    fleet, _ = play_cut(vms, FAULTS['all'], ROUTES[route])
+    budgets = [
+        budget
+        for core in fleet.cores.values()
+        for budget in core.state.routing.budgets.values()
+    ]
+    window_s = budgets[0].window_s
+    since = fleet.now - window_s
+    in_window = sum(at > since for each in budgets for at in each.first_sends)
+    assert in_window <= window_s * CALLS_PER_S * vms
+    calls = CALLS_PER_S * (2 * STABILITY_WINDOW_S + MEASURED_S) * vms
+    repeats = fleet.sends.total() - len(fleet.sends)
+    assert repeats <= RETRY_SHARE * calls + RETRY_RESERVE
+    assert max(fleet.sends.values()) <= ROUTES[route].max_attempts
+    if route == 'once':
+        assert max(fleet.runs.values()) == 1
