--- a/tests/functional/test_routed_soak.py
+++ b/tests/functional/test_routed_soak.py
@@ -14,6 +14,7 @@
 _MEAN_GAP_S = 0.5
 _RENAMES_SECONDS = 6.0
 _RENAMES_MEAN_GAP_S = 0.25
+_STUTTERS_SECONDS = 2.5
 # Not SIGHUP: one that comes before the interpreter's first line ends it.
 _DISTURBANCES = (
     'freeze',
@@ -80,3 +81,23 @@
     )
     assert_no_rule_broken(fleet, verdict)
     assert fleet.counts['copy of 421, due, other call'] > 0
+
+
+def test_soak_of_upstreams_that_stutter_shows_no_part_of_another_answer():
+    # Bodies, heads and streams joined two answers.
+    size = SoakSize(
+        machines=3,
+        app_upstreams=3,
+        engines=2,
+        copying=0.2,
+        late=0.5,
+        same_id=0.3,
+        stuttering=0.3,
+    )
+    fleet, verdict = asyncio.run(
+        run_soak(1, size, ('idle',), _STUTTERS_SECONDS, 1.0)
+    )
+    assert_no_rule_broken(fleet, verdict)
+    names = ' '.join(fleet.counts)
+    for stutter in ('200 by length', '200 by chunks', '200 by close', 'stream'):
+        assert f'stutter of {stutter}' in names
