--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -16,6 +16,7 @@
     register_script,
 )
 from tests.functional.test_routed_surplus_borders import run_own_call
+from tests.lib.cutfleet import run_cut_fleet
 from tests.lib.routedfleet import run_routed_fleet
 
 _KNOWN_RED_52 = pytest.mark.xfail(reason='KNOWN-RED.txt, 52', strict=True)
@@ -241,3 +242,24 @@
             server.close()
 
     assert b'HTTP' not in asyncio.run(run())
+
+
+def test_answer_that_begins_again_at_a_helper_is_not_taken_for_one():
+    script = _register(
+        'begun again at a helper',
+        lambda run: [make_answer(run)[:-4], make_answer(run)],
+    )
+
+    async def run():
+        async with run_cut_fleet(nodes=2) as cuts:
+            await cuts.send_calls(1.0, per_s=10, prefix='a')
+            cuts.cut((0,), 'reset')
+            await cuts.send_calls(2.5, per_s=10, prefix='b')
+            for upstream in cuts.upstreams:
+                upstream.scripts['c1'] = script
+            answer = await cuts.fleet.call('/once/', 'c1', method='POST')
+            assert any(each.count_runs('c1') for each in cuts.upstreams)
+            return answer
+
+    answer = asyncio.run(run())
+    assert (answer.status, answer.body) == (502, b'upstream_broken')
