--- a/tests/functional/test_own_interface_joined_answers.py
+++ b/tests/functional/test_own_interface_joined_answers.py
@@ -311,3 +311,18 @@
         answered = asyncio.run(_call(*pieces, None, stream=True))
         assert answered.result.status is AttemptStatus.finished
         assert answered.body == _EVENTS
+
+
+def test_own_interface_gives_no_caller_an_answer_that_begins_again():
+    # Control: the length of the first answer would fit more than both heads.
+    async def run():
+        async def answer(received, writer):
+            whole = _make_answer(b'r1' * 32)
+            head = whole[: -len(b'r1' * 32)]
+            await write_pieces(writer, head + b'r1', whole)
+
+        async with ScriptedUpstream(answer) as upstream, run_client() as client:
+            answered = await run_call(client, upstream.url, 'r1')
+            assert b'HTTP' not in answered.body
+
+    asyncio.run(run())
--- a/tests/functional/test_own_interface_surplus.py
+++ b/tests/functional/test_own_interface_surplus.py
@@ -6,6 +6,7 @@
 
 from bilberryspoke._internal.models.requests import AttemptStatus
 from tests.lib.ownupstream import (
+    PAUSE_S,
     ScriptedUpstream,
     run_call,
     run_client,
@@ -52,6 +53,28 @@
     return answer
 
 
+@pytest.mark.parametrize('is_idle', [True, False])
+def test_own_interface_gives_no_caller_the_answer_to_another(is_idle):
+    # A copy on a kept connection was taken for the answer to the next call.
+    async def answer(received, writer):
+        own = _make_plain(received.req_id)
+        copied = [_make_plain(each.req_id) for each in received.earlier[-1:]]
+        # Copies come while the connection is idle, or where an answer is due.
+        pieces = [own, own] if is_idle else [*copied, own]
+        await write_pieces(writer, *pieces)
+
+    async def run():
+        async with ScriptedUpstream(answer) as upstream, run_client() as client:
+            bodies = []
+            for req_id in ('r1', 'r2'):
+                answered = await run_call(client, upstream.url, req_id)
+                bodies.append(answered.body)
+                await asyncio.sleep(4 * PAUSE_S)
+        assert bodies == [b'answer to r1', b'answer to r2']
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('make_first', [_make_plain, _make_refusal])
 @pytest.mark.parametrize('method', ['POST', 'GET'])
 def test_copy_of_an_answer_ends_no_other_call(make_first, method):
--- a/tests/functional/test_routed_joined_borders.py
+++ b/tests/functional/test_routed_joined_borders.py
@@ -4,9 +4,6 @@
 
 import pytest
 
-from bilberryspoke._internal.config.settings import LimitSettings
-from bilberryspoke._internal.network.answers import AnswerStore
-from bilberryspoke._internal.network.upstreams import UpstreamClient
 from fakes.stuttering import make_answer, make_head, write_pieces
 from fakes.upstream import (
     STREAM_EVENT_COUNT,
@@ -15,7 +12,6 @@
     make_stream,
     register_script,
 )
-from tests.functional.test_routed_surplus_borders import run_own_call
 from tests.lib.cutfleet import run_cut_fleet
 from tests.lib.routedfleet import run_routed_fleet
 
@@ -223,27 +219,6 @@
     assert answer.body == make_stream('c1')
 
 
-def test_own_interface_gives_no_caller_an_answer_that_begins_again():
-    # The bodies of that interface are searched for nothing.
-    head = b'HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n'
-
-    async def serve(reader, writer):
-        await reader.readuntil(b'\r\n\r\n')
-        await write_pieces(writer, head + b'r1', head + b'r1' * 32)
-
-    async def run():
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        client = UpstreamClient(LimitSettings(), AnswerStore())
-        try:
-            return await run_own_call(client, f'http://127.0.0.1:{port}', 'r1')
-        finally:
-            await client.close()
-            server.close()
-
-    assert b'HTTP' not in asyncio.run(run())
-
-
 def test_answer_that_begins_again_at_a_helper_is_not_taken_for_one():
     script = _register(
         'begun again at a helper',
--- a/tests/functional/test_routed_surplus_borders.py
+++ b/tests/functional/test_routed_surplus_borders.py
@@ -2,19 +2,12 @@
 
 import asyncio
 import contextlib
-import math
 import socket
 import weakref
 
 import pytest
 from multidict import CIMultiDict
 
-from bilberryspoke._internal.config.settings import LimitSettings
-from bilberryspoke._internal.models.effects import Dispatch
-from bilberryspoke._internal.models.requests import Request
-from bilberryspoke._internal.network.answers import AnswerStore
-from bilberryspoke._internal.network.calls import Call
-from bilberryspoke._internal.network.upstreams import UpstreamClient
 from fakes.surplus import CopyingUpstream
 from fakes.upstream import (
     UpstreamStandIn,
@@ -388,77 +381,3 @@
             ]
 
     asyncio.run(run())
-
-
-def _write_plain(writer: asyncio.StreamWriter, body: bytes) -> None:
-    writer.write(
-        b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (len(body), body)
-    )
-
-
-async def _serve_with_copies(is_idle, reader, writer):
-    """Answer each request with its id; copies come while idle, or later."""
-    copied = b''
-    while head := await reader.readuntil(b'\r\n\r\n'):
-        if copied and not is_idle:
-            _write_plain(writer, copied)
-            await asyncio.sleep(_PAUSE_S)
-        fields = dict(
-            line.lower().split(b': ', 1)
-            for line in head.split(b'\r\n')
-            if b': ' in line
-        )
-        copied = fields[b'x-request-id']
-        _write_plain(writer, copied)
-        if is_idle:
-            await asyncio.sleep(_PAUSE_S)
-            _write_plain(writer, copied)
-
-
-async def run_own_call(client, url, req_id):
-    """Run a repeatable call of the own interface; return the body sent."""
-    body = bytearray()
-
-    async def send(message):
-        body.extend(message.get('body', b''))
-
-    req = Request(
-        req_id=req_id, workspace='w', service_class='c', pool='p', arrived_at=0
-    )
-    call = Call(
-        req=req,
-        method='POST',
-        path='/x',
-        public_path='/x',
-        body=b'',
-        headers={},
-        stream=False,
-        send=send,
-    )
-    await client.run(call, Dispatch(req_id, 1, 'u', 0, 0, math.inf), url)
-    return bytes(body)
-
-
-@pytest.mark.parametrize('is_idle', [True, False])
-def test_own_interface_gives_no_caller_the_answer_to_another(is_idle):
-    # A copy on a kept connection was taken for the answer to the next call.
-    async def run():
-        async def serve(reader, writer):
-            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-                await _serve_with_copies(is_idle, reader, writer)
-
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        client = UpstreamClient(LimitSettings(), AnswerStore())
-        try:
-            bodies = []
-            for req_id in ('r1', 'r2'):
-                url = f'http://127.0.0.1:{port}'
-                bodies.append(await run_own_call(client, url, req_id))
-                await asyncio.sleep(2 * _PAUSE_S)
-            assert bodies == [b'r1', b'r2']
-        finally:
-            await client.close()
-            server.close()
-
-    asyncio.run(run())
