--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -11,7 +11,7 @@
 
 # Details of sends that end as broken, for the log.
 HEAD_WITHIN_BODY = 'joined answers: a head within the body'
-HEAD_AT_END_OF_BODY = 'joined answers: the begin of a head ends the body'
+FILLED_UP = 'joined answers: the begin of a head ends the body'
 
 # The rest of another answer arrives with its begin, or right behind it.
 _REST_TIMEOUT_S = 0.05
@@ -37,7 +37,7 @@
         self.resp = resp
         self.headers = headers
         self.scan = BodyScan(
-            connection.protocol.carried if headers.has_length else _is_any_id
+            connection.protocol.carried if headers.has_length else _knows_any
         )
         self._connection = connection
 
@@ -55,8 +55,8 @@
             return False
         return not close_future.cancelled() and close_future.exception() is None
 
-    async def ends_with_begin_of_head(self) -> bool:
-        """Return whether the end of a complete body is that of another answer.
+    async def is_filled_up(self) -> bool:
+        """Return whether the begin of another answer fills up a complete body.
 
         Behind a body with a length the rest of that answer must follow, so
         that any status line in the body is enough for a doubt. What would
@@ -73,8 +73,8 @@
         return has_junk.is_set()
 
 
-def _is_any_id(req_id: str) -> bool:
-    """Return that an id in a body that nothing ends shows another answer.
+def _knows_any(req_id: str) -> bool:
+    """Take any id in a body that nothing ends for that of another answer.
 
     The copy may have come over another connection first, or have an empty id.
     """
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -20,7 +20,7 @@
 )
 from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.routing.answerbody import (
-    HEAD_AT_END_OF_BODY,
+    FILLED_UP,
     HEAD_WITHIN_BODY,
     AnswerBody,
 )
@@ -240,8 +240,8 @@
                 'response ended before it was complete',
                 connection_lost=True,
             )
-        if await body.ends_with_begin_of_head():
-            return SendResult(SendStatus.broken, HEAD_AT_END_OF_BODY)
+        if await body.is_filled_up():
+            return SendResult(SendStatus.broken, FILLED_UP)
         response = BufferedResponse(status, body.headers.forwarded, bytes(held))
         if status >= 500 and not exchange.started:
             exchange.held = response
