--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -250,6 +250,7 @@
         'answer_began': call_state.last_progress_at is not None,
         'calls': 0 if upstream is None else len(upstream.sends),
         **describe_content(call),
+        'connection': event.connection,
         'connection_lost': event.connection_lost,
         'crashed': event.upstream_crashed,
         'detail': event.detail,
