Take the head of any call in a stream for that of another answer

Cause: in a stream with a length, the head of another answer counted only with an id of a call of the connection. A plain body has bytes behind it that tell besides; events are relayed as they arrive.

Evidence: test_stream_has_no_bytes_of_another_answer[stream of another call, by length], both cases failed before and pass.

Why it works: no line of a sound event begins like a header, so that a raw head among events is that of an answer, whatever id it names.

--- a/fakes/stuttering.py
+++ b/fakes/stuttering.py
@@ -144,6 +144,18 @@
     return name
 
 
+@register_script('stream of another call, by length')
+async def answer_foreign_stream(
+    upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
+) -> None:
+    """Begin a stream with a length, and write that of another call."""
+    other = Run('GET', '', {'x-attempt-id': 'another'}, b'')
+    again = make_head(other) + b''.join(_make_events(other))
+    head = make_head(run, **{'Content-Length': str(len(again))})
+    await write_pieces(writer, head, again)
+    writer.close()
+
+
 @register_script('plain answer among events')
 async def answer_among_events(
     upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -24,7 +24,8 @@
     """Body of an answer that is being received.
 
     ``scan`` gets all of its bytes. ``resp`` and ``headers`` are those of the
-    answer, ``connection`` the one that it came over.
+    answer, ``connection`` the one that it came over. ``is_stream`` is whether
+    its events are relayed as they arrive.
     """
 
     def __init__(
@@ -32,12 +33,16 @@
         resp: aiohttp.ClientResponse,
         headers: ResponseHeaders,
         connection: CallConnection,
+        *,
+        is_stream: bool,
     ) -> None:
         """Create the body of an answer whose head was received."""
         self.resp = resp
         self.headers = headers
+        # What follows a plain body with a length tells besides.
+        needs_own_id = headers.has_length and not is_stream
         self.scan = BodyScan(
-            connection.protocol.carried if headers.has_length else _knows_any
+            connection.protocol.carried if needs_own_id else _knows_any
         )
         self._connection = connection
 
@@ -74,7 +79,7 @@
 
 
 def _knows_any(req_id: str) -> bool:
-    """Take any id in a body that nothing ends for that of another answer.
+    """Take any id in a body for that of another answer.
 
     The copy may have come over another connection first, or have an empty id.
     """
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -201,8 +201,9 @@
             report_statements(self._submit, effect, headers)
         if result is not None:
             return result
-        body = AnswerBody(resp, headers, connection)
-        if resp.status == 200 and exchange.call.route.streams:
+        is_stream = resp.status == 200 and exchange.call.route.streams
+        body = AnswerBody(resp, headers, connection, is_stream=is_stream)
+        if is_stream:
             return await self._relay_events(exchange, effect, body)
         return await self._relay_body(exchange, effect, body)
 
--- a/tests/functional/test_routed_joined_answers.py
+++ b/tests/functional/test_routed_joined_answers.py
@@ -117,6 +117,7 @@
     'script',
     [
         'plain answer among events',
+        'stream of another call, by length',
         *(
             register_stuttering_stream(
                 framed=framed, events=events, length=length
