--- a/tests/lib/ownupstream.py
+++ b/tests/lib/ownupstream.py
@@ -13,9 +13,10 @@
 from bilberryspoke._internal.network.calls import Call
 from bilberryspoke._internal.network.relaying import AttemptResult
 from bilberryspoke._internal.network.upstreams import UpstreamClient
+from fakes.stuttering import PAUSE_S as PAUSE_S
+from fakes.stuttering import write_pieces as write_pieces
 
 _HEAD_END = b'\r\n\r\n'
-PAUSE_S = 0.05
 
 
 @dataclass
@@ -78,15 +79,6 @@
         writer.close()
 
 
-async def write_pieces(writer: asyncio.StreamWriter, *pieces: bytes) -> None:
-    """Write pieces of answers with pauses in between."""
-    for number, piece in enumerate(pieces):
-        if number:
-            await asyncio.sleep(PAUSE_S)
-        writer.write(piece)
-        await writer.drain()
-
-
 @dataclass
 class Answered:
     """What the caller of a call got, and how its attempt ended.
