Search a head for a joined answer once instead of three times

Found on reading the whole change once more; no behaviour is meant to change. Each answer's status line and headers were searched by judge_head, again by answers_call within it, and by answers_call for what the upstream says of itself. The head keeps the result now.

--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -15,9 +15,6 @@
 from bilberryspoke._internal.network.routing.handoff import (
     find_helper_end,
 )
-from bilberryspoke._internal.network.routing.joinedanswers import (
-    is_joined_head,
-)
 from bilberryspoke._internal.platform.responseheaders import ResponseHeaders
 
 
@@ -37,15 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status line and headers of an answer, as received and decoded.
+    """Status and headers of an answer, as received and decoded.
 
-    ``reason`` is the phrase behind the status.
+    ``is_joined`` is whether parts of several answers make up the head.
     """
 
     status: int
-    reason: str
     raw: Iterable[tuple[bytes, bytes]]
     headers: ResponseHeaders
+    is_joined: bool
 
 
 def judge_head(
@@ -57,7 +54,7 @@
     again, and the connection of a broken answer is to be closed.
     """
     headers = head.headers
-    if is_joined_head(head.reason, head.raw):
+    if head.is_joined:
         return _break('joined answers: a status line within the head')
     if isinstance(effect, HandOff) and headers.req_id is None:
         # Only answers of upstreams, which helpers pass on, have an id.
@@ -84,7 +81,7 @@
     Upstreams repeat the id of a request in each answer. One without an id may
     belong to any other request.
     """
-    if is_joined_head(head.reason, head.raw):
+    if head.is_joined:
         return False
     return (head.headers.req_id or '') == call.req_id
 
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -42,6 +42,9 @@
     Exchange,
 )
 from bilberryspoke._internal.network.routing.holding import HeldBytes
+from bilberryspoke._internal.network.routing.joinedanswers import (
+    is_joined_head,
+)
 from bilberryspoke._internal.network.routing.linkprobes import LinkProber
 from bilberryspoke._internal.network.routing.outgoing import (
     READ_BUFFER_BYTES,
@@ -194,7 +197,10 @@
             connection.protocol, headers.keep_alive_s
         )
         head = AnswerHead(
-            resp.status, resp.reason or '', resp.raw_headers, headers
+            resp.status,
+            resp.raw_headers,
+            headers,
+            is_joined=is_joined_head(resp.reason or '', resp.raw_headers),
         )
         result = judge_head(exchange.call, effect, head)
         if isinstance(effect, Send) and answers_call(exchange.call, head):
--- a/tests/unit/test_helper_ends.py
+++ b/tests/unit/test_helper_ends.py
@@ -35,7 +35,8 @@
 def judge(status, *headers):
     """Return how a VM takes an answer of its helper."""
     raw = list(headers)
-    head = AnswerHead(status, '', raw, parse_response_headers(status, raw))
+    headers = parse_response_headers(status, raw)
+    head = AnswerHead(status, raw, headers, is_joined=False)
     return judge_head(build_call('c', READ_ROUTE), HANDOFF, head)
 
 
