Log on what the origin of a resumed stream rests, and how old the list is

No logic changes: the span that a list covers (listcoverage.py) is recorded from when the store was asked, and only logged so far.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -105,6 +105,7 @@
 ) -> None:
     """Replace the known upstreams by the complete list from discovery."""
     state.routing.position = event.position
+    state.routing.coverage.begin(_get_asked_at(event, now))
     replace_upstreams(state, event.upstreams, now)
 
 
@@ -114,8 +115,9 @@
     event: DiscoverySynced,
     now: float,
 ) -> None:
-    """Record the position of the store up to which the upstreams are known."""
+    """Record up to which position, and as of when, the upstreams are known."""
     state.routing.position = event.position
+    state.routing.coverage.extend(_get_asked_at(event, now))
 
 
 def replace_upstreams(
@@ -162,6 +164,12 @@
             )
 
 
+def _get_asked_at(
+    event: UpstreamsListed | DiscoverySynced, now: float
+) -> float:
+    return now if event.asked_at is None else event.asked_at
+
+
 def _record_answer(
     state: VmState, event: StoreReachReported, now: float
 ) -> None:
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/listcoverage.py
@@ -0,0 +1,52 @@
+"""The time for which a VM knows each change of the upstreams.
+
+A VM learns of changes late, and of none while it is cut off or stands still.
+What it has not heard of proves nothing about times outside of this one. Times
+are in seconds of the boot-time clock.
+"""
+
+from dataclasses import dataclass
+
+# Time of what has not happened yet, in seconds of the boot-time clock.
+_NEVER = -1e9
+
+
+@dataclass(slots=True)
+class ListCoverage:
+    """The span in which this VM knows each change, without a gap.
+
+    It begins at ``since``, when the store was asked for a complete list, and
+    ends at ``until``, when it was last asked for what has changed: an answer
+    tells at least what had happened as it was asked for. Both are -1e9 without
+    a list of the store. ``lists`` counts the complete lists of this process.
+    """
+
+    since: float = _NEVER
+    until: float = _NEVER
+    lists: int = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the upstreams are those of the store."""
+        return self.until > _NEVER
+
+    @property
+    def is_gapless(self) -> bool:
+        """Whether this process has missed nothing since its first list."""
+        return self.is_known and self.lists == 1
+
+    def begin(self, asked_at: float) -> None:
+        """Begin with a complete list; what happened before it is not known."""
+        self.since = asked_at
+        self.until = asked_at
+        self.lists += 1
+
+    def extend(self, asked_at: float) -> None:
+        """Go on, after all changes since the answer before were applied."""
+        if self.is_known:
+            self.until = max(self.until, asked_at)
+
+    def end(self) -> None:
+        """End it, as the upstreams are now those that another VM knows."""
+        self.since = _NEVER
+        self.until = _NEVER
--- a/src/bilberryspoke/_internal/core/routing/originledger.py
+++ b/src/bilberryspoke/_internal/core/routing/originledger.py
@@ -37,6 +37,19 @@
     denied_by: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class OriginFound:
+    """What was found of a stream's origin.
+
+    ``basis`` is what it rests on, for the log, and ``lookup`` the question to
+    other VMs, None if none was asked.
+    """
+
+    origin: StreamOrigin
+    basis: str
+    lookup: OriginLookup | None = None
+
+
 @dataclass(slots=True)
 class OriginLedger:
     """What a VM knows of the software versions of streams and upstreams.
--- a/src/bilberryspoke/_internal/core/routing/origins.py
+++ b/src/bilberryspoke/_internal/core/routing/origins.py
@@ -17,7 +17,11 @@
 )
 from bilberryspoke._internal.core.routing.originledger import StreamOrigin
 from bilberryspoke._internal.core.state import VmState
-from bilberryspoke._internal.models.routing import RetrySafety, RoutedCall
+from bilberryspoke._internal.models.routing import (
+    ListedUpstream,
+    RetrySafety,
+    RoutedCall,
+)
 from bilberryspoke._internal.models.routing_messages import StreamBegun
 from bilberryspoke._internal.utils.hashing import hash_parts, rank_members
 
@@ -85,12 +89,8 @@
     """
     routing = state.routing
     lifetime_s = call.route.timeout_s * _STREAM_LIFETIME_TIMEOUT_RATIO
-    listed = [
-        upstream.listed
-        for upstream in routing.upstreams.values()
-        if upstream.listed.service == call.service
-    ]
-    versions = {each.software_version for each in listed}
+    listed = _list_upstreams(state, call.service)
+    versions = list_versions(state, call.service)
     versions |= set(
         routing.origins.list_withdrawn(call.service, now - lifetime_s)
     )
@@ -104,6 +104,19 @@
     return versions.pop()
 
 
+def list_versions(state: VmState, service: str) -> set[str]:
+    """Return the software versions of the listed upstreams of a service."""
+    return {each.software_version for each in _list_upstreams(state, service)}
+
+
+def _list_upstreams(state: VmState, service: str) -> list[ListedUpstream]:
+    return [
+        upstream.listed
+        for upstream in state.routing.upstreams.values()
+        if upstream.listed.service == service
+    ]
+
+
 def list_askable_keepers(state: VmState, key: int, now: float) -> Iterator[str]:
     """Return the VMs that may know the origin of a stream."""
     for names in _choose_keepers(state, now).values():
--- a/src/bilberryspoke/_internal/core/routing/resumption.py
+++ b/src/bilberryspoke/_internal/core/routing/resumption.py
@@ -17,6 +17,7 @@
 from bilberryspoke._internal.core.routing.dispatch import dispatch_or_queue
 from bilberryspoke._internal.core.routing.members import send_to_peer
 from bilberryspoke._internal.core.routing.originledger import (
+    OriginFound,
     OriginLookup,
     StreamOrigin,
 )
@@ -24,9 +25,11 @@
     find_only_version,
     hash_stream,
     list_askable_keepers,
+    list_versions,
 )
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.routing_effects import LogDecision
 from bilberryspoke._internal.models.routing_messages import (
     OriginReply,
     OriginRequest,
@@ -38,6 +41,10 @@
 _LOOKUP_TIMEOUT_S = 0.4
 # A new process does not know all other VMs.
 _MEMBERSHIP_TIMEOUT_S = 1.0
+# What an origin rests on; otherwise the name of the VM that told of it.
+_RECORDED = 'recorded'
+_ONLY_VERSION = 'only version'
+_NOTHING = ''
 
 
 def resume_stream(state: VmState, call_state: CallState, now: float) -> None:
@@ -49,7 +56,7 @@
     key = hash_stream(call)
     origin = state.routing.origins.find(key)
     if origin is not None:
-        _resume_at(state, call_state, origin, now)
+        _resume_at(state, call_state, OriginFound(origin, _RECORDED), now)
         return
     call_state.stage = CallStage.resolving
     lookup = state.routing.origins.lookups.setdefault(
@@ -110,8 +117,9 @@
         return
     origin = StreamOrigin(message.software_version)
     state.routing.origins.record(message.key, origin, now)
+    found = OriginFound(origin, sender, lookup)
     for call_state in _end_lookup(state, message.key):
-        _resume_at(state, call_state, origin, now)
+        _resume_at(state, call_state, found, now)
 
 
 def _ask_keepers(
@@ -134,10 +142,11 @@
         return
     for call_state in _end_lookup(state, key):
         if lookup.denied_by or not state.routing.peers:
-            _resume_at_only_version(state, call_state, now)
+            _resume_at_only_version(state, call_state, now, lookup)
         else:
             # Nobody says that it does not know the origin.
-            _resume_at(state, call_state, StreamOrigin(None), now)
+            found = OriginFound(StreamOrigin(None), _NOTHING, lookup)
+            _resume_at(state, call_state, found, now)
 
 
 def _end_lookup(state: VmState, key: int) -> list[CallState]:
@@ -148,20 +157,55 @@
 
 
 def _resume_at_only_version(
-    state: VmState, call_state: CallState, now: float
+    state: VmState,
+    call_state: CallState,
+    now: float,
+    lookup: OriginLookup | None = None,
 ) -> None:
     version = None
     if knows_current_upstreams(state, now):
         version = find_only_version(state, call_state.call, now)
-    _resume_at(state, call_state, StreamOrigin(version), now)
+    basis = _NOTHING if version is None else _ONLY_VERSION
+    found = OriginFound(StreamOrigin(version), basis, lookup)
+    _resume_at(state, call_state, found, now)
 
 
 def _resume_at(
-    state: VmState, call_state: CallState, origin: StreamOrigin, now: float
+    state: VmState, call_state: CallState, found: OriginFound, now: float
 ) -> None:
-    call_state.origin = origin
-    if origin.software_version is None:
+    call_state.origin = found.origin
+    is_unknown = found.origin.software_version is None
+    fields = _describe_origin(state, call_state, found, now)
+    state.emit(LogDecision('origin_judged', fields, important=is_unknown))
+    if is_unknown:
         state.emit(Count('streams_of_unknown_origin', call_state.call.service))
         refuse_call(state, call_state, Refusal('origin_unknown'), now)
         return
     dispatch_or_queue(state, call_state, now)
+
+
+def _describe_origin(
+    state: VmState, call_state: CallState, found: OriginFound, now: float
+) -> dict[str, object]:
+    """Return on what the origin of a call's stream rests, for the log."""
+    call = call_state.call
+    routing = state.routing
+    coverage = routing.coverage
+    fields: dict[str, object] = {
+        'req_id': call.req_id,
+        'resumed_req_id': call.resumed_req_id,
+        'basis': found.basis,
+        'software_version': found.origin.software_version,
+        'age_s': round(now - call.arrived_at, 3),
+        'listed_versions': sorted(list_versions(state, call.service)),
+        'list_age_s': round(now - coverage.until, 3),
+        'list_known_s': round(now - coverage.since, 3),
+        'complete_lists': coverage.lists,
+        'paused_before_s': round(now - routing.resumed_at, 3),
+    }
+    if found.lookup is not None:
+        denied_by = found.lookup.denied_by
+        keepers = set(list_askable_keepers(state, hash_stream(call), now))
+        fields['denied_by'] = sorted(denied_by)
+        fields['silent'] = sorted(keepers - denied_by - {found.basis})
+    return fields
--- a/src/bilberryspoke/_internal/core/routing/snapshots.py
+++ b/src/bilberryspoke/_internal/core/routing/snapshots.py
@@ -121,6 +121,7 @@
     }
     state.emit(LogDecision('snapshot_applied', fields, important=False))
     routing.position = message.position
+    routing.coverage.end()
     # A VM of an older release passes on addresses that it can't connect to.
     upstreams = [
         _decode_upstream(each)
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -11,6 +11,7 @@
 from bilberryspoke._internal.core.routing.enginespeed import PrefillSpeed
 from bilberryspoke._internal.core.routing.helpermemory import HelperMemory
 from bilberryspoke._internal.core.routing.linkreview import LinkReview
+from bilberryspoke._internal.core.routing.listcoverage import ListCoverage
 from bilberryspoke._internal.core.routing.originledger import OriginLedger
 from bilberryspoke._internal.core.routing.peerstate import PeerView
 from bilberryspoke._internal.core.routing.retrybudget import SlidingRetryBudget
@@ -39,7 +40,8 @@
     ``confirmed`` whether the routes were compared with those of other VMs.
     ``behind_since`` is when a peer first had newer routes, None if none has.
     ``position`` is the position of the store as of which the upstreams are
-    known. ``store_answered_at`` is when the store last answered each watch and
+    known, and ``coverage`` the time in which this VM knows each change of them.
+    ``store_answered_at`` is when the store last answered each watch and
     ``answered_positions`` the position that it answered with.
     ``lost_watches`` holds when the store stopped to answer a watch, by watch.
     ``store_back_at`` is when it last answered about upstreams again after an
@@ -93,6 +95,7 @@
     store_outage_s: float = 0.0
     counts_around_outage: Counter[str] = field(default_factory=Counter)
     position: StorePosition = NO_POSITION
+    coverage: ListCoverage = field(default_factory=ListCoverage)
     store_answered_at: dict[StoreWatch, float] = field(default_factory=dict)
     answered_positions: dict[StoreWatch, StorePosition] = field(
         default_factory=dict,
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -41,10 +41,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamsListed:
-    """All upstreams were read, as of a position of the store."""
+    """All upstreams were read, as of a position of the store.
+
+    ``asked_at``: when the store was asked, in seconds of the boot-time clock;
+    ``None`` if only now.
+    """
 
     upstreams: tuple[ListedUpstream, ...]
     position: StorePosition
+    asked_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,9 +65,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscoverySynced:
-    """All changes of upstreams up to a position of the store were applied."""
+    """All changes of upstreams up to a position of the store were applied.
+
+    ``asked_at``: as in ``UpstreamsListed``.
+    """
 
     position: StorePosition
+    asked_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -139,13 +139,14 @@
         """
         if not position.revision:
             return await self._read_current(prefix)
+        asked_at = read_boottime()
         changes = await self._store.watch(prefix, position.revision, wait_s)
         self._report_answer(prefix, changes)
         if not position.is_continued_by(changes.position):
             return await self._read_current(prefix)
         self._apply_changes(changes)
         if prefix == UPSTREAM_PREFIX:
-            self._runtime.submit(DiscoverySynced(changes.position))
+            self._runtime.submit(DiscoverySynced(changes.position, asked_at))
         return changes.position
 
     async def _read_current(self, prefix: str) -> StorePosition:
@@ -154,6 +155,7 @@
             self._report_answer(prefix, stored)
             self._apply_changes(stored)
             return stored.position
+        asked_at = read_boottime()
         stored = await self._store.read_prefix(prefix)
         self._report_answer(prefix, stored)
         listed = [self._decode_upstream(value) for value in stored.values]
@@ -161,6 +163,7 @@
             UpstreamsListed(
                 tuple(each for each in listed if each is not None),
                 stored.position,
+                asked_at,
             ),
         )
         return stored.position
--- a/tests/lib/skewedcores.py
+++ b/tests/lib/skewedcores.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable, Iterable
 
-from bilberryspoke._internal.models.events import PeerMessageReceived
 from bilberryspoke._internal.models.effects import SendPeerMessage
+from bilberryspoke._internal.models.events import PeerMessageReceived
 from bilberryspoke._internal.models.routing import (
     ListedUpstream,
     RoutedCall,
@@ -21,7 +21,6 @@
     UpstreamsListed,
 )
 from tests.lib.corefleet import MESSAGE_DELAY_S
-from tests.lib.routedcore import build_upstream
 from tests.lib.streamcores import StreamCores
 
 # Upstreams rewrite their entries so often that each watch is answered at once.
@@ -108,9 +107,7 @@
         self._ask(name, incarnation)
 
     def _is_gone(self, name: str, incarnation: int) -> bool:
-        return (
-            name not in self.cores or self._incarnations[name] != incarnation
-        )
+        return name not in self.cores or self._incarnations[name] != incarnation
 
     def _ask(self, name: str, incarnation: int) -> None:
         """Let a VM ask the store, and again after the answer."""
@@ -128,7 +125,9 @@
                 ),
             )
             return
-        self.later(STORE_DELAY_S, lambda: self._answer(name, incarnation, asked_at))
+        self.later(
+            STORE_DELAY_S, lambda: self._answer(name, incarnation, asked_at)
+        )
 
     def _fail(self, name: str, incarnation: int) -> None:
         if self._is_gone(name, incarnation):
@@ -140,15 +139,23 @@
 
     def _answer(self, name: str, incarnation: int, asked_at: float) -> None:
         revision = len(self._log) + 1
-        changes = [each for at, each in self._log if at > self._known.get(name, 0)]
+        changes = [
+            each for at, each in self._log if at > self._known.get(name, 0)
+        ]
         entries = tuple(self._entries.values())
         listed = not self._known.get(name)
+
         def receive():
             if self._is_gone(name, incarnation):
                 return
             self._known[name] = revision
             position = StorePosition(0, revision)
-            self.handle(name, StoreReachReported(True, StoreWatch.upstreams, position=position))
+            self.handle(
+                name,
+                StoreReachReported(
+                    True, StoreWatch.upstreams, position=position
+                ),
+            )
             if listed:
                 self.handle(name, UpstreamsListed(entries, position))
             else:
@@ -156,6 +163,7 @@
                     self.handle(name, change)
                 self.handle(name, DiscoverySynced(position))
             self.later(WATCH_INTERVAL_S, lambda: self._ask(name, incarnation))
+
         self.later(STORE_DELAY_S, lambda: self._deliver(name, receive))
 
     def _send(self, name: str, effect: SendPeerMessage) -> None:
