--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -18,6 +18,7 @@
     ProbeUpstream,
 )
 from bilberryspoke._internal.models.routing_events import (
+    DiscoverySynced,
     RoutesOffered,
     SeedsConfigured,
     StoreReachReported,
@@ -191,10 +192,12 @@
         if name not in self.cores or self._incarnations[name] != incarnation:
             return
         if name not in self.isolated | self.frozen:
+            position = StorePosition(0, 1)
             answer = StoreReachReported(
-                True, StoreWatch.upstreams, position=StorePosition(0, 1)
+                True, StoreWatch.upstreams, position=position
             )
             self.handle(name, answer)
+            self.handle(name, DiscoverySynced(position))
         self._at(
             self.now + STORE_ANSWER_INTERVAL_S,
             lambda: self._answer_from_store(name, incarnation),
--- a/tests/lib/skewedcores.py
+++ b/tests/lib/skewedcores.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from bilberryspoke._internal.models.effects import SendPeerMessage
 from bilberryspoke._internal.models.events import PeerMessageReceived
@@ -30,6 +31,16 @@
 STORE_DELAY_S = 0.004
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """What a store answers: a complete list, or what has changed."""
+
+    position: StorePosition
+    asked_at: float
+    changes: tuple[UpstreamChanged, ...]
+    entries: tuple[ListedUpstream, ...] | None
+
+
 class SkewedCores(StreamCores):
     """A fleet whose VMs learn of upstreams from a store.
 
@@ -89,6 +100,8 @@
 
     def _record(self, change: UpstreamChanged) -> None:
         self._log.append((len(self._log) + 2, change))
+        # What a VM that starts from now on reads first.
+        self._upstreams = tuple(self._entries.values())
 
     def _deliver(self, name: str, action: Callable[[], object]) -> None:
         if name not in self.cores:
@@ -103,8 +116,8 @@
     def _answer_from_store(self, name: str, incarnation: int) -> None:
         if not self._entries:
             self._entries = {each.instance: each for each in self._upstreams}
-        self._known[name] = 0
-        self._ask(name, incarnation)
+        self._known[name] = len(self._log) + 1
+        self.later(WATCH_INTERVAL_S, lambda: self._ask(name, incarnation))
 
     def _is_gone(self, name: str, incarnation: int) -> bool:
         return name not in self.cores or self._incarnations[name] != incarnation
@@ -138,33 +151,39 @@
         self.later(RETRY_INTERVAL_S, lambda: self._ask(name, incarnation))
 
     def _answer(self, name: str, incarnation: int, asked_at: float) -> None:
-        revision = len(self._log) + 1
-        changes = [
-            each for at, each in self._log if at > self._known.get(name, 0)
-        ]
-        entries = tuple(self._entries.values())
-        listed = not self._known.get(name)
-
-        def receive():
-            if self._is_gone(name, incarnation):
-                return
-            self._known[name] = revision
-            position = StorePosition(0, revision)
-            self.handle(
-                name,
-                StoreReachReported(
-                    True, StoreWatch.upstreams, position=position
-                ),
-            )
-            if listed:
-                self.handle(name, UpstreamsListed(entries, position))
-            else:
-                for change in changes:
-                    self.handle(name, change)
-                self.handle(name, DiscoverySynced(position))
-            self.later(WATCH_INTERVAL_S, lambda: self._ask(name, incarnation))
-
-        self.later(STORE_DELAY_S, lambda: self._deliver(name, receive))
+        known = self._known.get(name, 0)
+        answer = StoreAnswer(
+            StorePosition(0, len(self._log) + 1),
+            asked_at,
+            tuple(each for at, each in self._log if at > known),
+            None if known else tuple(self._entries.values()),
+        )
+        self.later(
+            STORE_DELAY_S,
+            lambda: self._deliver(
+                name, lambda: self._receive(name, incarnation, answer)
+            ),
+        )
+
+    def _receive(
+        self, name: str, incarnation: int, answer: StoreAnswer
+    ) -> None:
+        if self._is_gone(name, incarnation):
+            return
+        position = answer.position
+        self._known[name] = position.revision
+        reached = StoreReachReported(
+            True, StoreWatch.upstreams, position=position
+        )
+        self.handle(name, reached)
+        if answer.entries is None:
+            for change in answer.changes:
+                self.handle(name, change)
+            self.handle(name, DiscoverySynced(position, answer.asked_at))
+        else:
+            listed = UpstreamsListed(answer.entries, position, answer.asked_at)
+            self.handle(name, listed)
+        self.later(WATCH_INTERVAL_S, lambda: self._ask(name, incarnation))
 
     def _send(self, name: str, effect: SendPeerMessage) -> None:
         link = (name, effect.peer)
