Resume a stream without a record only where one version is proven

Cause: a VM without a record of a stream went by its list of upstreams as soon as one other VM denied, also while those that had been told were silent; the list counted for 3 s after any answer of the store; and a new list counted for the time before it. Silence, a denial and an old list were taken for proofs of absence.

One rule, in versionproof.py: a stream without a record goes on at the only version that upstreams of its service had in all the time in which it can have begun, and only a VM that has followed each change of that time without a gap, up to after the call came, may say so: this one, or another one that it asks. The store is asked anew at once (RefreshUpstreams), so that the call does not wait for the next turn. The ages of upstreams count for a new process's time before its start only, and not for others. The 3 s rule (discoverylag.py) is gone.

Works beside VMs of before: they write no only_version, so that they prove nothing.

--- a/src/bilberryspoke/_internal/core/routing/originledger.py
+++ b/src/bilberryspoke/_internal/core/routing/originledger.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from bilberryspoke._internal.core.routing.streamwindow import StreamWindow
+
 # An origin is forgotten so long after it was last recorded.
 _RETENTION_S = 600.0
 _MAX_ORIGINS = 20_000
@@ -26,15 +28,21 @@
 class OriginLookup:
     """A question to other VMs about the origin of a stream.
 
-    ``call_ids`` are the calls that wait for it until ``ends_at``, ``asked_at``
-    is when the other VMs were last asked, and ``denied_by`` are those that do
-    not know the origin.
+    ``window`` is when the stream can have begun. ``call_ids`` are the calls
+    that wait for its origin. VMs that may know it have until ``asks_until`` to
+    answer, and until ``ends_at`` one has to prove which version there was.
+    ``asked_at`` is when the other VMs were last asked, ``denied_by`` are those
+    that do not know the stream, and ``proven_by`` holds what those say that
+    have followed all changes of the window.
     """
 
+    window: StreamWindow
+    asks_until: float
     ends_at: float
     asked_at: float = -1e9
     call_ids: list[str] = field(default_factory=list)
     denied_by: set[str] = field(default_factory=set)
+    proven_by: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/core/routing/origins.py
+++ b/src/bilberryspoke/_internal/core/routing/origins.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
+from bilberryspoke._internal.core.routing.backlog import list_live_peers
 from bilberryspoke._internal.core.routing.callstate import CallState
 from bilberryspoke._internal.core.routing.members import (
     connect_to_peer,
@@ -17,11 +18,7 @@
 )
 from bilberryspoke._internal.core.routing.originledger import StreamOrigin
 from bilberryspoke._internal.core.state import VmState
-from bilberryspoke._internal.models.routing import (
-    ListedUpstream,
-    RetrySafety,
-    RoutedCall,
-)
+from bilberryspoke._internal.models.routing import RetrySafety, RoutedCall
 from bilberryspoke._internal.models.routing_messages import StreamBegun
 from bilberryspoke._internal.utils.hashing import hash_parts, rank_members
 
@@ -30,11 +27,9 @@
 # Copies of an origin at other VMs, and how many of them in one data centre.
 _COPIES = 3
 _COPIES_PER_DATA_CENTRE = 2
-# Callers take a stream up again within this multiple of its route's timeout.
-_STREAM_LIFETIME_TIMEOUT_RATIO = 2
+_WITNESSES = 3
 # An upstream is listed at the latest so long after its start.
 _MAX_LISTING_DELAY_S = 3.0
-_MS_PER_S = 1000
 
 
 def hash_stream(call: RoutedCall) -> int:
@@ -78,51 +73,22 @@
             _tell_keepers(state, call_state, now)
 
 
-def find_only_version(
-    state: VmState, call: RoutedCall, now: float
-) -> str | None:
-    """Return the version at which a call's stream must have begun, if any.
-
-    It is that of all upstreams of the service since the earliest time at which
-    the stream can have begun. A new process has no other evidence of the time
-    before its start than the age of the upstreams.
-    """
-    routing = state.routing
-    lifetime_s = call.route.timeout_s * _STREAM_LIFETIME_TIMEOUT_RATIO
-    listed = _list_upstreams(state, call.service)
-    versions = list_versions(state, call.service)
-    versions |= set(
-        routing.origins.list_withdrawn(call.service, now - lifetime_s)
-    )
-    if len(versions) != 1:
-        return None
-    if now - state.started_at < lifetime_s:
-        started_ms = state.settings.incarnation
-        oldest_ms = started_ms - lifetime_s * _MS_PER_S
-        if any(0 < oldest_ms < each.created_ms for each in listed):
-            return None
-    return versions.pop()
-
-
-def list_versions(state: VmState, service: str) -> set[str]:
-    """Return the software versions of the listed upstreams of a service."""
-    return {each.software_version for each in _list_upstreams(state, service)}
-
-
-def _list_upstreams(state: VmState, service: str) -> list[ListedUpstream]:
-    return [
-        upstream.listed
-        for upstream in state.routing.upstreams.values()
-        if upstream.listed.service == service
-    ]
-
-
 def list_askable_keepers(state: VmState, key: int, now: float) -> Iterator[str]:
     """Return the VMs that may know the origin of a stream."""
     for names in _choose_keepers(state, now).values():
         yield from _rank_for_stream(state, key, names)[:_COPIES_PER_DATA_CENTRE]
 
 
+def list_witnesses(state: VmState, key: int, now: float) -> list[str]:
+    """Return VMs that read the store, to ask which versions there were."""
+    readers = {
+        peer.store_reader
+        for peer in list_live_peers(state.routing, now)
+        if peer.store_reachable
+    }
+    return _rank_for_stream(state, key, list(readers))[:_WITNESSES]
+
+
 def _tell_keepers(state: VmState, call_state: CallState, now: float) -> None:
     key = hash_stream(call_state.call)
     state.routing.origins.record(key, call_state.origin, now)
--- a/src/bilberryspoke/_internal/core/routing/resumption.py
+++ b/src/bilberryspoke/_internal/core/routing/resumption.py
@@ -1,8 +1,9 @@
 """Streams that callers take up again, after their connection broke.
 
 Such a call is sent only to upstreams of the software version that began its
-stream, which this VM may have to ask others for. Times are in seconds of the
-boot-time clock.
+stream. A VM that has no record of it asks others. If they have none either, the
+version must be proven (versionproof.py), here or at another VM; otherwise the
+call is refused. Times are in seconds of the boot-time clock.
 """
 
 from bilberryspoke._internal.core.reducer import on_message
@@ -11,9 +12,6 @@
     Refusal,
     refuse_call,
 )
-from bilberryspoke._internal.core.routing.discoverylag import (
-    knows_current_upstreams,
-)
 from bilberryspoke._internal.core.routing.dispatch import dispatch_or_queue
 from bilberryspoke._internal.core.routing.members import send_to_peer
 from bilberryspoke._internal.core.routing.originledger import (
@@ -22,14 +20,26 @@
     StreamOrigin,
 )
 from bilberryspoke._internal.core.routing.origins import (
-    find_only_version,
     hash_stream,
     list_askable_keepers,
+    list_witnesses,
+)
+from bilberryspoke._internal.core.routing.streamwindow import (
+    StreamWindow,
+    make_window,
+)
+from bilberryspoke._internal.core.routing.versionproof import (
+    Verdict,
+    VersionProof,
+    judge_versions,
     list_versions,
 )
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
-from bilberryspoke._internal.models.routing_effects import LogDecision
+from bilberryspoke._internal.models.routing_effects import (
+    LogDecision,
+    RefreshUpstreams,
+)
 from bilberryspoke._internal.models.routing_messages import (
     OriginReply,
     OriginRequest,
@@ -39,6 +49,9 @@
 # A message to a VM that was not connected is lost, so the question is repeated.
 _REPEAT_INTERVAL_S = 0.1
 _LOOKUP_TIMEOUT_S = 0.4
+# Time for the store to tell what has changed, here or to another VM.
+_PROOF_TIMEOUT_S = 1.0
+_REFRESH_INTERVAL_S = 0.1
 # A new process does not know all other VMs.
 _MEMBERSHIP_TIMEOUT_S = 1.0
 # What an origin rests on; otherwise the name of the VM that told of it.
@@ -49,21 +62,22 @@
 
 def resume_stream(state: VmState, call_state: CallState, now: float) -> None:
     """Send or queue a call that resumes a stream, once its origin is known."""
-    call = call_state.call
-    if not call.resumed_req_id:
-        _resume_at_only_version(state, call_state, now)
-        return
-    key = hash_stream(call)
+    key = hash_stream(call_state.call)
     origin = state.routing.origins.find(key)
     if origin is not None:
         _resume_at(state, call_state, OriginFound(origin, _RECORDED), now)
         return
     call_state.stage = CallStage.resolving
     lookup = state.routing.origins.lookups.setdefault(
-        key, OriginLookup(now + _LOOKUP_TIMEOUT_S)
+        key,
+        OriginLookup(
+            make_window(call_state.call),
+            asks_until=now + _LOOKUP_TIMEOUT_S,
+            ends_at=now + _PROOF_TIMEOUT_S,
+        ),
     )
-    lookup.call_ids.append(call.call_id)
-    _ask_keepers(state, key, lookup, now)
+    lookup.call_ids.append(call_state.call.call_id)
+    _ask_others(state, key, lookup, now)
     _review_lookup(state, key, lookup, now)
 
 
@@ -71,7 +85,7 @@
     """Repeat questions about origins, and end those without an answer."""
     for key, lookup in list(state.routing.origins.lookups.items()):
         if now - lookup.asked_at >= _REPEAT_INTERVAL_S:
-            _ask_keepers(state, key, lookup, now)
+            _ask_others(state, key, lookup, now)
         _review_lookup(state, key, lookup, now)
 
 
@@ -93,8 +107,13 @@
     if peer is None:
         return
     origin = state.routing.origins.find(message.key)
-    reply = OriginReply(message.key, is_known=False)
-    if origin is not None:
+    if origin is None:
+        reply = OriginReply(
+            message.key,
+            is_known=False,
+            only_version=_find_only_version(state, message, now),
+        )
+    else:
         reply = OriginReply(
             message.key,
             is_known=True,
@@ -103,6 +122,26 @@
     send_to_peer(state, peer, reply)
 
 
+def _find_only_version(
+    state: VmState, message: OriginRequest, now: float
+) -> str | None:
+    """Return the only version of the time that another VM asks about.
+
+    The ages of upstreams are no proof for others: they can't tell how long
+    this process has run.
+    """
+    if not message.service:
+        return None
+    latest_at = now - message.call_age_s
+    window = StreamWindow(
+        message.service, latest_at - message.window_s, latest_at
+    )
+    proof = judge_versions(state, window, trusts_ages=False)
+    if proof.verdict is Verdict.awaited:
+        _refresh_upstreams(state, now)
+    return proof.version
+
+
 @on_message(OriginReply)
 def apply_reply(
     state: VmState, sender: str, message: OriginReply, now: float
@@ -113,6 +152,8 @@
         return
     if not message.is_known:
         lookup.denied_by.add(sender)
+        if message.only_version is not None:
+            lookup.proven_by[sender] = message.only_version
         _review_lookup(state, message.key, lookup, now)
         return
     origin = StreamOrigin(message.software_version)
@@ -122,31 +163,62 @@
         _resume_at(state, call_state, found, now)
 
 
-def _ask_keepers(
+def _ask_others(
     state: VmState, key: int, lookup: OriginLookup, now: float
 ) -> None:
+    """Ask VMs that may know the stream, or which versions there were."""
     lookup.asked_at = now
-    request = OriginRequest(key)
-    for name in list_askable_keepers(state, key, now):
-        if name not in lookup.denied_by:
-            send_to_peer(state, state.routing.peers[name], request)
+    window = lookup.window
+    names = set(list_askable_keepers(state, key, now)) - lookup.denied_by
+    proof = judge_versions(state, window, trusts_ages=True)
+    if proof.verdict is Verdict.awaited:
+        _refresh_upstreams(state, now)
+    if proof.verdict in {Verdict.awaited, Verdict.unknown}:
+        names.update(list_witnesses(state, key, now))
+    request = OriginRequest(
+        key, window.service, now - window.latest_at, window.length_s
+    )
+    for name in sorted(names):
+        send_to_peer(state, state.routing.peers[name], request)
+
+
+def _refresh_upstreams(state: VmState, now: float) -> None:
+    routing = state.routing
+    is_due = now - routing.refresh_asked_at >= _REFRESH_INTERVAL_S
+    if routing.reads_store and is_due:
+        routing.refresh_asked_at = now
+        state.emit(RefreshUpstreams())
 
 
 def _review_lookup(
     state: VmState, key: int, lookup: OriginLookup, now: float
 ) -> None:
-    """End a lookup whose time is over, or whose origin no VM knows."""
+    """End a lookup once its version is proven, or can't be any more."""
     may_know = set(list_askable_keepers(state, key, now)) - lookup.denied_by
     knows_members = now - state.started_at >= _MEMBERSHIP_TIMEOUT_S
-    if now < lookup.ends_at and (may_know or not knows_members):
+    if now < lookup.asks_until and (may_know or not knows_members):
+        return
+    proof = judge_versions(state, lookup.window, trusts_ages=True)
+    found = _choose_origin(proof, lookup)
+    may_be_proven = proof.verdict is not Verdict.several
+    if not found.basis and may_be_proven and now < lookup.ends_at:
         return
     for call_state in _end_lookup(state, key):
-        if lookup.denied_by or not state.routing.peers:
-            _resume_at_only_version(state, call_state, now, lookup)
-        else:
-            # Nobody says that it does not know the origin.
-            found = OriginFound(StreamOrigin(None), _NOTHING, lookup)
-            _resume_at(state, call_state, found, now)
+        _resume_at(state, call_state, found, now)
+
+
+def _choose_origin(proof: VersionProof, lookup: OriginLookup) -> OriginFound:
+    """Return the origin that this VM or others prove, if they agree."""
+    if proof.verdict is Verdict.several:
+        return OriginFound(StreamOrigin(None), _NOTHING, lookup)
+    proven_by = dict(lookup.proven_by)
+    if proof.version is not None:
+        proven_by[_ONLY_VERSION] = proof.version
+    versions = set(proven_by.values())
+    if len(versions) != 1:
+        return OriginFound(StreamOrigin(None), _NOTHING, lookup)
+    basis = ', '.join(sorted(proven_by))
+    return OriginFound(StreamOrigin(versions.pop()), basis, lookup)
 
 
 def _end_lookup(state: VmState, key: int) -> list[CallState]:
@@ -156,20 +228,6 @@
     return [each for each in found if each is not None]
 
 
-def _resume_at_only_version(
-    state: VmState,
-    call_state: CallState,
-    now: float,
-    lookup: OriginLookup | None = None,
-) -> None:
-    version = None
-    if knows_current_upstreams(state, now):
-        version = find_only_version(state, call_state.call, now)
-    basis = _NOTHING if version is None else _ONLY_VERSION
-    found = OriginFound(StreamOrigin(version), basis, lookup)
-    _resume_at(state, call_state, found, now)
-
-
 def _resume_at(
     state: VmState, call_state: CallState, found: OriginFound, now: float
 ) -> None:
@@ -198,6 +256,9 @@
         'software_version': found.origin.software_version,
         'age_s': round(now - call.arrived_at, 3),
         'listed_versions': sorted(list_versions(state, call.service)),
+        'list_verdict': judge_versions(
+            state, make_window(call), trusts_ages=True
+        ).verdict,
         'list_age_s': round(now - coverage.until, 3),
         'list_known_s': round(now - coverage.since, 3),
         'complete_lists': coverage.lists,
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -41,6 +41,7 @@
     ``behind_since`` is when a peer first had newer routes, None if none has.
     ``position`` is the position of the store as of which the upstreams are
     known, and ``coverage`` the time in which this VM knows each change of them.
+    ``refresh_asked_at`` is when it last asked for them out of turn.
     ``store_answered_at`` is when the store last answered each watch and
     ``answered_positions`` the position that it answered with.
     ``lost_watches`` holds when the store stopped to answer a watch, by watch.
@@ -96,6 +97,7 @@
     counts_around_outage: Counter[str] = field(default_factory=Counter)
     position: StorePosition = NO_POSITION
     coverage: ListCoverage = field(default_factory=ListCoverage)
+    refresh_asked_at: float = _NEVER
     store_answered_at: dict[StoreWatch, float] = field(default_factory=dict)
     answered_positions: dict[StoreWatch, StorePosition] = field(
         default_factory=dict,
--- /dev/null
+++ b/src/bilberryspoke/_internal/core/routing/versionproof.py
@@ -0,0 +1,93 @@
+"""What proves at which software version a stream began, without a record of it.
+
+A stream began at the only version that upstreams of its service had in the
+whole time in which it can have begun. To say so, a VM must know each change of
+that time: silence proves nothing, nor does another VM that does not know the
+stream. Times are in seconds of the boot-time clock.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from bilberryspoke._internal.core.routing.streamwindow import StreamWindow
+from bilberryspoke._internal.core.state import VmState
+from bilberryspoke._internal.models.routing import ListedUpstream
+
+_MS_PER_S = 1000
+
+
+class Verdict(StrEnum):
+    """What a VM's list says of the software versions of a time.
+
+    ``only``: there was one version only.
+    ``awaited``: there was, up to when the store was last asked.
+    ``several``: there were several, or none.
+    ``unknown``: this VM has missed a part of that time.
+    """
+
+    only = 'only'
+    awaited = 'awaited'
+    several = 'several'
+    unknown = 'unknown'
+
+
+@dataclass(frozen=True, slots=True)
+class VersionProof:
+    """A verdict, and the only version that is known, empty if not certain."""
+
+    verdict: Verdict
+    version: str | None = None
+
+
+def judge_versions(
+    state: VmState, window: StreamWindow, *, trusts_ages: bool
+) -> VersionProof:
+    """Judge by this VM's list which versions there were in a window.
+
+    A new process knows nothing of the time before its start. If
+    ``trusts_ages``, there was no other version then if all upstreams are older
+    than the window.
+    """
+    versions = list_versions(state, window.service)
+    versions |= set(
+        state.routing.origins.list_withdrawn(window.service, window.earliest_at)
+    )
+    if len(versions) != 1:
+        return VersionProof(Verdict.several)
+    coverage = state.routing.coverage
+    reaches_back = coverage.is_known and coverage.since <= window.earliest_at
+    if not reaches_back and not (
+        trusts_ages and _has_old_upstreams_only(state, window)
+    ):
+        return VersionProof(Verdict.unknown)
+    if coverage.until < window.latest_at:
+        return VersionProof(Verdict.awaited)
+    return VersionProof(Verdict.only, versions.pop())
+
+
+def list_versions(state: VmState, service: str) -> set[str]:
+    """Return the software versions of the listed upstreams of a service."""
+    return {each.software_version for each in _list_upstreams(state, service)}
+
+
+def _list_upstreams(state: VmState, service: str) -> list[ListedUpstream]:
+    return [
+        upstream.listed
+        for upstream in state.routing.upstreams.values()
+        if upstream.listed.service == service
+    ]
+
+
+def _has_old_upstreams_only(state: VmState, window: StreamWindow) -> bool:
+    """Return whether no upstream is known to have begun in a window.
+
+    False if this process has missed anything since its first list.
+    """
+    if not state.routing.coverage.is_gapless:
+        return False
+    before_start_s = state.started_at - window.earliest_at
+    earliest_ms = state.settings.incarnation - before_start_s * _MS_PER_S
+    return all(
+        not each.created_ms or each.created_ms <= earliest_ms
+        for each in _list_upstreams(state, window.service)
+    )
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -73,6 +73,11 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class RefreshUpstreams:
+    """Ask the store at once for what has changed, if it is watched."""
+
+
 @dataclass(frozen=True, slots=True)
 class CancelSend:
     """Cancel a send by closing its connection, which the upstream notices."""
@@ -160,6 +165,7 @@
     Send
     | HandOff
     | ProbeUpstream
+    | RefreshUpstreams
     | CancelSend
     | RelayFailure
     | RefuseCall
--- a/src/bilberryspoke/_internal/models/routing_messages.py
+++ b/src/bilberryspoke/_internal/models/routing_messages.py
@@ -229,9 +229,18 @@
 
 
 class OriginRequest(msgspec.Struct, tag='origin', array_like=True):
-    """Question at which software version the stream ``key`` began."""
+    """Question at which software version the stream ``key`` began.
+
+    ``service``: that of the stream; empty if the sender asks for no proof.
+    ``call_age_s``: seconds since the call arrived that takes the stream up.
+    ``window_s``: seconds before that within which the stream began.
+    VMs of before 2026-12-06 write only the key.
+    """
 
     key: int
+    service: str = ''
+    call_age_s: float = 0
+    window_s: float = 0
 
 
 class OriginReply(msgspec.Struct, tag='origin_known', array_like=True):
@@ -239,11 +248,14 @@
 
     ``is_known``: whether the sender knows the stream.
     ``software_version``: as in ``StreamBegun``.
+    ``only_version``: that of all upstreams of the service in the time in which
+    the stream began, if the sender has followed each change; else None.
     """
 
     key: int
     is_known: bool
     software_version: str | None = None
+    only_version: str | None = None
 
 
 class Introduction(msgspec.Struct, tag='introduce', array_like=True):
--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -169,6 +169,7 @@
             )
         ]
         watcher = DiscoveryWatcher(components.runtime, components.store)
+        components.runtime.on_refresh = watcher.refresh_upstreams
         loops = (
             self._tick(components.runtime),
             watcher.watch_routes(),
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -22,6 +22,9 @@
     UpstreamsListed,
 )
 from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.routing.storewatch import (
+    RefreshableWatch,
+)
 from bilberryspoke._internal.network.runtime import Runtime
 from bilberryspoke._internal.platform.records import (
     CONFIG_KEY,
@@ -38,8 +41,6 @@
 
 logger = structlog.get_logger()
 
-# A watch whose connection goes silent is noticed when it should have ended.
-WATCH_TIMEOUT_S = 1.6
 # Upstreams rewrite their entries continually: the next watch starts after this
 # interval, so that it returns many changes at once.
 _BATCH_INTERVAL_S = 0.6
@@ -68,12 +69,18 @@
         self._routing = runtime.core.state.routing
         # Number of sleeps so far, which gives each sleep another jitter.
         self._sleep_count = 0
+        self._watches = {
+            prefix: RefreshableWatch(store, prefix) for prefix in _WATCHES
+        }
+
+    def refresh_upstreams(self) -> None:
+        """Ask for changes of the upstreams at once, instead of in turn."""
+        self._watches[UPSTREAM_PREFIX].refresh()
 
     async def watch_routes(self) -> None:
         """Keep the route table up to date until cancelled."""
         await self._watch_prefix(
             prefix=CONFIG_KEY,
-            wait_s=WATCH_TIMEOUT_S,
             batch_interval_s=0,
         )
 
@@ -81,7 +88,6 @@
         """Keep the list of upstreams up to date until cancelled."""
         await self._watch_prefix(
             prefix=UPSTREAM_PREFIX,
-            wait_s=WATCH_TIMEOUT_S,
             batch_interval_s=_BATCH_INTERVAL_S,
         )
 
@@ -89,7 +95,6 @@
         self,
         *,
         prefix: str,
-        wait_s: float,
         batch_interval_s: float,
     ) -> None:
         position = NO_POSITION
@@ -101,7 +106,7 @@
             previous = position
             asked_at = read_boottime()
             try:
-                position = await self._fetch_changes(prefix, position, wait_s)
+                position = await self._fetch_changes(prefix, position)
             except PlatformHistoryLostError as exc:
                 logger.warning('store_history_lost', cause=str(exc))
                 position = NO_POSITION
@@ -118,7 +123,7 @@
                 await self._sleep_with_jitter(RETRY_INTERVAL_S)
                 continue
             if position.revision:
-                await asyncio.sleep(batch_interval_s)
+                await self._watches[prefix].pause(batch_interval_s)
             else:
                 await self._sleep_with_jitter(RETRY_INTERVAL_S)
             if position == previous:
@@ -129,7 +134,6 @@
         self,
         prefix: str,
         position: StorePosition,
-        wait_s: float,
     ) -> StorePosition:
         """Submit changes after ``position``, or all entries if it is unknown.
 
@@ -139,14 +143,15 @@
         """
         if not position.revision:
             return await self._read_current(prefix)
-        asked_at = read_boottime()
-        changes = await self._store.watch(prefix, position.revision, wait_s)
+        answer = await self._watches[prefix].wait_for_changes(position.revision)
+        changes = answer.changes
         self._report_answer(prefix, changes)
         if not position.is_continued_by(changes.position):
             return await self._read_current(prefix)
         self._apply_changes(changes)
         if prefix == UPSTREAM_PREFIX:
-            self._runtime.submit(DiscoverySynced(changes.position, asked_at))
+            synced = DiscoverySynced(changes.position, answer.asked_at)
+            self._runtime.submit(synced)
         return changes.position
 
     async def _read_current(self, prefix: str) -> StorePosition:
--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -8,6 +8,7 @@
     LogDecision,
     ProbeUpstream,
     RecordDurations,
+    RefreshUpstreams,
     RefuseCall,
     RelayFailure,
     Send,
@@ -41,6 +42,13 @@
         runtime.on_probe(effect)
 
 
+@handles_effect(RefreshUpstreams)
+def refresh_upstreams(runtime: Runtime, effect: RefreshUpstreams) -> None:
+    """Ask the store for changes; ``DiscoverySynced`` follows its answer."""
+    if runtime.on_refresh is not None:
+        runtime.on_refresh()
+
+
 @handles_effect(CancelSend)
 def cancel_send(runtime: Runtime, effect: CancelSend) -> None:
     """Cancel a send of a call; its connection is closed, if it has one."""
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -64,8 +64,9 @@
 
     ``calls`` has the open calls by request id: each a ``Call``, or an
     ``Exchange`` in the daemon of ``network.routing``. ``on_order``,
-    ``on_push`` and ``on_probe`` handle orders to engines, configurations that
-    peers send and probes of upstreams.
+    ``on_push``, ``on_probe`` and ``on_refresh`` handle orders to engines,
+    configurations that peers send, probes of upstreams and questions to the
+    store out of turn.
     ``started_at`` is in seconds of the boot-time clock.
     """
 
@@ -79,6 +80,7 @@
     on_order: Callable[[OrderModelLoad], None] | None = None
     on_push: Callable[[ConfigPush], None] | None = None
     on_probe: Callable[[ProbeUpstream], None] | None = None
+    on_refresh: Callable[[], None] | None = None
     started_at: float = field(default_factory=read_boottime)
 
     decision_log: DecisionLog = field(init=False)
--- a/src/bilberryspoke/_internal/platform/store.py
+++ b/src/bilberryspoke/_internal/platform/store.py
@@ -155,11 +155,17 @@
             raise PlatformUnavailableError(prefix, 'list too slow') from exc
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        *,
+        longest_wait_s: float = 0,
     ) -> StoredValues:
         """Return changes after a revision to keys that start with a prefix.
 
         Waits up to ``wait_s`` seconds for a change; then returns no values.
+        A slow store has that time or ``longest_wait_s``, and a margin.
         Raises PlatformHistoryLostError if the store no longer holds the
         changes after ``after``.
         """
@@ -168,7 +174,7 @@
             'after': str(after),
             'wait-ms': str(round(wait_s * _MS_PER_S)),
         }
-        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        timeout_s = max(wait_s, longest_wait_s) + WATCH_TIMEOUT_MARGIN_S
         answer = await self._get('/-/kv-watch', query, timeout_s)
         reply = _decode_reply(answer.raw or b'', _WatchReply, prefix)
         values = tuple(_decode_item(item) for item in reply.events)
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -16,6 +16,7 @@
 from bilberryspoke._internal.models.routing_effects import (
     ConnectPeer,
     ProbeUpstream,
+    RefreshUpstreams,
 )
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
@@ -34,8 +35,10 @@
 CONNECT_DELAY_S = 0.005
 START_SPREAD_S = 0.3
 STORE_ANSWER_INTERVAL_S = 1.0
+STORE_DELAY_S = 0.004
 RETRY_RESERVE = 160
 RETRY_SHARE = 0.2
+_POSITION = StorePosition(0, 1)
 
 
 class CoreFleet:
@@ -129,7 +132,7 @@
             ),
         )
         self.handle(name, RoutesOffered(build_table()))
-        self.handle(name, UpstreamsListed(self._upstreams, StorePosition(0, 1)))
+        self.handle(name, UpstreamsListed(self._upstreams, _POSITION))
         self.handle(name, SeedsConfigured(tuple(self.data_centre_of)[:3]))
         if self._store_answers:
             self._answer_from_store(name, self._incarnations[name])
@@ -162,6 +165,8 @@
                 self._send(name, effect)
             elif isinstance(effect, ProbeUpstream):
                 self._probe(name, effect)
+            elif isinstance(effect, RefreshUpstreams):
+                self._refresh(name, self._incarnations[name])
         return effects
 
     def answers_probe(self, name: str, instance: str) -> bool:
@@ -191,18 +196,29 @@
         """Let the store answer a VM's watch, without a change."""
         if name not in self.cores or self._incarnations[name] != incarnation:
             return
-        if name not in self.isolated | self.frozen:
-            position = StorePosition(0, 1)
-            answer = StoreReachReported(
-                True, StoreWatch.upstreams, position=position
-            )
-            self.handle(name, answer)
-            self.handle(name, DiscoverySynced(position))
+        self._refresh(name, incarnation)
         self._at(
             self.now + STORE_ANSWER_INTERVAL_S,
             lambda: self._answer_from_store(name, incarnation),
         )
 
+    def _refresh(self, name: str, incarnation: int) -> None:
+        """Let the store answer a VM once, unless it can't."""
+        if self._store_answers and name not in self.isolated | self.frozen:
+            answer = StoreReachReported(
+                True, StoreWatch.upstreams, position=_POSITION
+            )
+            synced = DiscoverySynced(_POSITION, self.now)
+            self._at(
+                self.now + STORE_DELAY_S,
+                lambda: self._handle_all(name, incarnation, answer, synced),
+            )
+
+    def _handle_all(self, name: str, incarnation: int, *events: object) -> None:
+        for event in events:
+            if name in self.cores and self._incarnations[name] == incarnation:
+                self.handle(name, event)
+
     def _is_cut(self, name: str, other: str) -> bool:
         inside = [
             self.data_centre_of[each] == self._cut_off for each in (name, other)
--- a/tests/lib/skewedcores.py
+++ b/tests/lib/skewedcores.py
@@ -4,6 +4,7 @@
 from one another, or stand still and find on waking what has arrived meanwhile.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -21,24 +22,26 @@
     UpstreamChanged,
     UpstreamsListed,
 )
-from tests.lib.corefleet import MESSAGE_DELAY_S
+from tests.lib.corefleet import MESSAGE_DELAY_S, STORE_DELAY_S
 from tests.lib.streamcores import StreamCores
 
 # Upstreams rewrite their entries so often that each watch is answered at once.
 WATCH_INTERVAL_S = 0.6
 WATCH_TIMEOUT_S = 2.1
 RETRY_INTERVAL_S = 0.25
-STORE_DELAY_S = 0.004
 
 
 @dataclass(frozen=True, slots=True)
-class StoreAnswer:
-    """What a store answers: a complete list, or what has changed."""
+class Question:
+    """What a VM asks the store: what has changed since a revision.
 
-    position: StorePosition
+    With ``known`` 0 it asks for all entries.
+    """
+
+    name: str
+    number: int
+    known: int
     asked_at: float
-    changes: tuple[UpstreamChanged, ...]
-    entries: tuple[ListedUpstream, ...] | None
 
 
 class SkewedCores(StreamCores):
@@ -56,6 +59,8 @@
         self._entries: dict[str, ListedUpstream] = {}
         self._held: dict[str, list[Callable[[], object]]] = {}
         self._known: dict[str, int] = {}
+        # The number of the last question of each VM to the store.
+        self._questions: Counter[str] = Counter()
         super().__init__(vms, **settings)
 
     def put(self, listed: ListedUpstream) -> None:
@@ -114,76 +119,82 @@
             action()
 
     def _answer_from_store(self, name: str, incarnation: int) -> None:
+        """Let a VM watch the store, of which it has a complete list."""
         if not self._entries:
             self._entries = {each.instance: each for each in self._upstreams}
         self._known[name] = len(self._log) + 1
-        self.later(WATCH_INTERVAL_S, lambda: self._ask(name, incarnation))
+        self._ask_later(name, WATCH_INTERVAL_S)
 
-    def _is_gone(self, name: str, incarnation: int) -> bool:
-        return name not in self.cores or self._incarnations[name] != incarnation
+    def _refresh(self, name: str, incarnation: int) -> None:
+        self._ask(name)
 
-    def _ask(self, name: str, incarnation: int) -> None:
-        """Let a VM ask the store, and again after the answer."""
-        if self._is_gone(name, incarnation):
-            return
-        if name in self.frozen:
-            self._deliver(name, lambda: self._ask(name, incarnation))
-            return
-        asked_at = self.now
-        if name in self.store_cut:
-            self.later(
-                WATCH_TIMEOUT_S,
-                lambda: self._deliver(
-                    name, lambda: self._fail(name, incarnation)
-                ),
-            )
-            return
+    def _ask_later(self, name: str, seconds: float) -> None:
+        """Let a VM ask the store, unless it does so before."""
+        self._questions[name] += 1
+        number = self._questions[name]
         self.later(
-            STORE_DELAY_S, lambda: self._answer(name, incarnation, asked_at)
+            seconds,
+            lambda: self._deliver(name, lambda: self._ask_again(name, number)),
         )
 
-    def _fail(self, name: str, incarnation: int) -> None:
-        if self._is_gone(name, incarnation):
-            return
-        self._known[name] = 0
+    def _ask_again(self, name: str, number: int) -> None:
+        if self._questions[name] == number:
+            self._ask(name)
+
+    def _ask(self, name: str) -> None:
+        self._questions[name] += 1
+        question = Question(
+            name, self._questions[name], self._known[name], self.now
+        )
+        if name in self.store_cut:
+            self._later_at(question, WATCH_TIMEOUT_S, self._fail)
+        else:
+            self.later(STORE_DELAY_S, lambda: self._answer(question))
+
+    def _later_at(
+        self, question: Question, seconds: float, act: Callable[..., object]
+    ) -> None:
+        """Let a VM act on the end of a question, if it has asked no other."""
+
+        def act_if_last() -> None:
+            if self._questions[question.name] == question.number:
+                act(question)
+
+        self.later(seconds, lambda: self._deliver(question.name, act_if_last))
+
+    def _fail(self, question: Question) -> None:
+        self._known[question.name] = 0
         lost = StoreReachReported(False, StoreWatch.upstreams, 'cut')
-        self.handle(name, lost)
-        self.later(RETRY_INTERVAL_S, lambda: self._ask(name, incarnation))
-
-    def _answer(self, name: str, incarnation: int, asked_at: float) -> None:
-        known = self._known.get(name, 0)
-        answer = StoreAnswer(
-            StorePosition(0, len(self._log) + 1),
-            asked_at,
-            tuple(each for at, each in self._log if at > known),
-            None if known else tuple(self._entries.values()),
+        self.handle(question.name, lost)
+        self._ask_later(question.name, RETRY_INTERVAL_S)
+
+    def _answer(self, question: Question) -> None:
+        """Answer with what the store holds now; the VM reads it later."""
+        position = StorePosition(0, len(self._log) + 1)
+        known = question.known
+        if known:
+            changes = [each for at, each in self._log if at > known]
+            events = (*changes, DiscoverySynced(position, question.asked_at))
+        else:
+            entries = tuple(self._entries.values())
+            events = (UpstreamsListed(entries, position, question.asked_at),)
+        reached = StoreReachReported(
+            True, StoreWatch.upstreams, position=position
         )
-        self.later(
+        self._later_at(
+            question,
             STORE_DELAY_S,
-            lambda: self._deliver(
-                name, lambda: self._receive(name, incarnation, answer)
-            ),
+            lambda _: self._receive(question.name, position, reached, *events),
         )
 
     def _receive(
-        self, name: str, incarnation: int, answer: StoreAnswer
+        self, name: str, position: StorePosition, *events: object
     ) -> None:
-        if self._is_gone(name, incarnation):
-            return
-        position = answer.position
         self._known[name] = position.revision
-        reached = StoreReachReported(
-            True, StoreWatch.upstreams, position=position
-        )
-        self.handle(name, reached)
-        if answer.entries is None:
-            for change in answer.changes:
-                self.handle(name, change)
-            self.handle(name, DiscoverySynced(position, answer.asked_at))
-        else:
-            listed = UpstreamsListed(answer.entries, position, answer.asked_at)
-            self.handle(name, listed)
-        self.later(WATCH_INTERVAL_S, lambda: self._ask(name, incarnation))
+        # A question that an event asks follows this answer.
+        self._ask_later(name, WATCH_INTERVAL_S)
+        for event in events:
+            self.handle(name, event)
 
     def _send(self, name: str, effect: SendPeerMessage) -> None:
         link = (name, effect.peer)
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -2,10 +2,8 @@
 
 import asyncio
 
-from bilberryspoke._internal.network.routing.discovery import (
-    RETRY_INTERVAL_S,
-    WATCH_TIMEOUT_S,
-)
+from bilberryspoke._internal.network.routing.discovery import RETRY_INTERVAL_S
+from bilberryspoke._internal.network.routing.storewatch import WATCH_TIMEOUT_S
 from bilberryspoke._internal.platform.store import (
     WATCH_TIMEOUT_MARGIN_S,
     StoreClient,
--- a/tests/unit/test_routed_out_of_step.py
+++ b/tests/unit/test_routed_out_of_step.py
@@ -12,7 +12,6 @@
 # Time for a VM to read of a change, and for a call to end.
 NOTICE_S = 1.0
 OLD_ENGINES = 8
-KNOWN_RED_57 = pytest.mark.xfail(reason='KNOWN-RED.txt, 57', strict=False)
 
 
 def run_fleet(vms=6, **settings):
@@ -69,7 +68,6 @@
             assert fleet.refusals[call.call_id].not_run
 
 
-@KNOWN_RED_57
 @pytest.mark.parametrize('heard', ['vm-1', 'vm-2', 'vm-3'])
 def test_stream_is_not_taken_up_by_the_denial_of_vms_that_were_not_told(heard):
     """The VMs that knew its version were silent, one other said no."""
@@ -83,7 +81,6 @@
     assert_none_is_mixed(fleet, take_up(fleet, begun))
 
 
-@KNOWN_RED_57
 @pytest.mark.parametrize('cut_s', [0.3, 1.0, 2.0])
 def test_stream_is_not_taken_up_by_a_list_from_before_a_cut(cut_s):
     """All VMs that knew its version had been restarted."""
@@ -98,7 +95,6 @@
     assert_none_is_mixed(fleet, take_up(fleet, begun))
 
 
-@KNOWN_RED_57
 @pytest.mark.parametrize('later_s', [0.5, 3.0, 6.0])
 @pytest.mark.parametrize('cut_s', [0.5, 3.0])
 def test_stream_of_a_version_that_came_and_went_in_a_cut_is_not_taken_up(
@@ -161,7 +157,6 @@
     assert_all_go_on(fleet, take_up(fleet, begun, name))
 
 
-@KNOWN_RED_57
 def test_streams_of_one_version_go_on_at_a_vm_cut_off_from_the_store():
     """Another VM has followed each change."""
     fleet = run_fleet()
