Read what a VM missed while the store did not answer

Cause: a list does not show what came and went before it, so that the span that a VM has followed began anew after each failed question to the store. After such a list the changes since the last known position are asked for once. Versions that came and went count as withdrawn, and the span goes on. If the history is lost it begins anew, as before.

The cases of history kept and lost in tests/unit/test_routed_out_of_step.py are new (before, the event does not exist).

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -34,6 +34,7 @@
 )
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
+    MissedUpstreamsRead,
     RoutesOffered,
     StoreReachReported,
     StoreWatch,
@@ -109,6 +110,21 @@
     replace_upstreams(state, event.upstreams, now)
 
 
+@on_event(MissedUpstreamsRead)
+def note_missed_upstreams(
+    state: VmState, event: MissedUpstreamsRead, now: float
+) -> None:
+    """Note the software versions that came and went before the last list."""
+    routing = state.routing
+    for entry in event.entries:
+        known = routing.upstreams.get(entry.instance)
+        version = entry.software_version
+        if known is None or known.listed.software_version != version:
+            versions = routing.origins.withdrawn_versions
+            versions[entry.service, version] = now
+    routing.coverage.close_gap()
+
+
 @on_event(DiscoverySynced)
 def update_position(
     state: VmState,
--- a/src/bilberryspoke/_internal/core/routing/listcoverage.py
+++ b/src/bilberryspoke/_internal/core/routing/listcoverage.py
@@ -18,12 +18,15 @@
     It begins at ``since``, when the store was asked for a complete list, and
     ends at ``until``, when it was last asked for what has changed: an answer
     tells at least what had happened as it was asked for. Both are -1e9 without
-    a list of the store. ``lists`` counts the complete lists of this process.
+    a list of the store. ``lists`` counts the complete lists of this process
+    before which changes were missed. ``since_before`` is the begin of the span
+    before that.
     """
 
     since: float = _NEVER
     until: float = _NEVER
     lists: int = 0
+    since_before: float = _NEVER
 
     @property
     def is_known(self) -> bool:
@@ -37,6 +40,8 @@
 
     def begin(self, asked_at: float) -> None:
         """Begin with a complete list; what happened before it is not known."""
+        if self.is_known:
+            self.since_before = self.since
         self.since = asked_at
         self.until = asked_at
         self.lists += 1
@@ -46,7 +51,16 @@
         if self.is_known:
             self.until = max(self.until, asked_at)
 
+    def close_gap(self) -> None:
+        """Go on with the span before the last list: no change is missing."""
+        if self.since_before > _NEVER:
+            self.since = self.since_before
+            self.since_before = _NEVER
+            self.lists -= 1
+
     def end(self) -> None:
         """End it, as the upstreams are now those that another VM knows."""
+        if self.is_known:
+            self.since_before = self.since
         self.since = _NEVER
         self.until = _NEVER
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -74,6 +74,17 @@
     asked_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class MissedUpstreamsRead:
+    """The changes were read that happened while the store did not answer.
+
+    Follows ``UpstreamsListed``. ``entries`` are all entries that were written
+    in that time, in order.
+    """
+
+    entries: tuple[ListedUpstream, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class StoreReachReported:
     """The store of routes and upstreams was found reachable or unreachable.
@@ -222,6 +233,7 @@
 RoutingEvent = (
     RoutesOffered
     | UpstreamsListed
+    | MissedUpstreamsRead
     | UpstreamChanged
     | DiscoverySynced
     | StoreReachReported
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -1,6 +1,7 @@
 """Watches the platform's store for routes and upstreams."""
 
 import asyncio
+from collections.abc import Iterator
 
 import structlog
 
@@ -15,6 +16,7 @@
 )
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
+    MissedUpstreamsRead,
     RoutesOffered,
     StoreReachReported,
     StoreWatch,
@@ -23,6 +25,7 @@
 )
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.storewatch import (
+    SHORT_WAIT_S,
     RefreshableWatch,
 )
 from bilberryspoke._internal.network.runtime import Runtime
@@ -69,6 +72,8 @@
         self._routing = runtime.core.state.routing
         # Number of sleeps so far, which gives each sleep another jitter.
         self._sleep_count = 0
+        # The last ones before the store stopped to answer.
+        self._lost_positions = dict.fromkeys(_WATCHES, NO_POSITION)
         self._watches = {
             prefix: RefreshableWatch(store, prefix) for prefix in _WATCHES
         }
@@ -101,6 +106,7 @@
         while True:
             if not self._routing.reads_store:
                 position = NO_POSITION
+                self._lost_positions[prefix] = NO_POSITION
                 await asyncio.sleep(_READING_POLL_INTERVAL_S)
                 continue
             previous = position
@@ -110,11 +116,15 @@
             except PlatformHistoryLostError as exc:
                 logger.warning('store_history_lost', cause=str(exc))
                 position = NO_POSITION
+                self._lost_positions[prefix] = NO_POSITION
                 await self._sleep_with_jitter(_BATCH_INTERVAL_S)
                 continue
             except PlatformUnavailableError as exc:
                 # The store may have been restored from a copy meanwhile, and
                 # may not say so: its revisions mean nothing then.
+                self._lost_positions[prefix] = max(
+                    position, self._lost_positions[prefix]
+                )
                 position = NO_POSITION
                 self._runtime.counters.add('store_errors', prefix)
                 self._runtime.submit(
@@ -128,7 +138,8 @@
                 await self._sleep_with_jitter(RETRY_INTERVAL_S)
             if position == previous:
                 # A store at fault may end each watch at once.
-                await self._sleep_until(asked_at + RETRY_INTERVAL_S)
+                wakes_at = asked_at + RETRY_INTERVAL_S
+                await asyncio.sleep(max(0, wakes_at - read_boottime()))
 
     async def _fetch_changes(
         self,
@@ -163,16 +174,48 @@
         asked_at = read_boottime()
         stored = await self._store.read_prefix(prefix)
         self._report_answer(prefix, stored)
-        listed = [self._decode_upstream(value) for value in stored.values]
         self._runtime.submit(
             UpstreamsListed(
-                tuple(each for each in listed if each is not None),
+                tuple(self._decode_upstreams(stored)),
                 stored.position,
                 asked_at,
             ),
         )
+        await self._read_missed_changes()
         return stored.position
 
+    async def _read_missed_changes(self) -> None:
+        """Submit which upstreams had entries while the store did not answer.
+
+        A list of all entries does not show those that came and went.
+        """
+        since = self._lost_positions[UPSTREAM_PREFIX]
+        self._lost_positions[UPSTREAM_PREFIX] = NO_POSITION
+        if not since.revision:
+            return
+        try:
+            changes = await self._store.watch(
+                UPSTREAM_PREFIX, since.revision, SHORT_WAIT_S
+            )
+        except (PlatformHistoryLostError, PlatformUnavailableError) as exc:
+            logger.info('missed_changes_unknown', cause=str(exc))
+            return
+        if since.is_continued_by(changes.position):
+            self._runtime.submit(
+                MissedUpstreamsRead(tuple(self._decode_upstreams(changes)))
+            )
+
+    def _decode_upstreams(
+        self, stored: StoredValues
+    ) -> Iterator[ListedUpstream]:
+        """Return the entries that can be decoded; deleted ones are left out."""
+        for value in stored.values:
+            decoded = None
+            if value.raw is not None:
+                decoded = self._decode_upstream(value)
+            if decoded is not None:
+                yield decoded
+
     def _report_answer(self, prefix: str, stored: StoredValues) -> None:
         self._runtime.submit(
             StoreReachReported(True, _WATCHES[prefix], position=stored.position)
@@ -219,9 +262,6 @@
             important=True,
         )
 
-    async def _sleep_until(self, wakes_at: float) -> None:
-        await asyncio.sleep(max(0, wakes_at - read_boottime()))
-
     async def _sleep_with_jitter(self, seconds: float) -> None:
         # VMs that lost the store at the same time must not all retry at once.
         self._sleep_count += 1
--- a/src/bilberryspoke/_internal/network/routing/storewatch.py
+++ b/src/bilberryspoke/_internal/network/routing/storewatch.py
@@ -10,7 +10,7 @@
 # A watch whose connection goes silent is noticed when it should have ended.
 WATCH_TIMEOUT_S = 1.6
 # A watch that is to answer at once, with or without a change.
-_SHORT_WAIT_S = 0.001
+SHORT_WAIT_S = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
                 return WatchAnswer(await watch, asked_at)
         self._refresh.clear()
         asked_at = read_boottime()
-        return WatchAnswer(await self._ask(revision, _SHORT_WAIT_S), asked_at)
+        return WatchAnswer(await self._ask(revision, SHORT_WAIT_S), asked_at)
 
     async def pause(self, seconds: float) -> None:
         """Wait for some seconds, or until the watch is to answer at once."""
--- a/tests/lib/skewedcores.py
+++ b/tests/lib/skewedcores.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from bilberryspoke._internal.models.effects import SendPeerMessage
@@ -17,6 +17,7 @@
 )
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
+    MissedUpstreamsRead,
     StoreReachReported,
     StoreWatch,
     UpstreamChanged,
@@ -48,17 +49,21 @@
     """A fleet whose VMs learn of upstreams from a store.
 
     The store does not answer the VMs of ``store_cut``. No message passes
-    between the two VMs of a pair of ``peers_cut``.
+    between the two VMs of a pair of ``peers_cut``. While ``keeps_history`` is
+    false, the store does not tell a VM what it missed before its last list.
     """
 
     def __init__(self, vms: int, **settings: object) -> None:
         """Run the fleet until its VMs know each other."""
         self.store_cut: set[str] = set()
+        self.keeps_history = True
         self.peers_cut: set[frozenset[str]] = set()
         self._log: list[tuple[int, UpstreamChanged]] = []
         self._entries: dict[str, ListedUpstream] = {}
         self._held: dict[str, list[Callable[[], object]]] = {}
         self._known: dict[str, int] = {}
+        # What each VM knew when the store stopped to answer it.
+        self._lost: dict[str, int] = {}
         # The number of the last question of each VM to the store.
         self._questions: Counter[str] = Counter()
         super().__init__(vms, **settings)
@@ -163,6 +168,8 @@
         self.later(seconds, lambda: self._deliver(question.name, act_if_last))
 
     def _fail(self, question: Question) -> None:
+        if question.known:
+            self._lost[question.name] = question.known
         self._known[question.name] = 0
         lost = StoreReachReported(False, StoreWatch.upstreams, 'cut')
         self.handle(question.name, lost)
@@ -177,7 +184,8 @@
             events = (*changes, DiscoverySynced(position, question.asked_at))
         else:
             entries = tuple(self._entries.values())
-            events = (UpstreamsListed(entries, position, question.asked_at),)
+            listed = UpstreamsListed(entries, position, question.asked_at)
+            events = (listed, *self._list_missed(question.name))
         reached = StoreReachReported(
             True, StoreWatch.upstreams, position=position
         )
@@ -187,6 +195,13 @@
             lambda _: self._receive(question.name, position, reached, *events),
         )
 
+    def _list_missed(self, name: str) -> Iterator[MissedUpstreamsRead]:
+        known = self._lost.pop(name, 0)
+        if known and self.keeps_history:
+            changes = [change for at, change in self._log if at > known]
+            written = [each.listed for each in changes if each.listed]
+            yield MissedUpstreamsRead(tuple(written))
+
     def _receive(
         self, name: str, position: StorePosition, *events: object
     ) -> None:
--- a/tests/unit/test_routed_out_of_step.py
+++ b/tests/unit/test_routed_out_of_step.py
@@ -97,11 +97,13 @@
 
 @pytest.mark.parametrize('later_s', [0.5, 3.0, 6.0])
 @pytest.mark.parametrize('cut_s', [0.5, 3.0])
+@pytest.mark.parametrize('keeps_history', [True, False])
 def test_stream_of_a_version_that_came_and_went_in_a_cut_is_not_taken_up(
-    cut_s, later_s
+    cut_s, later_s, keeps_history
 ):
     """A new list tells nothing of what joined and left before it."""
     fleet = run_fleet()
+    fleet.keeps_history = keeps_history
     fleet.cut_from_all(OUT_OF_STEP)
     join_new_version(fleet)
     begun = begin_streams(fleet, 'vm-0')
@@ -166,3 +168,30 @@
     restart(fleet, ['vm-0', 'vm-1', 'vm-3', 'vm-4'])
     fleet.run_until(fleet.now + NOTICE_S)
     assert_all_go_on(fleet, take_up(fleet, begun, 'vm-2'))
+
+
+def take_up_after_store_outage(fleet):
+    """Let the store be away, and restart all VMs but one without a record."""
+    fleet.cut_from(OUT_OF_STEP, list_others(fleet))
+    begun = begin_old_streams(fleet, 'vm-0')
+    fleet.peers_cut.clear()
+    fleet.store_cut.update(fleet.cores)
+    fleet.run_until(fleet.now + 3.0)
+    fleet.heal()
+    fleet.run_until(fleet.now + NOTICE_S)
+    restart(fleet, list_others(fleet))
+    fleet.run_until(fleet.now + NOTICE_S)
+    return take_up(fleet, begun)
+
+
+def test_streams_of_one_version_go_on_after_the_store_did_not_answer():
+    """The changes of that time were read from the store's history."""
+    fleet = run_fleet()
+    assert_all_go_on(fleet, take_up_after_store_outage(fleet))
+
+
+def test_no_stream_goes_on_by_a_list_after_the_store_lost_its_history():
+    fleet = run_fleet()
+    fleet.keeps_history = False
+    calls = take_up_after_store_outage(fleet)
+    assert not any(call.call_id in fleet.sends for call in calls)
