--- a/tests/functional/test_routed_versions.py
+++ b/tests/functional/test_routed_versions.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from fakes.upstream import UpstreamStandIn, make_stream
+from tests.lib.cutfleet import run_cut_fleet
 from tests.lib.routedfleet import run_routed_fleet, wait_until
 
 VERSIONS = ('v1', 'v2')
@@ -49,20 +50,20 @@
     }
 
 
-def set_answers(fleet, script):
-    for upstream in fleet.upstreams.values():
+def set_answers(upstreams, script):
+    for upstream in upstreams:
         upstream.default = script
 
 
-async def open_streams(fleet, count, node=0):
+async def open_streams(fleet, count, upstreams):
     """Send streaming calls that engines hold after three events."""
-    set_answers(fleet, 'stream_hold')
+    set_answers(upstreams, 'stream_hold')
     tasks = []
     for number in range(count):
-        call = fleet.call('/draft/', f's{number}', node=node, method='POST')
+        call = fleet.call('/draft/', f's{number}', method='POST')
         tasks.append(asyncio.create_task(call))
     await asyncio.sleep(NOTICE_S)
-    set_answers(fleet, 'stream')
+    set_answers(upstreams, 'stream')
     return tasks
 
 
@@ -71,7 +72,7 @@
 
     async def run():
         async with run_fleet_of_two_versions() as fleet:
-            set_answers(fleet, 'stream_cut_once')
+            set_answers(fleet.upstreams.values(), 'stream_cut_once')
             for number in range(STREAMS):
                 req_id = f's{number}'
                 answer = await fleet.call('/draft/', req_id, method='POST')
@@ -87,7 +88,7 @@
 
     async def run():
         async with run_fleet_of_two_versions(nodes=3) as fleet:
-            tasks = await open_streams(fleet, STREAMS)
+            tasks = await open_streams(fleet, STREAMS, fleet.upstreams.values())
             fleet.nodes[0].signal(9)
             begun = await asyncio.gather(*tasks)
             assert not any(answer.whole for answer in begun)
@@ -118,7 +119,7 @@
 
     async def run():
         async with run_fleet_of_two_versions(nodes=2) as fleet:
-            tasks = await open_streams(fleet, STREAMS)
+            tasks = await open_streams(fleet, STREAMS, fleet.upstreams.values())
             for instance, upstream in fleet.upstreams.items():
                 if '-v1-' in instance:
                     fleet.store.delete(f'servers/{instance}')
@@ -141,3 +142,34 @@
                 assert find_versions(fleet, f's{number}', req_id) == began_at
 
     asyncio.run(run())
+
+
+def test_streams_handed_off_in_the_middle_go_on_at_their_software_version():
+    """A helper asks for the stream of the call that it takes over."""
+
+    async def run():
+        async with run_cut_fleet(
+            nodes=3, service='llm', versions=VERSIONS
+        ) as cuts:
+            tasks = await open_streams(cuts.fleet, STREAMS, cuts.upstreams)
+            cuts.cut([0], 'reset')
+            answers = await asyncio.gather(*tasks)
+            gone_on = 0
+            for number, answer in enumerate(answers):
+                ran_at = [
+                    version
+                    for upstream, version in zip(
+                        cuts.upstreams, VERSIONS * 2, strict=True
+                    )
+                    for _ in range(upstream.count_runs(f's{number}'))
+                ]
+                assert len(set(ran_at)) == 1
+                gone_on += len(ran_at) > 1
+                assert not answer.whole or answer.body == make_stream(
+                    f's{number}'
+                )
+            handed_off = cuts.fleet.nodes[0].list_events('call_handed_off')
+            assert any(line['last_event_id'] for line in handed_off)
+            assert gone_on
+
+    asyncio.run(run())
--- a/tests/lib/cutfleet.py
+++ b/tests/lib/cutfleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterable
+import itertools
+from collections.abc import AsyncIterator, Iterable, Sequence
 from dataclasses import dataclass
 
 from fakes.links import Link
@@ -60,9 +61,16 @@
 
 @contextlib.asynccontextmanager
 async def run_cut_fleet(
-    *, nodes: int, upstreams: int = 4, service: str = 'app'
+    *,
+    nodes: int,
+    upstreams: int = 4,
+    service: str = 'app',
+    versions: Sequence[str] = ('v1',),
 ) -> AsyncIterator[CutFleet]:
-    """Run processes and upstreams of one service, with links between them."""
+    """Run processes and upstreams of one service, with links between them.
+
+    The upstreams run the software ``versions`` in turn.
+    """
     script = 'whole' if service == 'app' else 'stream'
     async with contextlib.AsyncExitStack() as stack:
         standins = [
@@ -79,7 +87,10 @@
             await store.start()
             stack.push_async_callback(store.stop)
             stores.append(store)
-            links.append(await _link_upstreams(stack, store, standins, service))
+            linked = await _link_upstreams(
+                stack, store, standins, service, versions
+            )
+            links.append(linked)
         fleet = await stack.enter_async_context(
             run_routed_fleet(
                 nodes=nodes, app_upstreams=0, scripted_engines=0, stores=stores
@@ -98,16 +109,19 @@
     store: StoreStandIn,
     upstreams: Iterable[UpstreamStandIn],
     service: str,
+    versions: Sequence[str],
 ) -> list[Link]:
     """Start a process's links and list them as the upstreams' addresses."""
     store.put('op/config', build_config())
     links = []
-    for upstream in upstreams:
+    for upstream, version in zip(
+        upstreams, itertools.cycle(versions), strict=False
+    ):
         link = Link(upstream.address)
         await link.start()
         stack.push_async_callback(link.stop)
         entry = build_server_entry(
-            service=service, address=link.address, slots=64
+            service=service, address=link.address, slots=64, version=version
         )
         store.put(f'servers/{upstream.instance}', entry)
         links.append(link)
