--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -61,6 +61,11 @@
             state.emit(Count('routes_stale_offers'))
         return
     routing.table = offered
+    longest_s = routing.longest_timeouts_s
+    routing.longest_timeouts_s = {
+        each.name: max(each.timeout_s, longest_s.get(each.name, 0))
+        for each in offered.routes
+    }
     state.emit(Count('routes_adopted'))
     state.emit(
         LogDecision(
--- a/src/bilberryspoke/_internal/core/routing/listcoverage.py
+++ b/src/bilberryspoke/_internal/core/routing/listcoverage.py
@@ -47,8 +47,14 @@
         self.lists += 1
 
     def extend(self, asked_at: float) -> None:
-        """Go on, after all changes since the answer before were applied."""
-        if self.is_known:
+        """Go on, after all changes since the answer before were applied.
+
+        Also if the upstreams were those of another VM meanwhile: the changes
+        of the watch are without a gap.
+        """
+        if not self.is_known:
+            self.since = self.since_before
+        if self.since > _NEVER:
             self.until = max(self.until, asked_at)
 
     def close_gap(self) -> None:
--- a/src/bilberryspoke/_internal/core/routing/resumption.py
+++ b/src/bilberryspoke/_internal/core/routing/resumption.py
@@ -6,6 +6,8 @@
 call is refused. Times are in seconds of the boot-time clock.
 """
 
+import math
+
 from bilberryspoke._internal.core.reducer import on_message
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
@@ -24,15 +26,13 @@
     list_askable_keepers,
     list_witnesses,
 )
-from bilberryspoke._internal.core.routing.streamwindow import (
-    StreamWindow,
-    make_window,
-)
+from bilberryspoke._internal.core.routing.streamwindow import StreamWindow
 from bilberryspoke._internal.core.routing.versionproof import (
     Verdict,
     VersionProof,
     judge_versions,
     list_versions,
+    make_window,
 )
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
@@ -71,7 +71,7 @@
     lookup = state.routing.origins.lookups.setdefault(
         key,
         OriginLookup(
-            make_window(call_state.call),
+            make_window(state, call_state.call),
             asks_until=now + _LOOKUP_TIMEOUT_S,
             ends_at=now + _PROOF_TIMEOUT_S,
         ),
@@ -108,10 +108,12 @@
         return
     origin = state.routing.origins.find(message.key)
     if origin is None:
+        proof = _judge_for_other(state, message, now)
         reply = OriginReply(
             message.key,
             is_known=False,
-            only_version=_find_only_version(state, message, now),
+            only_version=proof.version,
+            saw_several=proof.verdict is Verdict.several,
         )
     else:
         reply = OriginReply(
@@ -122,24 +124,25 @@
     send_to_peer(state, peer, reply)
 
 
-def _find_only_version(
+def _judge_for_other(
     state: VmState, message: OriginRequest, now: float
-) -> str | None:
-    """Return the only version of the time that another VM asks about.
+) -> VersionProof:
+    """Judge which versions there were in the time that another VM asks about.
 
-    The ages of upstreams are no proof for others: they can't tell how long
-    this process has run.
+    Ages of upstreams count only for one that has started in that time, and
+    would go by them if it read the store.
     """
-    if not message.service:
-        return None
+    seconds = (message.call_age_s, message.window_s)
+    if not message.service or not all(0 <= each < math.inf for each in seconds):
+        return VersionProof(Verdict.unknown)
     latest_at = now - message.call_age_s
     window = StreamWindow(
         message.service, latest_at - message.window_s, latest_at
     )
-    proof = judge_versions(state, window, trusts_ages=False)
+    proof = judge_versions(state, window, trusts_ages=message.trusts_ages)
     if proof.verdict is Verdict.awaited:
         _refresh_upstreams(state, now)
-    return proof.version
+    return proof
 
 
 @on_message(OriginReply)
@@ -154,6 +157,7 @@
         lookup.denied_by.add(sender)
         if message.only_version is not None:
             lookup.proven_by[sender] = message.only_version
+        lookup.refuted |= message.saw_several
         _review_lookup(state, message.key, lookup, now)
         return
     origin = StreamOrigin(message.software_version)
@@ -176,7 +180,11 @@
     if proof.verdict in {Verdict.awaited, Verdict.unknown}:
         names.update(list_witnesses(state, key, now))
     request = OriginRequest(
-        key, window.service, now - window.latest_at, window.length_s
+        key,
+        window.service,
+        call_age_s=now - window.latest_at,
+        window_s=window.length_s,
+        trusts_ages=state.started_at > window.earliest_at,
     )
     for name in sorted(names):
         send_to_peer(state, state.routing.peers[name], request)
@@ -200,16 +208,23 @@
         return
     proof = judge_versions(state, lookup.window, trusts_ages=True)
     found = _choose_origin(proof, lookup)
-    may_be_proven = proof.verdict is not Verdict.several
-    if not found.basis and may_be_proven and now < lookup.ends_at:
+    if (
+        not found.basis
+        and not _is_refuted(proof, lookup)
+        and (now < lookup.ends_at)
+    ):
         return
     for call_state in _end_lookup(state, key):
         _resume_at(state, call_state, found, now)
 
 
+def _is_refuted(proof: VersionProof, lookup: OriginLookup) -> bool:
+    return proof.verdict is Verdict.several or lookup.refuted
+
+
 def _choose_origin(proof: VersionProof, lookup: OriginLookup) -> OriginFound:
     """Return the origin that this VM or others prove, if they agree."""
-    if proof.verdict is Verdict.several:
+    if _is_refuted(proof, lookup):
         return OriginFound(StreamOrigin(None), _NOTHING, lookup)
     proven_by = dict(lookup.proven_by)
     if proof.version is not None:
@@ -257,7 +272,7 @@
         'age_s': round(now - call.arrived_at, 3),
         'listed_versions': sorted(list_versions(state, call.service)),
         'list_verdict': judge_versions(
-            state, make_window(call), trusts_ages=True
+            state, make_window(state, call), trusts_ages=True
         ).verdict,
         'list_age_s': round(now - coverage.until, 3),
         'list_known_s': round(now - coverage.since, 3),
--- a/src/bilberryspoke/_internal/core/routing/state.py
+++ b/src/bilberryspoke/_internal/core/routing/state.py
@@ -39,6 +39,8 @@
     ``listed`` tells whether a complete list of upstreams was received, and
     ``confirmed`` whether the routes were compared with those of other VMs.
     ``behind_since`` is when a peer first had newer routes, None if none has.
+    ``longest_timeouts_s`` are the longest timeouts that the routes of the table
+    ever had here, by route.
     ``position`` is the position of the store as of which the upstreams are
     known, and ``coverage`` the time in which this VM knows each change of them.
     ``refresh_asked_at`` is when it last asked for them out of turn.
@@ -80,6 +82,7 @@
     """
 
     table: RouteTable | None = None
+    longest_timeouts_s: dict[str, float] = field(default_factory=dict)
     upstreams: dict[str, UpstreamState] = field(default_factory=dict)
     listed: bool = False
     confirmed: bool = False
--- a/src/bilberryspoke/_internal/core/routing/streamwindow.py
+++ b/src/bilberryspoke/_internal/core/routing/streamwindow.py
@@ -5,11 +5,6 @@
 
 from dataclasses import dataclass
 
-from bilberryspoke._internal.models.routing import RoutedCall
-
-# Callers take a stream up again within this multiple of its route's timeout.
-_STREAM_LIFETIME_TIMEOUT_RATIO = 2
-
 
 @dataclass(frozen=True, slots=True)
 class StreamWindow:
@@ -23,11 +18,3 @@
     def length_s(self) -> float:
         """Seconds between its ends."""
         return self.latest_at - self.earliest_at
-
-
-def make_window(call: RoutedCall) -> StreamWindow:
-    """Return when the stream that a call takes up can have begun."""
-    lifetime_s = call.route.timeout_s * _STREAM_LIFETIME_TIMEOUT_RATIO
-    return StreamWindow(
-        call.service, call.arrived_at - lifetime_s, call.arrived_at
-    )
--- a/src/bilberryspoke/_internal/core/routing/versionproof.py
+++ b/src/bilberryspoke/_internal/core/routing/versionproof.py
@@ -11,8 +11,10 @@
 
 from bilberryspoke._internal.core.routing.streamwindow import StreamWindow
 from bilberryspoke._internal.core.state import VmState
-from bilberryspoke._internal.models.routing import ListedUpstream
+from bilberryspoke._internal.models.routing import ListedUpstream, RoutedCall
 
+# Callers take a stream up again within this multiple of its route's timeout.
+_STREAM_LIFETIME_TIMEOUT_RATIO = 2
 _MS_PER_S = 1000
 
 
@@ -21,8 +23,8 @@
 
     ``only``: there was one version only.
     ``awaited``: there was, up to when the store was last asked.
-    ``several``: there were several, or none.
-    ``unknown``: this VM has missed a part of that time.
+    ``several``: there were several.
+    ``unknown``: this VM has missed a part of that time, or knows no upstream.
     """
 
     only = 'only'
@@ -39,6 +41,21 @@
     version: str | None = None
 
 
+def make_window(state: VmState, call: RoutedCall) -> StreamWindow:
+    """Return when the stream that a call takes up can have begun.
+
+    Its route may have had a longer timeout then.
+    """
+    timeout_s = max(
+        call.route.timeout_s,
+        state.routing.longest_timeouts_s.get(call.route.name, 0),
+    )
+    lifetime_s = timeout_s * _STREAM_LIFETIME_TIMEOUT_RATIO
+    return StreamWindow(
+        call.service, call.arrived_at - lifetime_s, call.arrived_at
+    )
+
+
 def judge_versions(
     state: VmState, window: StreamWindow, *, trusts_ages: bool
 ) -> VersionProof:
@@ -52,10 +69,12 @@
     versions |= set(
         state.routing.origins.list_withdrawn(window.service, window.earliest_at)
     )
-    if len(versions) != 1:
+    if len(versions) > 1:
         return VersionProof(Verdict.several)
     coverage = state.routing.coverage
     reaches_back = coverage.is_known and coverage.since <= window.earliest_at
+    if not versions:
+        return VersionProof(Verdict.unknown)
     if not reaches_back and not (
         trusts_ages and _has_old_upstreams_only(state, window)
     ):
