Take no answer whose status is none, on any connection

What callers saw: a sealed answer of status 000, 099, 600 or 999 closed the caller's connection without an answer; one of status 101 went on to the caller. On the own interface all of them were relayed, forwarded calls too, and 000, 099 and 101 made a load report. A probe of a link took them for an answer. Cause: aiohttp checks only that a status has three digits, and takes what is not between 100 and 199 for final; 101 too. The server of the callers knows 100 to 599: it raised KeyError as it wrote the head, and the call crashed.

utils/answerstatus.py alone decides now: 200 to 599 is final, 100 to 199 but 101 is interim, all others are no answers. BoundedProtocol.read, by which all clients get their answers, raises AnswerStatusError for these: calls, streams, hand-offs, probes, the own interface, the store and the configuration service have no check of their own. A routed send ends as broken with the status as detail, and is retried where the route allows it; its upstream answered, so that its other connections are left alone. BoundedProtocol no longer counts statuses below 100 as interim answers.

--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -59,6 +59,7 @@
     ResponseHeaders,
     parse_response_headers,
 )
+from bilberryspoke._internal.utils.answerstatus import AnswerStatusError
 
 _CONNECT_TIMEOUT_S = 0.4
 _CONTENT_LENGTH = b'content-length'
@@ -125,6 +126,9 @@
             aiohttp.ConnectionTimeoutError,
         ) as exc:
             result = SendResult(SendStatus.unsent, str(exc))
+        except AnswerStatusError as exc:
+            # The upstream answered: its connections are as sound as before.
+            result = SendResult(SendStatus.broken, str(exc))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
             self.connector.expire_connections(effect.address)
             detail = f'{type(exc).__name__}: {exc}'
--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -14,6 +14,10 @@
 from aiohttp.client_proto import ResponseHandler
 
 from bilberryspoke._internal.exceptions import BilberryspokeError
+from bilberryspoke._internal.utils.answerstatus import (
+    check_status,
+    is_interim,
+)
 
 # Received bytes are parsed in pieces, as one read may hold thousands of
 # answers.
@@ -28,8 +32,6 @@
 _MAX_UNREAD_BYTES = 1_048_576
 
 _ANSWER_BEGIN = b'HTTP/1.'
-_STATUS_SWITCHING = 101
-_FIRST_FINAL_STATUS = 200
 
 
 class AnswerLimitError(BilberryspokeError, aiohttp.ClientPayloadError):
@@ -86,12 +88,17 @@
         self._body = None
 
     async def read(self) -> Any:
-        """Return the next answer that is not passed over."""
+        """Return the next answer that is not passed over.
+
+        Raises AnswerStatusError if its status is none. aiohttp checks no more
+        than its digits.
+        """
         while True:
             message, body = await super().read()
             if not await self.pass_over(message, body):
                 break
-        if not _is_interim(message.code):
+        check_status(message.code)
+        if not is_interim(message.code):
             self._body = body
         return message, body
 
@@ -108,7 +115,7 @@
             return
         message, _ = data
         self._answers += 1
-        if _is_interim(message.code):
+        if is_interim(message.code):
             self._interim_answers += 1
         else:
             self._interim_answers = 0
@@ -206,8 +213,3 @@
     exc = aiohttp.ClientPayloadError(f'malformed body: {cause}')
     exc.__cause__ = cause
     return exc
-
-
-def _is_interim(status: int) -> bool:
-    # aiohttp takes 101 for an answer.
-    return status < _FIRST_FINAL_STATUS and status != _STATUS_SWITCHING
