Answer a routed call that the router itself fails with 502, and log it so

The log said caller_gone of a caller that was still waiting, among the lines that are left out first. Cause: Ingress raised every exception again, and _serve ends each call with CallAbandoned, which stands for a caller that left.

NotedSend notes whether an answer has begun. If none has, the caller gets 502 with router_fault, never 503: nobody knows what has run. If one has, the exception goes on to the server, which breaks the connection. CallCrashed ends the call in the core with the outcome router_fault, which is no routine line; the CallAbandoned behind it finds no call.

--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -39,6 +39,7 @@
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
+from bilberryspoke._internal.models.requests import ROUTER_FAULT
 from bilberryspoke._internal.models.routing import (
     NOT_RECEIVED_SEND_STATUSES,
     NOT_RUN_SEND_STATUSES,
@@ -51,6 +52,7 @@
 from bilberryspoke._internal.models.routing_events import (
     CallAbandoned,
     CallArrived,
+    CallCrashed,
     SendEnded,
     SendProgressed,
 )
@@ -81,12 +83,22 @@
     state: VmState, event: CallAbandoned, now: float
 ) -> None:
     """Close a call whose caller has gone, and cancel its send."""
-    call_state = state.routing.calls.get(event.call_id)
+    _drop_call(state, event.call_id, 'caller_gone', now)
+
+
+@on_event(CallCrashed)
+def close_crashed_call(state: VmState, event: CallCrashed, now: float) -> None:
+    """Close a call that this VM failed to serve, and cancel its send."""
+    _drop_call(state, event.call_id, ROUTER_FAULT, now)
+
+
+def _drop_call(state: VmState, call_id: str, outcome: str, now: float) -> None:
+    call_state = state.routing.calls.get(call_id)
     if call_state is None:
         return
     if call_state.stage is CallStage.sent:
-        state.emit(CancelSend(event.call_id, call_state.attempt))
-    close_call(state, call_state, 'caller_gone', now)
+        state.emit(CancelSend(call_id, call_state.attempt))
+    close_call(state, call_state, outcome, now)
 
 
 @on_event(SendProgressed)
--- a/src/bilberryspoke/_internal/models/requests.py
+++ b/src/bilberryspoke/_internal/models/requests.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+# Reason of a failure that is this VM's own: an unexpected exception.
+ROUTER_FAULT = 'router_fault'
+
 
 class Outcome(StrEnum):
     """What a caller may conclude about the execution of its request.
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -115,6 +115,13 @@
     call_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class CallCrashed:
+    """An unexpected exception ended the service of a call on this VM."""
+
+    call_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class SendProgressed:
     """A part of an answer arrived.
@@ -228,6 +235,7 @@
     | SeedsConfigured
     | CallArrived
     | CallAbandoned
+    | CallCrashed
     | SendProgressed
     | RateLimitStated
     | LeavingStated
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -13,6 +13,7 @@
     match_call,
 )
 from bilberryspoke._internal.exceptions import CallerGoneError
+from bilberryspoke._internal.models.requests import ROUTER_FAULT
 from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
     IngressLimits,
@@ -27,9 +28,11 @@
 from bilberryspoke._internal.models.routing_events import (
     CallAbandoned,
     CallArrived,
+    CallCrashed,
 )
 from bilberryspoke._internal.network.bodies import collect_body
 from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.notedsend import NotedSend
 from bilberryspoke._internal.network.routing.exchange import (
     BufferedResponse,
     Exchange,
@@ -94,15 +97,21 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one call.
 
-        Unexpected exceptions are logged and raised again; the server then
-        closes the connection.
+        Unexpected exceptions are logged. The caller gets status 502, which
+        promises nothing of the call. Within an answer they are raised again;
+        the server then closes the connection.
         """
+        noted_send = NotedSend(send)
         try:
-            await self._handle_call(scope, receive, send)
+            await self._handle_call(scope, receive, noted_send)
         except Exception:
             self._runtime.counters.add('calls_crashed')
             logger.exception('call_crashed', path=scope['path'])
-            raise
+            if noted_send.begun:
+                raise
+            # Without a reason header: other VMs take it as a helper's failure.
+            response = _make_text_response(502, ROUTER_FAULT)
+            await self._send_response(send, response)
 
     def get_limits(self) -> IngressLimits:
         """Return the limits in force for callers' requests."""
@@ -220,6 +229,9 @@
         try:
             self._runtime.submit(CallArrived(exchange.call))
             await self._run_commands(exchange)
+        except Exception:
+            self._runtime.submit(CallCrashed(call_id))
+            raise
         finally:
             watcher.cancel()
             self._runtime.calls.pop(call_id, None)
@@ -286,10 +298,15 @@
     ) -> None:
         self._runtime.counters.add('refused', reason)
         response = self._make_refusal(status, reason, retry_after_s)
+        await self._send_response(send, response)
+
+    async def _send_response(
+        self, send: Any, response: BufferedResponse
+    ) -> None:
         headers = add_close_header(
             response.headers, close_connection=self.stopping
         )
-        await send_response_start(send, status, headers)
+        await send_response_start(send, response.status, headers)
         await send({'type': 'http.response.body', 'body': response.body})
 
     def _make_refusal(
@@ -300,16 +317,13 @@
         *,
         not_run: bool = True,
     ) -> BufferedResponse:
-        body = reason.encode()
-        headers = [
-            (b'content-type', b'text/plain'),
-            (b'content-length', b'%d' % len(body)),
-        ]
+        response = _make_text_response(status, reason)
+        headers = response.headers
         if retry_after_s is not None:
             headers.append((b'retry-after', f'{retry_after_s:.3f}'.encode()))
         if self._takes_handoffs:
             headers.append(make_reason_header(reason, not_run=not_run))
-        return BufferedResponse(status, headers, body)
+        return response
 
     async def _watch_caller(self, call_id: str, receive: Any) -> None:
         while True:
@@ -339,6 +353,15 @@
         )
 
 
+def _make_text_response(status: int, text: str) -> BufferedResponse:
+    body = text.encode()
+    headers = [
+        (b'content-type', b'text/plain'),
+        (b'content-length', b'%d' % len(body)),
+    ]
+    return BufferedResponse(status, headers, body)
+
+
 def _accept_handoff(call: RoutedCall, raw: RawHeaders) -> RoutedCall:
     """Return a call that another VM handed off, with the limit that it set."""
     max_attempts = parse_max_attempts(raw, call.route.max_attempts)
