Free the slot of a request that the own interface itself fails

What callers saw: an unexpected exception while an attempt ran gave the server's 500 without an outcome, or broke the answer off. The request stayed open in the core and kept its slot for ever: after as many as the upstreams have slots, all later ones waited until their deadline. Cause: CallDriver ended each request with CallerGone. For one that runs, the core then waits for the end of the attempt, which the exception had kept from coming.

The caller gets 502 with that outcome, or the exception goes on to the server if its answer has begun.

--- a/src/bilberryspoke/_internal/core/entry.py
+++ b/src/bilberryspoke/_internal/core/entry.py
@@ -21,6 +21,7 @@
     AttemptProgressed,
     CallerGone,
     RequestArrived,
+    RequestCrashed,
 )
 from bilberryspoke._internal.models.messages import (
     Preemption,
@@ -31,6 +32,7 @@
 )
 from bilberryspoke._internal.models.requests import (
     NOT_RUN_ATTEMPT_STATUSES,
+    ROUTER_FAULT,
     AttemptStatus,
     Outcome,
 )
@@ -85,12 +87,35 @@
         if not req_state.req.operation_key:
             state.emit(CancelAttempt(event.req_id, req_state.attempt))
         return
-    send(
-        state, req_state.owner, SlotWithdrawal(event.req_id, req_state.req.pool)
-    )
+    _withdraw_slot_request(state, req_state)
     close_request(state, req_state, 'caller_gone', 'caller_gone', now)
 
 
+@on_event(RequestCrashed)
+def close_crashed_request(
+    state: VmState, event: RequestCrashed, now: float
+) -> None:
+    """Close a request that this VM failed to serve, and release its slot.
+
+    It has no answer but that of the failure, and may have run.
+    """
+    req_state = state.req_states.get(event.req_id)
+    if req_state is None:
+        return
+    req_state.add_step(now, ROUTER_FAULT)
+    if req_state.stage is RequestStage.running:
+        req_state.may_have_run = True
+        release_attempt_slot(state, req_state, AttemptStatus.cancelled, now)
+    else:
+        _withdraw_slot_request(state, req_state)
+    close_request(state, req_state, Outcome.unknown.value, ROUTER_FAULT, now)
+
+
+def _withdraw_slot_request(state: VmState, req_state: RequestState) -> None:
+    withdrawal = SlotWithdrawal(req_state.req.req_id, req_state.req.pool)
+    send(state, req_state.owner, withdrawal)
+
+
 @on_message(SlotGrant)
 def handle_slot_grant(
     state: VmState,
--- a/src/bilberryspoke/_internal/models/events.py
+++ b/src/bilberryspoke/_internal/models/events.py
@@ -57,6 +57,16 @@
     req_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class RequestCrashed:
+    """An unexpected exception ended the service of a request on this VM.
+
+    Its attempt, if one was running, has ended.
+    """
+
+    req_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptProgressed:
     """An attempt delivered a part of the answer to the caller.
@@ -204,6 +214,7 @@
     | OperationArrived
     | KeyRequested
     | CallerGone
+    | RequestCrashed
     | AttemptProgressed
     | AttemptEnded
     | PeerMessageReceived
--- a/src/bilberryspoke/_internal/network/calldriver.py
+++ b/src/bilberryspoke/_internal/network/calldriver.py
@@ -21,6 +21,7 @@
     Event,
     OperationArrived,
     RequestArrived,
+    RequestCrashed,
 )
 from bilberryspoke._internal.models.requests import AttemptStatus, Outcome
 from bilberryspoke._internal.network.calls import Call
@@ -94,6 +95,9 @@
         try:
             self._runtime.submit(_make_arrival(call))
             await self._run_commands(call)
+        except Exception:
+            self._runtime.submit(RequestCrashed(req_id))
+            raise
         finally:
             watcher.cancel()
             self._runtime.calls.pop(req_id, None)
--- a/src/bilberryspoke/_internal/network/endpointbase.py
+++ b/src/bilberryspoke/_internal/network/endpointbase.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import structlog
 from expression import Error, Ok, Result
 
 from bilberryspoke._internal.config.settings import LimitSettings
@@ -17,15 +18,18 @@
 )
 from bilberryspoke._internal.exceptions import CallerGoneError
 from bilberryspoke._internal.models.catalog import Catalog, Workspace
-from bilberryspoke._internal.models.requests import Outcome
+from bilberryspoke._internal.models.requests import ROUTER_FAULT, Outcome
 from bilberryspoke._internal.network.bodies import read_body
 from bilberryspoke._internal.network.calldriver import CallDriver
+from bilberryspoke._internal.network.notedsend import NotedSend
 from bilberryspoke._internal.network.responses import (
     REQUEST_ID_HEADER,
     send_error,
 )
 from bilberryspoke._internal.network.runtime import Runtime
 
+logger = structlog.get_logger()
+
 CLASS_HEADER = 'x-request-class'
 
 _REQUEST_ID_PATTERN = re.compile('^[A-Za-z0-9._:-]{1,128}$')
@@ -103,7 +107,11 @@
         self._context = front
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Check and serve one request."""
+        """Check and serve one request.
+
+        Unexpected exceptions are logged. The caller gets status 502. Within an
+        answer they are raised again; the server then closes the connection.
+        """
         headers = _decode_headers(scope)
         req_id = headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
         if not _REQUEST_ID_PATTERN.match(req_id):
@@ -121,10 +129,17 @@
         if result.is_error():
             await send_refusal(send, result.error, req_id)
             return
+        noted_send = NotedSend(send)
         try:
-            await self.serve(result.ok, scope, receive, send)
+            await self.serve(result.ok, scope, receive, noted_send)
         except CallerGoneError:
             self._context.runtime.counters.add('callers_gone_early')
+        except Exception:
+            self._context.runtime.counters.add('calls_crashed')
+            logger.exception('call_crashed', path=scope['path'], req_id=req_id)
+            if noted_send.begun:
+                raise
+            await _send_fault(send, req_id)
 
     async def serve(
         self,
@@ -178,6 +193,21 @@
         return result.ok
 
 
+async def _send_fault(send: Any, req_id: str) -> None:
+    """Answer a request that an unexpected exception ended.
+
+    Status 503 would promise that it did not run.
+    """
+    await send_error(
+        send,
+        502,
+        ROUTER_FAULT,
+        'the router failed to serve the request, which may have run',
+        outcome=Outcome.unknown,
+        req_id=req_id,
+    )
+
+
 async def send_refusal(send: Any, refusal: Refusal, req_id: str) -> None:
     """Answer a request that is refused before any dispatch.
 
