Relay no header with a control character; such an answer is broken

Cause: aiohttp's parser is lenient and reads such headers, all but NUL, CR and LF. uvicorn refuses to write them, with RuntimeError after it counts the answer as begun.

find_malformed says which header it is, before anything is relayed: on the platform the send ends as broken (_find_flaw, beside the seal and the encoding), on the own interface the attempt does (MalformedHeaderError). The caller gets 502 or another attempt, and the log names the header. A refusal that is not relayed stays one.

--- a/src/bilberryspoke/_internal/network/answerchecks.py
+++ b/src/bilberryspoke/_internal/network/answerchecks.py
@@ -12,6 +12,7 @@
 from bilberryspoke._internal.network.routing.joinedanswers import (
     is_joined_head,
 )
+from bilberryspoke._internal.platform.headerfields import find_malformed
 
 # Within a body a status line counts with its end only: text may speak of HTTP.
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]*)?\r\n')
@@ -35,6 +36,22 @@
         return f'joined answers: {self.evidence}'
 
 
+class MalformedHeaderError(BilberryspokeError, aiohttp.ClientError):
+    """A header of an answer has a control character; the answer is not used.
+
+    ``name``: its name.
+    """
+
+    def __init__(self, name: str) -> None:
+        """Create the error."""
+        super().__init__(name)
+        self.name = name
+
+    def __str__(self) -> str:
+        """Return the message."""
+        return f'a control character in the header {self.name}'
+
+
 async def refuse_joined_heads(
     req: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -49,6 +66,13 @@
     return resp
 
 
+def check_headers(resp: aiohttp.ClientResponse) -> None:
+    """Raise MalformedHeaderError for a header that no caller may get."""
+    name = find_malformed(resp.raw_headers)
+    if name is not None:
+        raise MalformedHeaderError(name)
+
+
 def check_body(resp: aiohttp.ClientResponse, body: bytes) -> None:
     """Raise JoinedAnswerError for a body that has a status line within it.
 
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -8,6 +8,7 @@
 from bilberryspoke._internal.network.answerchecks import (
     check_body,
     check_events,
+    check_headers,
 )
 from bilberryspoke._internal.network.answers import (
     AnswerStore,
@@ -154,13 +155,15 @@
 ) -> AttemptResult:
     """Relay a response after reading its body completely.
 
-    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``, and
-    ``JoinedAnswerError`` if it has bytes of several answers.
+    Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``,
+    ``JoinedAnswerError`` if it has bytes of several answers, and
+    ``MalformedHeaderError`` if a header has a control character.
 
     An operation's answer is stored in ``answers`` before it is sent, so that
     a retry with the same key gets it even if the caller has gone.
     ``answers`` is None for a call forwarded to the VM that owns its key.
     """
+    check_headers(resp)
     body = await read_body(resp, _MAX_ANSWER_BYTES)
     check_body(resp, body)
     headers = {
--- a/src/bilberryspoke/_internal/network/routing/answerheads.py
+++ b/src/bilberryspoke/_internal/network/routing/answerheads.py
@@ -15,6 +15,7 @@
 from bilberryspoke._internal.network.routing.handoff import (
     find_helper_end,
 )
+from bilberryspoke._internal.platform.headerfields import find_malformed
 from bilberryspoke._internal.platform.responseheaders import ResponseHeaders
 
 
@@ -65,14 +66,7 @@
         return _break(f'response has the id {headers.req_id}')
     if headers.not_run:
         return _judge_refusal(head)
-    if headers.has_content_encoding or not headers.has_seal:
-        return _break(
-            f'status {head.status} with a content-encoding header or'
-            f' without an x-response-seal header'
-        )
-    if headers.looks_not_run and not call.allows_retry_after_run:
-        return _break(f'status {head.status} of a call that may have run')
-    return None
+    return _find_flaw(call, head)
 
 
 def answers_call(call: RoutedCall, head: AnswerHead) -> bool:
@@ -86,6 +80,22 @@
     return (head.headers.req_id or '') == call.req_id
 
 
+def _find_flaw(call: RoutedCall, head: AnswerHead) -> SendResult | None:
+    """Return why an answer that names the call is not relayed, or None."""
+    headers = head.headers
+    if headers.has_content_encoding or not headers.has_seal:
+        return _break(
+            f'status {head.status} with a content-encoding header or'
+            f' without an x-response-seal header'
+        )
+    malformed = find_malformed(headers.forwarded)
+    if malformed is not None:
+        return _break(f'a control character in the header {malformed}')
+    if headers.looks_not_run and not call.allows_retry_after_run:
+        return _break(f'status {head.status} of a call that may have run')
+    return None
+
+
 def _judge_helper_end(helper_end: HelperEnd, head: AnswerHead) -> SendResult:
     return SendResult(
         helper_end.status,
--- a/src/bilberryspoke/_internal/platform/headerfields.py
+++ b/src/bilberryspoke/_internal/platform/headerfields.py
@@ -1,6 +1,7 @@
 """Fields of HTTP messages on the platform, and how their values are read."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 
 RawHeaders = list[tuple[bytes, bytes]]
@@ -10,6 +11,8 @@
 REQUEST_ID = b'x-attempt-id'
 KEEP_ALIVE = b'keep-alive'
 _CONNECTION = b'connection'
+# No header may have these: they are not written to callers.
+_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 # Event ids may be times in nanoseconds.
 _MAX_NUMBER = 9_223_372_036_854_775_807
 _MAX_NUMBER_DIGITS = 19
@@ -47,6 +50,17 @@
     return b' '.join(dict.fromkeys(found)).decode('latin-1')
 
 
+def find_malformed(raw: Iterable[tuple[bytes, bytes]]) -> str | None:
+    """Return the name of a header with a control character, None without one.
+
+    aiohttp reads all of them but those that end a line.
+    """
+    for name, text in raw:
+        if _CONTROL_CHARACTER.search(text):
+            return name.decode('latin-1')
+    return None
+
+
 def is_single_req_id(req_id: str) -> bool:
     """Return whether a call may have this request id, or none.
 
