Relay a 204 or 304 that names a length without that length

Cause: such an answer has no body, whatever its length says. The server of the callers waits for a body of the length that it wrote.

parse_response_headers leaves the length out of what goes on to the caller for these statuses; the set of them, until now in answerbody.py, is now beside it. Answers to HEAD keep theirs: the server knows them by the method.

--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -7,7 +7,10 @@
 
 from bilberryspoke._internal.network.routing.connections import CallConnection
 from bilberryspoke._internal.network.routing.joinedanswers import BodyScan
-from bilberryspoke._internal.platform.responseheaders import ResponseHeaders
+from bilberryspoke._internal.platform.responseheaders import (
+    STATUSES_WITHOUT_BODY,
+    ResponseHeaders,
+)
 
 # Details of sends that end as broken, for the log.
 HEAD_WITHIN_BODY = 'joined answers: a head within the body'
@@ -17,7 +20,6 @@
 _REST_TIMEOUT_S = 0.05
 # Fewer bytes that look like the begin of a head end many sound bodies.
 _MIN_DOUBTED_BYTES = 4
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class AnswerBody:
@@ -87,4 +89,4 @@
 
 
 def _has_no_body(resp: aiohttp.ClientResponse) -> bool:
-    return resp.method == 'HEAD' or resp.status in _STATUSES_WITHOUT_BODY
+    return resp.method == 'HEAD' or resp.status in STATUSES_WITHOUT_BODY
--- a/src/bilberryspoke/_internal/platform/responseheaders.py
+++ b/src/bilberryspoke/_internal/platform/responseheaders.py
@@ -25,7 +25,10 @@
 # Seconds for which the upstream wants no calls from the VM that it refused.
 _RETRY_AFTER = b'retry-after'
 _CONTENT_ENCODING = b'content-encoding'
+_CONTENT_LENGTH = b'content-length'
 
+# Answers with them end with their head, whatever it says of a body.
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 _STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
 # Callers take these as a promise that the call did not run and never will.
@@ -84,6 +87,9 @@
     pairs = [(name.lower(), text) for name, text in raw]
     by_name = dict(pairs)
     dropped = HOP_BY_HOP | list_connection_headers(by_name)
+    if status in STATUSES_WITHOUT_BODY:
+        # It may be that of a body that is not sent, as a 304 may say.
+        dropped |= {_CONTENT_LENGTH}
     misdirected = status == _STATUS_MISDIRECTED
     return ResponseHeaders(
         req_id=find_req_id(pairs),
@@ -92,7 +98,7 @@
         looks_not_run=status in _PROMISE_STATUSES,
         has_seal=_RESPONSE_SEAL in by_name,
         has_content_encoding=_CONTENT_ENCODING in by_name,
-        has_length=b'content-length' in by_name
+        has_length=_CONTENT_LENGTH in by_name
         or b'transfer-encoding' in by_name,
         keep_alive_s=_parse_keep_alive(by_name.get(KEEP_ALIVE, b'')),
         names_rate_limit=_RATE_LIMIT in by_name,
--- a/tests/functional/test_routed_odd_headers.py
+++ b/tests/functional/test_routed_odd_headers.py
@@ -50,3 +50,31 @@
             assert answer.is_own
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('status', [204, 304])
+@pytest.mark.parametrize('path', ['/once/', '/safe/'])
+def test_length_in_an_answer_without_a_body_keeps_the_connection(path, status):
+    # Its caller's connection was closed, and the log said caller_gone.
+    async def run():
+        async with run_routed_fleet(scripted_engines=0) as fleet:
+            node = fleet.nodes[0]
+            script = register_pieces(
+                f'{status} with a length',
+                lambda run: [
+                    make_framed(
+                        run,
+                        'none',
+                        status=status,
+                        headers={'Content-Length': '5'},
+                    )
+                ],
+            )
+            answer = await call_scripted(fleet, path, 'c1', script)
+            assert (answer.status, answer.whole) == (status, True)
+            assert not answer.foreign
+            ended = await find_line(node, 'call_ended', 'c1')
+            assert ended['outcome'] == 'finished'
+            assert not node.list_events('call_crashed')
+
+    asyncio.run(run())
