Relay headers on the own interface as their bytes came

Found while reading what can raise in the code that serves a call. Cause: aiohttp decodes headers as UTF-8 with surrogates for other bytes, and encode_headers encoded the text as Latin-1. Headers of the router's own are ASCII.

It now reverses what aiohttp did.

--- a/src/bilberryspoke/_internal/network/responses.py
+++ b/src/bilberryspoke/_internal/network/responses.py
@@ -24,9 +24,12 @@
 
 
 def encode_headers(headers: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
-    """Encode headers as ASGI requires: pairs of bytes."""
+    """Encode headers as ASGI requires: pairs of bytes.
+
+    Those of an upstream get the bytes again that aiohttp decoded.
+    """
     return [
-        (name.encode('latin-1'), text.encode('latin-1'))
+        (name.encode('latin-1'), text.encode(errors='surrogateescape'))
         for name, text in headers.items()
     ]
 
--- a/tests/functional/test_own_interface_odd_headers.py
+++ b/tests/functional/test_own_interface_odd_headers.py
@@ -31,3 +31,13 @@
     assert answered.result.status is AttemptStatus.broken
     assert 'control character in the header X-Odd' in answered.result.detail
     assert not answered.status
+
+
+@pytest.mark.parametrize(
+    'text', [b'a\tb', b'caf\xc3\xa9', b'\xe2\x9c\x93', b'caf\xe9', b'\xff']
+)
+def test_header_with_any_text_reaches_its_caller_as_it_was_sent(text):
+    # Texts other than Latin-1 in UTF-8 raised an exception; these changed.
+    answered = call_with_header(text)
+    assert answered.result.status is AttemptStatus.finished
+    assert answered.headers[b'x-odd'] == text
