Notice a reset that follows the end of an early answer

What callers would see: an upstream answers a long upload at once with a 200 that has no length, sends part of its body and a FIN, and resets the connection while the rest of the upload is on its way: status 200 with that part. Where the client still had bytes to write, the write failed and the caller got 502; where the socket held the rest (300 kB), nothing noticed the reset. Cause: the event loop closes a connection as soon as the other side has sent its end, so that nobody learns whether the request arrived.

BoundedProtocol.eof_received keeps the connection open for 0.2 s if a body is being read while bytes of the request are not acknowledged (TIOCOUTQ). A reset in that time fails the body; otherwise it is whole as before. Answers whose request has arrived don't wait.

The sound end by a FIN, with the upstream reading on, is a control: 200.

--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import os
 from collections.abc import Iterator
 from typing import Any
 
@@ -18,6 +19,7 @@
     check_status,
     is_interim,
 )
+from bilberryspoke._internal.utils.socketstate import has_unsent, take_error
 
 # Received bytes are parsed in pieces, as one read may hold thousands of
 # answers.
@@ -31,6 +33,10 @@
 _MAX_UNREAD_ANSWERS = 64
 _MAX_UNREAD_BYTES = 1_048_576
 
+# From the end of an answer that a server sends while a request is on its way to
+# the reset by which a closed connection answers the rest of the request.
+_RESET_TIMEOUT_S = 0.2
+
 _ANSWER_BEGIN = b'HTTP/1.'
 
 
@@ -151,6 +157,40 @@
                 len(piece), progressed=self._describe_progress() != progress
             )
 
+    def eof_received(self) -> bool:
+        """Take the end of what the server sends; return whether to write on.
+
+        A body without a length ends here. If the request is still on its way,
+        the server may end its answer and read on, or be gone, so that the rest
+        of the request is reset. Only what follows tells.
+        """
+        super().eof_received()
+        body = self._payload
+        if body is None or body.is_eof() or self.transport.is_closing():
+            return False
+        if self._fail_if_reset() or not has_unsent(self.transport):
+            return False
+        self._loop.call_later(_RESET_TIMEOUT_S, self._close_ended)
+        return True
+
+    def _close_ended(self) -> None:
+        """Close the connection of an ended answer that no write has broken."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._fail_if_reset()
+        self.transport.abort()
+
+    def _fail_if_reset(self) -> bool:
+        """Fail the reads of the body if the server has reset the connection.
+
+        After the end of what it sends only a write, or this, notices.
+        """
+        code = take_error(self.transport)
+        if code:
+            cause = os.strerror(code)
+            self._fail_body(aiohttp.ClientPayloadError(f'not whole: {cause}'))
+        return bool(code)
+
     def _count_bytes(self, count: int, *, progressed: bool) -> None:
         self._barren_bytes = 0 if progressed else self._barren_bytes + count
         self._unread_bytes = self._unread_bytes + count if len(self) else 0
--- a/tests/functional/test_early_answers.py
+++ b/tests/functional/test_early_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -17,9 +18,14 @@
 
 # More than the socket buffers of both ends.
 _UPLOAD = b'u' * 16_000_000
+# A part of it that the sender hands to its socket at once.
+_SHORT_UPLOAD = _UPLOAD[:300_000]
+# Of the upstream, so that most of an upload is on its way.
+_BUFFER_BYTES = 4096
 _HEAD = (
     b'HTTP/1.1 200 OK\r\nX-Attempt-Id: req-c1\r\nX-Response-Seal: s\r\n%s\r\n'
 )
+_UPLOADS = (_SHORT_UPLOAD, _UPLOAD)
 _PART = b'part of an answer'
 _FRAMINGS = {
     'close': _HEAD % b'' + _PART,
@@ -34,7 +40,8 @@
     """Run an upstream; yield its address.
 
     It answers behind the head of a request and ``read_bytes`` of its body,
-    and ends the connection as ``end`` says: ``reset`` or ``fin``.
+    and ends the connection as ``end`` says: ``reset``, ``fin``, or ``fin then
+    reset``.
     """
 
     async def serve(reader, writer):
@@ -49,26 +56,38 @@
                 reset(writer)
                 return
             writer.write_eof()
+            if end == 'fin then reset':
+                writer.transport.pause_reading()
+                await asyncio.sleep(0.05)
+                reset(writer)
+                return
             while await reader.read(65_536):
                 pass
         writer.close()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
+    listener.bind(('127.0.0.1', 0))
+    host, port = listener.getsockname()
+    server = await asyncio.start_server(
+        serve, sock=listener, limit=_BUFFER_BYTES
+    )
     try:
         yield f'{host}:{port}'
     finally:
         server.close()
 
 
-def send_routed(answer, end, read_bytes=0, route=RUN_ONCE_ROUTE):
+def send_routed(
+    answer, end, read_bytes=0, route=RUN_ONCE_ROUTE, upload=_UPLOAD
+):
     """Return how a send ended, and what its caller got."""
     answered = Answered()
 
     async def run():
         call = build_call('c1', route)
         exchange = Exchange(
-            call, 'POST', '/once/', _UPLOAD, [(b'x-attempt-id', b'req-c1')],
+            call, 'POST', '/once/', upload, [(b'x-attempt-id', b'req-c1')],
             send=answered.send,
         )  # fmt: skip
         sender = CallSender(lambda event: None)
@@ -83,13 +102,13 @@
     return asyncio.run(run()), answered
 
 
-def call_own(answer, end, read_bytes=0):
+def call_own(answer, end, read_bytes=0, upload=_UPLOAD):
     """Return what the caller of a forwarded call of the own interface gets."""
     answered = Answered()
 
     async def run():
         call = make_call('req-c1', answered)
-        call.body = _UPLOAD
+        call.body = upload
         async with (
             run_early_upstream(answer, end, read_bytes) as address,
             run_client() as client,
@@ -130,9 +149,20 @@
     assert not call_own(_FRAMINGS[framing], 'fin').status
 
 
-def test_early_answer_without_a_length_ends_with_its_connection():
+@pytest.mark.parametrize('upload', _UPLOADS, ids=len)
+def test_early_answer_that_is_reset_behind_its_end_is_no_whole_answer(upload):
+    # The reset was not noticed where the socket held the rest of the upload.
+    answer = _FRAMINGS['close']
+    ended, answered = send_routed(answer, 'fin then reset', upload=upload)
+    assert ended.status is SendStatus.broken
+    assert not answered.status
+    assert not call_own(answer, 'fin then reset', upload=upload).status
+
+
+@pytest.mark.parametrize('upload', _UPLOADS, ids=len)
+def test_early_answer_without_a_length_ends_with_its_connection(upload):
     # Control: the upstream ends its answer, and reads on.
-    ended, answered = send_routed(_FRAMINGS['close'], 'fin')
+    ended, answered = send_routed(_FRAMINGS['close'], 'fin', upload=upload)
     assert ended.status is SendStatus.finished
     assert (answered.status, bytes(answered.body)) == (200, _PART)
 
