--- a/src/bilberryspoke/_internal/utils/boundedprotocol.py
+++ b/src/bilberryspoke/_internal/utils/boundedprotocol.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import os
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,6 +15,11 @@
 from aiohttp.client_proto import ResponseHandler
 
 from bilberryspoke._internal.exceptions import BilberryspokeError
+from bilberryspoke._internal.utils.answerstatus import (
+    check_status,
+    is_interim,
+)
+from bilberryspoke._internal.utils.socketstate import has_unsent, take_error
 
 # Received bytes are parsed in pieces, as one read may hold thousands of
 # answers.
@@ -27,9 +33,11 @@
 _MAX_UNREAD_ANSWERS = 64
 _MAX_UNREAD_BYTES = 1_048_576
 
+# From the end of an answer that a server sends while a request is on its way to
+# the reset by which a closed connection answers the rest of the request.
+_RESET_TIMEOUT_S = 0.2
+
 _ANSWER_BEGIN = b'HTTP/1.'
-_STATUS_SWITCHING = 101
-_FIRST_FINAL_STATUS = 200
 
 
 class AnswerLimitError(BilberryspokeError, aiohttp.ClientPayloadError):
@@ -86,12 +94,17 @@
         self._body = None
 
     async def read(self) -> Any:
-        """Return the next answer that is not passed over."""
+        """Return the next answer that is not passed over.
+
+        Raises AnswerStatusError if its status is none. aiohttp checks no more
+        than its digits.
+        """
         while True:
             message, body = await super().read()
             if not await self.pass_over(message, body):
                 break
-        if not _is_interim(message.code):
+        check_status(message.code)
+        if not is_interim(message.code):
             self._body = body
         return message, body
 
@@ -108,7 +121,7 @@
             return
         message, _ = data
         self._answers += 1
-        if _is_interim(message.code):
+        if is_interim(message.code):
             self._interim_answers += 1
         else:
             self._interim_answers = 0
@@ -144,6 +157,40 @@
                 len(piece), progressed=self._describe_progress() != progress
             )
 
+    def eof_received(self) -> bool:
+        """Take the end of what the server sends; return whether to write on.
+
+        A body without a length ends here. If the request is still on its way,
+        the server may end its answer and read on, or be gone, so that the rest
+        of the request is reset. Only what follows tells.
+        """
+        super().eof_received()
+        body = self._payload
+        if body is None or body.is_eof() or self.transport.is_closing():
+            return False
+        if self._fail_if_reset() or not has_unsent(self.transport):
+            return False
+        self._loop.call_later(_RESET_TIMEOUT_S, self._close_ended)
+        return True
+
+    def _close_ended(self) -> None:
+        """Close the connection of an ended answer that no write has broken."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._fail_if_reset()
+        self.transport.abort()
+
+    def _fail_if_reset(self) -> bool:
+        """Fail the reads of the body if the server has reset the connection.
+
+        After the end of what it sends only a write, or this, notices.
+        """
+        code = take_error(self.transport)
+        if code:
+            cause = os.strerror(code)
+            self._fail_body(aiohttp.ClientPayloadError(f'not whole: {cause}'))
+        return bool(code)
+
     def _count_bytes(self, count: int, *, progressed: bool) -> None:
         self._barren_bytes = 0 if progressed else self._barren_bytes + count
         self._unread_bytes = self._unread_bytes + count if len(self) else 0
@@ -206,8 +253,3 @@
     exc = aiohttp.ClientPayloadError(f'malformed body: {cause}')
     exc.__cause__ = cause
     return exc
-
-
-def _is_interim(status: int) -> bool:
-    # aiohttp takes 101 for an answer.
-    return status < _FIRST_FINAL_STATUS and status != _STATUS_SWITCHING
