--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -219,9 +219,17 @@
     for group in groups:
         for fingerprint in group:
             _block(state, fingerprint, group)
-    culprits = frozenset().union(*groups)
-    for fingerprint, block in list(ledger.blocks.items()):
-        if len(block.tied) > 1 and fingerprint not in culprits:
+    _clear_tied(state, frozenset().union(*groups), now)
+
+
+def _clear_tied(state: VmState, culprits: frozenset[int], now: float) -> None:
+    """End blocks whose crashes others, blocked together with them, explain.
+
+    That none of those is a culprit any more proves nothing: crashes are left
+    out while news of them arrive, and forgotten after a while.
+    """
+    for fingerprint, block in list(state.routing.crash_ledger.blocks.items()):
+        if fingerprint not in culprits and block.tied & culprits:
             learn_proof(state, fingerprint, proven_at=now, now=now)
 
 
--- a/tests/lib/crashcores.py
+++ b/tests/lib/crashcores.py
@@ -76,6 +76,11 @@
         super().__init__(vms, engines=engines, hands_off=False)
         self.run_until(warm_up_s)
 
+    @property
+    def sent(self) -> dict[str, dict[tuple[str, int], Sent]]:
+        """The sends under way, by engine."""
+        return self._sent
+
     def arrive(self, name: str, call: RoutedCall) -> None:
         """Let a call arrive at a VM."""
         self.counts.arrived[_get_kind(call)] += 1
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -22,6 +22,8 @@
 ALLOWED_LATE_SENDS = 3
 MAX_PROBES_PER_CRASH = 4
 GUILTY, BESIDE, OTHER = 1, 2, 3
+# Parts that only deadly calls have, so that crashes don't tell them apart.
+DEADLY = ('dead', 'beside')
 
 
 def build_prompt_call(call_id, *names, now, route=DRAFT_ROUTE):
@@ -198,6 +200,48 @@
     assert fleet.counts.finished['sound'] >= 20
 
 
+@pytest.mark.parametrize('cut_s', [0.25, 0.3])
+def test_late_news_of_a_known_crash_lifts_no_block(cut_s):
+    """A VM that was cut off tells of its own calls at the third engine.
+
+    Without that crash the parts were no culprits for a moment, which all VMs
+    took for a proof.
+    """
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    for number in range(3):
+        call = build_prompt_call(f'deadly-{number}', *DEADLY, now=fleet.now)
+        fleet.arrive(f'vm-{number}', call)
+        fleet.run_until(fleet.now + 0.1)
+        if number < 2:
+            fleet.run_until(fleet.now + 0.5)
+    for number in range(12):
+        call = build_prompt_call(f'sound-{number}', f'x{number}', now=fleet.now)
+        fleet.arrive('vm-7', call)
+    fleet.isolated.add('vm-7')
+    fleet.run_until(fleet.now + 0.05 + cut_s)
+    fleet.isolated.clear()
+    fleet.run_until(fleet.now + 1.0)
+    for core in fleet.cores.values():
+        assert len(core.state.routing.crash_ledger.blocks) == len(DEADLY)
+    send_calls(fleet, 2.0, per_s=8, deadly=DEADLY)
+    assert len(fleet.counts.deadly_sent_at) == 3
+
+
+def test_block_outlasts_the_memory_of_the_crashes_under_it():
+    """The crash of another upstream, long after, was taken for a proof."""
+    fleet = CrashCores(3, engines=6, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=DEADLY)
+    fleet.run_until(fleet.now + 700)
+    call = build_prompt_call('sound-1', 'notes', now=fleet.now)
+    fleet.arrive('vm-0', call)
+    fleet.run_until(fleet.now + 0.05)
+    sent_to = [each for each, sent in fleet.sent.items() if sent]
+    fleet.crash(sent_to[0])
+    fleet.run_until(fleet.now + 1)
+    for core in fleet.cores.values():
+        assert len(core.state.routing.crash_ledger.blocks) == len(DEADLY)
+
+
 @pytest.mark.parametrize(('vms', 'engines'), [(6, 6), (60, 66)])
 def test_call_that_comes_again_with_another_id_is_blocked(vms, engines):
     """One caller's repeats go to all VMs; none sees three crashes alone."""
