--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -127,9 +127,10 @@
 def learn_proof(
     state: VmState, fingerprint: int, *, proven_at: float, now: float
 ) -> None:
-    """Record a proof, and pass it on if it clears a suspect.
+    """Record a proof, and pass it on if it clears a suspect or ends a block.
 
-    It ends a block whose last crash was before.
+    It ends a block whose last crash was before. Crashes that this VM does not
+    know may be the reason of a block.
     """
     ledger = state.routing.crash_ledger
     previously_at = ledger.proven_at.get(fingerprint)
@@ -138,6 +139,7 @@
     block = ledger.blocks.get(fingerprint)
     if block is not None and proven_at > block.crashed_at:
         _unblock(state, fingerprint, 'answered')
+        ledger.shared_proofs[fingerprint] = now
     if any(
         crash.is_cleared_by(proven_at)
         and not crash.is_cleared_by(previously_at)
@@ -258,11 +260,20 @@
 
 
 def learn_block(
-    state: VmState, fingerprint: int, *, crashed_at: float, trials: int
+    state: VmState,
+    fingerprint: int,
+    *,
+    crashed_at: float,
+    trials: int,
+    now: float,
 ) -> None:
-    """Record a block that another VM reported, unless a proof ended it."""
+    """Record a block that another VM reported, unless a proof ended it.
+
+    The other VM has missed that proof, which is then passed on once more.
+    """
     ledger = state.routing.crash_ledger
     if ledger.proven_at.get(fingerprint, _NEVER) > crashed_at:
+        ledger.shared_proofs[fingerprint] = now
         return
     block = ledger.blocks.get(fingerprint)
     if block is None:
--- a/src/bilberryspoke/_internal/core/routing/crashnews.py
+++ b/src/bilberryspoke/_internal/core/routing/crashnews.py
@@ -74,6 +74,7 @@
             block.fingerprint,
             crashed_at=now - block.age_s,
             trials=block.trials,
+            now=now,
         )
 
 
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -44,12 +44,13 @@
     return lambda call: any(part.name == name for part in call.parts)
 
 
-def send_calls(fleet, seconds, *, per_s, **parts):
+def send_calls(fleet, seconds, *, per_s, names=(), **parts):
     """Let calls of each kind arrive at the VMs in turn.
 
-    ``parts`` are the shared parts of each kind, ``per_s`` their rate.
+    ``parts`` are the shared parts of each kind, ``per_s`` their rate and
+    ``names`` the VMs, by default all of them.
     """
-    names = sorted(fleet.cores)
+    names = names or sorted(fleet.cores)
     until = fleet.now + seconds
     number = sum(fleet.counts.arrived.values())
     while fleet.now < until:
@@ -242,6 +243,46 @@
         assert len(core.state.routing.crash_ledger.blocks) == len(DEADLY)
 
 
+def test_part_that_a_vm_blocked_since_it_missed_a_proof_is_sent_by_others():
+    """It tells new processes of the block, and is gone before it tries."""
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    others = sorted(set(fleet.cores) - {'vm-7'})
+    fleet.isolated.add('vm-7')
+    for number in range(3):
+        call = build_prompt_call(
+            f'deadly-{number}', 'system', 'dead', now=fleet.now
+        )
+        fleet.arrive('vm-7', call)
+        send_calls(fleet, 0.6, per_s=10, names=others, sound=('system',))
+    send_calls(fleet, 0.6, per_s=10, names=others, sound=('system',))
+    fleet.isolated.clear()
+    fleet.run_until(fleet.now + 0.3)
+    for name in others[:4]:
+        fleet.kill(name)
+        fleet.start(name)
+    fleet.run_until(fleet.now + 0.6)
+    fleet.kill('vm-7')
+    fleet.counts.refusals.clear()
+    send_calls(fleet, 8.0, per_s=10, names=others, sound=('system',))
+    assert not fleet.counts.refusals
+
+
+def test_proof_ends_a_block_at_vms_that_do_not_know_its_crashes():
+    """All processes started after the crashes, and one tries a call."""
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=('system', 'dead'))
+    for name in sorted(fleet.cores):
+        fleet.kill(name)
+        fleet.start(name)
+        fleet.run_until(fleet.now + 0.5)
+    fleet.is_deadly = has_part('no part')
+    while not fleet.counts.finished['deadly']:
+        send_calls(fleet, 1.0, per_s=8, deadly=('system', 'dead'))
+    fleet.run_until(fleet.now + 1)
+    for core in fleet.cores.values():
+        assert not core.state.routing.crash_ledger.blocks
+
+
 @pytest.mark.parametrize(('vms', 'engines'), [(6, 6), (60, 66)])
 def test_call_that_comes_again_with_another_id_is_blocked(vms, engines):
     """One caller's repeats go to all VMs; none sees three crashes alone."""
