Keep the time of a crash under a block as VMs tell each other of it

What callers saw: calls with a part that is sound again were refused for longer than the 15 s to the next trial, the longer the slower the links between VMs. Cause: VMs tell the age of a block's last crash, and a receiver takes the later time. The way of each message makes it later, again and again, as all VMs repeat all blocks. A VM that stood still and reads old messages moves it by the time for which it stood still. Now a reported crash counts as another one only if it is more than 1 s later. Crashes under a block are 15 s apart, but for those of calls that were under way already.

Evidence: the test failed before (7.9 s too late after 10 s).

--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -39,6 +39,9 @@
 _MAX_TRIAL_DELAY_S = 3600.0
 # If the VM that may try has no such call, the next one may after this time.
 _TRIAL_ROTATION_S = 10.0
+# Times of crashes that were passed on are later by the time that messages took;
+# one that is later by less is taken for the same.
+_MIN_CRASH_DIFFERENCE_S = 1.0
 # Blocks that are kept at most; the ones with the oldest crash go first.
 _MAX_BLOCKS = 64
 _NEVER = -1e9
@@ -279,7 +282,8 @@
     if block is None:
         _add_block(state, fingerprint, Block(crashed_at, trials), 'peer')
         return
-    block.crashed_at = max(block.crashed_at, crashed_at)
+    if crashed_at > block.crashed_at + _MIN_CRASH_DIFFERENCE_S:
+        block.crashed_at = crashed_at
     block.trials = max(block.trials, trials)
 
 
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -14,6 +14,7 @@
     Send,
 )
 from bilberryspoke._internal.models.routing_events import UpstreamProbed
+from tests.lib import corefleet
 from tests.lib.crashcores import CrashCores
 from tests.lib.routedcore import DRAFT_ROUTE, RoutedCore, build_call
 
@@ -276,13 +277,25 @@
         fleet.start(name)
         fleet.run_until(fleet.now + 0.5)
     fleet.is_deadly = has_part('no part')
-    while not fleet.counts.finished['deadly']:
+    while fleet.now < 60 and not fleet.counts.finished['deadly']:
         send_calls(fleet, 1.0, per_s=8, deadly=('system', 'dead'))
     fleet.run_until(fleet.now + 1)
     for core in fleet.cores.values():
         assert not core.state.routing.crash_ledger.blocks
 
 
+def test_crash_under_a_block_stays_at_its_time_as_vms_tell_of_it(monkeypatch):
+    """Each message made it later by its way, and so the next trial."""
+    monkeypatch.setattr(corefleet, 'MESSAGE_DELAY_S', 0.02)
+    fleet = CrashCores(8, engines=9, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=('system', 'dead'))
+    fleet.run_until(fleet.now + 10)
+    last_crash_at = max(fleet.crashed_at)
+    for core in fleet.cores.values():
+        for block in core.state.routing.crash_ledger.blocks.values():
+            assert block.crashed_at < last_crash_at + 1.0
+
+
 @pytest.mark.parametrize(('vms', 'engines'), [(6, 6), (60, 66)])
 def test_call_that_comes_again_with_another_id_is_blocked(vms, engines):
     """One caller's repeats go to all VMs; none sees three crashes alone."""
