Keep what an upstream said of itself while its entry is gone for a time

What callers saw: calls were sent to an upstream that had said in its answers that it leaves (DRAIN), had named a pause (BUDGET) or a limit, or was brittle (LIMIT). Cause: an entry may expire though its upstream is there, as when the store was away or the upstream was cut off from it, and a leaving one is dropped at once then. When the same incarnation was listed again, all VMs began with a fresh state of it: the absence of an entry counted as the end of the upstream, and of what it had said. A new one knows nothing of them, as before.

Evidence: six tests failed before, one of them with real processes: leaving, with one entry and with all of an outage, pause, limit, brittle.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -277,6 +277,8 @@
         toggle_entry(routing, replaced.listed)
     toggle_entry(routing, listed)
     added = UpstreamState(listed)
+    if removed is not None:
+        added = removed.make_successor(listed)
     if listed.service in routing.unreached_services:
         # It is likely to be out of reach as well.
         added.health.expect_probe(now)
@@ -313,7 +315,8 @@
         for name, each in routing.removed.items()
         if each.removed_at >= now - _REMOVED_RETENTION_S
     }
-    routing.removed[instance] = RemovedUpstream(dropped.listed, now)
+    last_state = dropped.relist(dropped.listed)
+    routing.removed[instance] = RemovedUpstream(last_state, now)
     toggle_entry(routing, dropped.listed)
     version = dropped.listed.software_version
     routing.origins.withdrawn_versions[dropped.listed.service, version] = now
--- a/src/bilberryspoke/_internal/core/routing/upstreamstate.py
+++ b/src/bilberryspoke/_internal/core/routing/upstreamstate.py
@@ -86,10 +86,36 @@
             return False
         return self.limit.allows_call and now >= self.paused_until
 
+    def relist(self, listed: ListedUpstream) -> 'UpstreamState':
+        """Return the state of the same incarnation under a new entry.
+
+        What it said of itself holds on, whatever became of its entry.
+        """
+        return UpstreamState(
+            listed,
+            limit=self.limit,
+            said_leaving=self.said_leaving,
+            paused_until=self.paused_until,
+            is_brittle=self.is_brittle,
+            slot_share=self.slot_share,
+            refused_at=self.refused_at,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class RemovedUpstream:
-    """An upstream that was dropped, with its last entry."""
+    """An upstream that was dropped, as it was then without its calls."""
 
-    listed: ListedUpstream
+    upstream: UpstreamState
     removed_at: float
+
+    @property
+    def listed(self) -> ListedUpstream:
+        """Its last entry."""
+        return self.upstream.listed
+
+    def make_successor(self, listed: ListedUpstream) -> UpstreamState:
+        """Return the state of the upstream that has its id now."""
+        if listed.created_ms == self.listed.created_ms:
+            return self.upstream.relist(listed)
+        return UpstreamState(listed)
--- a/tests/functional/test_routed_statements.py
+++ b/tests/functional/test_routed_statements.py
@@ -45,6 +45,26 @@
     asyncio.run(run())
 
 
+def test_leaving_upstream_whose_entry_was_lost_gets_nothing_new():
+    """It wrote its entry once more, and got its share of calls again."""
+
+    async def run():
+        async with run_routed_fleet(scripted_engines=0, nodes=3) as fleet:
+            leaving = fleet.upstreams['i-app0']
+            leaving.stated['Server-Leaving'] = '1'
+            await send_calls(fleet, 1.0, 'a')
+            assert leaving.runs
+            fleet.store.delete('servers/i-app0')
+            await asyncio.sleep(DRAIN_S)
+            calls_before = len(leaving.runs)
+            fleet.write_upstream_entry('i-app0', 'app', sequence=9)
+            statuses = await send_calls(fleet, DRAIN_S, 'b')
+            assert len(leaving.runs) == calls_before
+            assert set(statuses) == {200}
+
+    asyncio.run(run())
+
+
 def test_upstream_that_asks_a_vm_to_wait_gets_nothing_from_it_meanwhile():
     """It was tried again as after any other failure."""
 
--- a/tests/unit/test_routed_statements.py
+++ b/tests/unit/test_routed_statements.py
@@ -1,12 +1,19 @@
 """What upstreams say of themselves in their answers, and who believes it."""
 
+import dataclasses
+
 from bilberryspoke._internal.models.events import Tick
-from bilberryspoke._internal.models.routing import SendStatus
+from bilberryspoke._internal.models.routing import SendStatus, StorePosition
 from bilberryspoke._internal.models.routing_effects import RefuseCall, Send
 from bilberryspoke._internal.models.routing_events import (
+    BrittlenessStated,
     LeavingStated,
     PauseRequested,
+    RateLimitStated,
+    StoreReachReported,
+    StoreWatch,
     UpstreamChanged,
+    UpstreamsListed,
 )
 from bilberryspoke._internal.platform.responseheaders import (
     parse_response_headers,
@@ -39,6 +46,57 @@
     assert send_reads(core, 20, now=1.0) == {'app-1'}
 
 
+def lose_entry(core, *, until):
+    """Let the entry of an upstream go, and be written again later."""
+    core.handle(UpstreamChanged('app-0', None), now=until - 2.0)
+    listed = build_upstream('app-0', service='app', slots=6, sequence=9)
+    core.handle(UpstreamChanged('app-0', listed), now=until)
+
+
+def test_leaving_upstream_whose_entry_was_lost_for_a_while_stays_leaving():
+    """Its entry says that it is ready, as if it had never spoken."""
+    core = RoutedCore()
+    core.handle(LeavingStated('app-0', 0), now=0.0)
+    lose_entry(core, until=3.0)
+    assert send_reads(core, 20, now=3.0) == {'app-1'}
+
+
+def test_leaving_upstream_stays_leaving_though_the_store_lost_all_entries():
+    """The store was away for so long that they expired."""
+    core = RoutedCore()
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=0.0)
+    core.handle(LeavingStated('app-0', 0), now=0.0)
+    core.handle(StoreReachReported(False, StoreWatch.upstreams), now=1.0)
+    core.handle(StoreReachReported(True, StoreWatch.upstreams), now=4.0)
+    core.handle(UpstreamsListed((), StorePosition(0, 7)), now=4.0)
+    for each in core.upstreams:
+        listed = dataclasses.replace(each, sequence=9)
+        core.handle(UpstreamChanged(each.instance, listed), now=4.5)
+    assert send_reads(core, 20, now=5.0) == {'app-1'}
+
+
+def test_upstream_whose_entry_was_lost_is_left_alone_as_long_as_it_named():
+    core = RoutedCore()
+    core.handle(PauseRequested('app-0', 0, 8.0), now=0.0)
+    lose_entry(core, until=3.0)
+    assert send_reads(core, 20, now=3.0) == {'app-1'}
+    assert send_reads(core, 20, now=8.1) == {'app-0', 'app-1'}
+
+
+def test_limit_of_an_upstream_holds_on_after_its_entry_was_lost():
+    core = RoutedCore()
+    core.handle(RateLimitStated('app-0', 0.0), now=0.0)
+    lose_entry(core, until=3.0)
+    assert send_reads(core, 20, now=3.0) == {'app-1'}
+
+
+def test_brittle_upstream_stays_brittle_though_its_entry_was_lost():
+    core = RoutedCore()
+    core.handle(BrittlenessStated('app-0', 0, True), now=0.0)
+    lose_entry(core, until=3.0)
+    assert core.routing.upstreams['app-0'].is_brittle
+
+
 def test_new_incarnation_of_a_leaving_upstream_gets_calls():
     core = RoutedCore()
     core.handle(LeavingStated('app-0', 0), now=0.0)
