--- a/src/bilberryspoke/_internal/core/routing/brittleness.py
+++ b/src/bilberryspoke/_internal/core/routing/brittleness.py
@@ -27,7 +27,7 @@
     if upstream is None or upstream.is_brittle == event.is_brittle:
         return
     upstream.is_brittle = event.is_brittle
-    _update_share(state, upstream, list_live_names(state, now))
+    _update_share(state, upstream, _list_sharers(state, now))
     fields = {
         'upstream': event.instance,
         'service': upstream.listed.service,
@@ -47,7 +47,7 @@
     ]
     if not brittle:
         return
-    names = list_live_names(state, now)
+    names = _list_sharers(state, now)
     for upstream in brittle:
         _update_share(state, upstream, names)
 
@@ -64,6 +64,20 @@
     )
 
 
+def _list_sharers(state: VmState, now: float) -> list[str]:
+    """Return the names of the VMs that the slots are divided among.
+
+    Silent VMs leave their share to the others. A VM that does not hear most of
+    them is more likely cut off itself, or has just stood still: they are there
+    and use their shares, so that it keeps to its own.
+    """
+    peers = state.routing.peers
+    live = list_live_names(state, now)
+    if 2 * len(live) > 1 + len(peers):
+        return live
+    return [state.vm, *peers]
+
+
 def _update_share(
     state: VmState, upstream: UpstreamState, names: list[str]
 ) -> None:
