Tell a blocked part apart from the one beside it once that is proven harmless

What callers saw: calls with a part that crashes upstreams were sent again at once and crashed them (BUDGET), ten minutes or more after the part had been blocked. Cause: parts that crashes don't tell apart are blocked as a group, and a call with only some of them is sent at once, as it tells. The group is set anew by reviews of the crashes, which are forgotten after ten minutes. A later proof of one part lifted its block, but the deadly one still counted as not told apart from it, so that its calls with both were each sent as the one that tells. Now the part whose block ends leaves the groups of the others.

Evidence: the test failed before: 6 more deadly calls reached engines, none after.

--- a/src/bilberryspoke/_internal/core/routing/crashes.py
+++ b/src/bilberryspoke/_internal/core/routing/crashes.py
@@ -317,7 +317,11 @@
 
 
 def _unblock(state: VmState, fingerprint: int, reason: str) -> None:
-    state.routing.crash_ledger.blocks.pop(fingerprint)
+    blocks = state.routing.crash_ledger.blocks
+    blocks.pop(fingerprint)
+    for block in blocks.values():
+        # It is told apart from them now, also if its crashes are forgotten.
+        block.tied -= {fingerprint}
     fields = {'fingerprint': _format(fingerprint), 'reason': reason}
     state.emit(LogDecision('calls_unblocked', fields))
 
--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -296,6 +296,24 @@
             assert block.crashed_at < last_crash_at + 1.0
 
 
+def test_deadly_part_stays_blocked_after_the_one_beside_it_is_proven():
+    """Long after the crashes it still counted as not told apart.
+
+    So a call with both was sent at once, as if only its end could tell.
+    """
+    fleet = CrashCores(3, engines=6, is_deadly=has_part('dead'))
+    send_calls(fleet, 4.0, per_s=4, deadly=DEADLY)
+    for core in fleet.cores.values():
+        for block in core.state.routing.crash_ledger.blocks.values():
+            block.trials = 9
+    fleet.run_until(fleet.now + 700)
+    sent_before = len(fleet.counts.deadly_sent_at)
+    send_calls(fleet, 2.0, per_s=4, sound=DEADLY[1:])
+    assert fleet.counts.finished['sound']
+    send_calls(fleet, 4.0, per_s=4, deadly=DEADLY)
+    assert len(fleet.counts.deadly_sent_at) == sent_before
+
+
 @pytest.mark.parametrize(('vms', 'engines'), [(6, 6), (60, 66)])
 def test_call_that_comes_again_with_another_id_is_blocked(vms, engines):
     """One caller's repeats go to all VMs; none sees three crashes alone."""
