--- a/tests/unit/test_routed_crashes.py
+++ b/tests/unit/test_routed_crashes.py
@@ -314,6 +314,23 @@
     assert len(fleet.counts.deadly_sent_at) == sent_before
 
 
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 60', strict=True)
+def test_sound_calls_are_sent_by_vms_that_did_not_hear_of_the_crashes():
+    """They are told what is blocked, but not which parts go together."""
+    fleet = CrashCores(8, engines=24, is_deadly=has_part('dead'))
+    blocking = [f'vm-{number}' for number in (1, 5)]
+    others = sorted(set(fleet.cores) - set(blocking))
+    parts = ('system', 'dead', 'notes')
+    fleet.cut_off('dc-1')
+    send_calls(fleet, 2.0, per_s=4, names=blocking, deadly=parts)
+    fleet.cut_off(None)
+    fleet.run_until(fleet.now + 1)
+    send_calls(fleet, 8.0, per_s=8, names=others, sound=('system', 'notes'))
+    fleet.run_until(fleet.now + 1)
+    finished = fleet.counts.finished['sound']
+    assert finished >= fleet.counts.arrived['sound'] / 2
+
+
 @pytest.mark.parametrize(('vms', 'engines'), [(6, 6), (60, 66)])
 def test_call_that_comes_again_with_another_id_is_blocked(vms, engines):
     """One caller's repeats go to all VMs; none sees three crashes alone."""
