--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+from tests.soak import releases as releases  # Registers disturbances.
 from tests.soak.disturbances import Disturber
 from tests.soak.fleet import SoakFleet, SoakSize, run_soak_fleet
 from tests.soak.verdict import Verdict, judge
@@ -42,6 +43,7 @@
         same_id=args.same_id,
         stuttering=args.stuttering,
         crossing=args.crossing,
+        resuming=args.resuming,
     )
     folder = Path(args.logs) if args.logs else None
     if folder is not None:
@@ -82,6 +84,8 @@
 def _print_verdict(verdict: Verdict) -> None:
     for outcome, count in sorted(verdict.outcomes.items()):
         print(f'  {count:6} {outcome}')
+    streams = sorted(verdict.streams.items())
+    print('streams', dict(streams))
     for name in (
         'refused',
         'twice',
@@ -89,6 +93,7 @@
         'foreign',
         'repeated',
         'ended',
+        'mixed_versions',
     ):
         cases = getattr(verdict, name)
         print(f'{name}: {len(cases)}')
@@ -110,6 +115,7 @@
         'same-id',
         'stuttering',
         'crossing',
+        'resuming',
     ):
         parser.add_argument(
             f'--{name}', type=float, default=0, help='fraction, see SoakSize'
--- a/tests/soak/belonging.py
+++ b/tests/soak/belonging.py
@@ -38,20 +38,27 @@
     return f'{status} {req_id}'
 
 
-def make_own_body(path: str, req_id: str, status: int) -> bytes:
-    """Return the body that the whole answer to a call has."""
+def make_own_body(
+    path: str, req_id: str, status: int, resumes_after: int = 0
+) -> bytes:
+    """Return the body that the whole answer to a call has.
+
+    A stream goes on behind the event numbered ``resumes_after``.
+    """
     run = Run('', path, {'x-attempt-id': req_id}, b'')
     if status in _STATUSES_WITHOUT_BODY:
         return b''
     if status != _STATUS_OK:
         return make_failure(run)
     if path in STREAM_PATHS:
-        numbers = range(1, EVENTS + 1)
+        numbers = range(resumes_after + 1, EVENTS + 1)
         return b''.join(make_event(run, number) for number in numbers)
     return make_body(run)
 
 
-def find_foreign_part(path: str, req_id: str, answer: ReceivedAnswer) -> str:
+def find_foreign_part(
+    path: str, req_id: str, answer: ReceivedAnswer, resumes_after: int = 0
+) -> str:
     """Return which part of an answer is not the call's own, '' if none is.
 
     Answers that an upstream has sealed must be its own in status, headers and
@@ -72,7 +79,7 @@
     for name, text in expected.items():
         if names[name] != 1 or headers[name] != text:
             return f'{names[name]} {name}: {headers.get(name)}'
-    own = make_own_body(path, req_id, answer.status)
+    own = make_own_body(path, req_id, answer.status, resumes_after)
     if not own.startswith(answer.body):
         return _describe_difference(own, bytes(answer.body), answer.status)
     if answer.whole and own != answer.body:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import re
 import time
 from dataclasses import dataclass, field
 
@@ -13,6 +14,12 @@
 PROMISES = frozenset((408, 421, 429, 503))
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_TRIES = 3
+_MAX_TRIES_OF_STREAM = 5
+# Fraction of the streams that are taken up at a VM that is out of step.
+_AT_SKEWED = 0.6
+_STATUS_OK = 200
+_RESUMED_PATH = '/resume/'
+_EVENT = re.compile(rb'id: (\d+)\n[^\n]*\n\n')
 _MAX_IDLE_S = 12.0
 # Path, method and the caller's patience in seconds of each kind of call.
 _KINDS = (
@@ -32,6 +39,12 @@
     The outcome is a status, with ``cut off`` behind it if the answer was not
     whole, or says why there is none. ``foreign`` names a part of the answer
     that is not the call's own, and is empty if there is none.
+
+    An attempt that takes a stream up names in ``resumes`` the attempt that
+    brought its first event, and goes on behind the event ``resumes_after``.
+    ``last_event_id`` is that of the last whole event that the caller has,
+    ``broken`` whether the connection broke, ``skewed``
+    whether the machine was out of step as it was sent.
     """
 
     req_id: str
@@ -43,6 +56,11 @@
     status: int = 0
     ended_at: float = 0.0
     foreign: str = ''
+    resumes: str = ''
+    resumes_after: int = 0
+    last_event_id: int = 0
+    broken: bool = False
+    skewed: bool = False
 
     @property
     def promised(self) -> bool:
@@ -62,12 +80,15 @@
 class Callers:
     """Callers that send calls at a rate, over new and kept connections.
 
-    ``same_id`` is the fraction of the repeated calls that keep their id.
+    ``same_id`` is the fraction of the repeated calls that keep their id,
+    ``resuming`` that of the calls that are of the kind that may be taken up, in
+    addition to those of the usual mix.
     """
 
     machines: list[Machine]
     source: random.Random
     same_id: float = 0.0
+    resuming: float = 0.0
     attempts: list[Attempt] = field(default_factory=list)
     _numbers: itertools.count = field(default_factory=itertools.count)
     _kept: list[_Connection] = field(default_factory=list)
@@ -95,22 +116,37 @@
 
     async def _make_call(self) -> None:
         number = next(self._numbers)
-        path, method, patience_s = self.source.choice(_KINDS)
+        path, method, patience_s = self._draw_kind()
         deadline_at = time.monotonic() + patience_s
         req_id = ''
-        for tries in range(_MAX_TRIES):
-            if not req_id or self.source.random() >= self.same_id:
+        attempt = Attempt('', path, '', False, time.monotonic())
+        for tries in range(_MAX_TRIES_OF_STREAM):
+            attempt = _follow(attempt)
+            if (
+                not req_id
+                or attempt.resumes
+                or self.source.random() >= self.same_id
+            ):
                 req_id = f'c{number}.{tries}'
-            attempt = Attempt(req_id, path, '', False, time.monotonic())
+            attempt.req_id = req_id
             self.attempts.append(attempt)
             retry_after_s = await self._try(attempt, method, deadline_at)
             attempt.ended_at = time.monotonic()
-            if retry_after_s is None:
+            if attempt.broken and attempt.last_event_id:
+                retry_after_s = 0.0
+            if retry_after_s is None or (
+                not attempt.last_event_id and tries + 1 >= _MAX_TRIES
+            ):
                 return
             await asyncio.sleep(retry_after_s)
             if time.monotonic() >= deadline_at:
                 return
 
+    def _draw_kind(self) -> tuple[str, str, float]:
+        if self.resuming and self.source.random() < self.resuming:
+            return _KINDS[-1]
+        return self.source.choice(_KINDS)
+
     async def _try(
         self, attempt: Attempt, method: str, deadline_at: float
     ) -> float | None:
@@ -136,16 +172,20 @@
         except (OSError, asyncio.IncompleteReadError, ValueError) as exc:
             attempt.outcome = f'{type(exc).__name__} {attempt.status}'
             attempt.status = 0
+            attempt.broken = True
         finally:
             attempt.foreign = find_foreign_part(
-                attempt.path, attempt.req_id, answer
+                attempt.path, attempt.req_id, answer, attempt.resumes_after
             )
+            if attempt.path == _RESUMED_PATH and answer.status == _STATUS_OK:
+                for each in _EVENT.findall(answer.body):
+                    attempt.last_event_id = int(each)
         connection.writer.transport.abort()
         return None
 
     async def _connect(self, attempt: Attempt) -> _Connection:
         now = time.monotonic()
-        while self._kept and self.source.random() < 0.7:
+        while self._kept and not attempt.resumes and self.source.random() < 0.7:
             index = self.source.randrange(len(self._kept))
             connection = self._kept.pop(index)
             if (
@@ -156,17 +196,33 @@
                 connection.writer.close()
                 continue
             attempt.machine = connection.machine.name
+            attempt.skewed = bool(connection.machine.skews)
             attempt.reused = True
             return connection
-        ready = [each for each in self.machines if each.in_rotation]
-        machine = self.source.choice(ready or self.machines)
+        machine = self._choose_machine(attempt)
         attempt.machine = machine.name
+        attempt.skewed = bool(machine.skews)
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(
                 machine.ip, machine.entry_port
             )
         return _Connection(machine, reader, writer)
 
+    def _choose_machine(self, attempt: Attempt) -> Machine:
+        ready = [each for each in self.machines if each.in_rotation]
+        if not attempt.resumes:
+            return self.source.choice(ready or self.machines)
+        # Broken streams come again elsewhere.
+        others = [
+            each
+            for each in ready or self.machines
+            if each.name != attempt.machine
+        ]
+        skewed = [each for each in others if each.skews]
+        if skewed and self.source.random() < _AT_SKEWED:
+            return self.source.choice(skewed)
+        return self.source.choice(others or self.machines)
+
     async def _exchange(
         self,
         attempt: Attempt,
@@ -181,8 +237,14 @@
             f'{method} {attempt.path} HTTP/1.1\r\nHost: calls.example\r\n'
             f'X-Attempt-Id: {attempt.req_id}\r\nX-Deadline-Ms: {wait_ms}\r\n'
             f'Authorization: Bearer key-1\r\nContent-Length: {len(body)}\r\n'
-            f'X-Token-Counts: 200,40\r\n\r\n'
+            f'X-Token-Counts: 200,40\r\n'
         )
+        if attempt.resumes:
+            head += (
+                f'Last-Event-Id: {attempt.resumes_after}\r\n'
+                f'Resumes: {attempt.resumes}\r\n'
+            )
+        head += '\r\n'
         connection.writer.write(head.encode() + body)
         reader = connection.reader
         raw = await reader.readuntil(b'\r\n\r\n')
@@ -211,6 +273,16 @@
         return None
 
 
+def _follow(before: Attempt) -> Attempt:
+    """Return the attempt behind another, which takes up what that brought."""
+    attempt = Attempt('', before.path, before.machine, False, time.monotonic())
+    if before.last_event_id:
+        attempt.resumes = before.resumes or before.req_id
+        attempt.resumes_after = before.last_event_id
+        attempt.last_event_id = before.last_event_id
+    return attempt
+
+
 async def _read_body(
     reader: asyncio.StreamReader,
     headers: dict[str, str],
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -25,8 +25,7 @@
 from tests.soak.upstreams import SoakUpstream, WorkRecord
 
 _READY_TIMEOUT_S = 120.0
-_APP_SLOTS = 6
-_ENGINE_SLOTS = 16
+_SLOTS = {'app': 6, 'llm': 16}
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +34,8 @@
 
     ``refusing``, ``copying`` and ``late`` are fractions for all upstreams:
     calls that they refuse, answers that they copy, refusals that come late.
+    ``resuming`` is the fraction of the calls that are streams that callers
+    take up again, in addition to those of the usual mix.
     ``same_id`` is the fraction of the repeated calls that keep their id,
     ``stuttering`` that of the answers that stutter, ``crossing`` that of these
     whose second one is an earlier answer of any connection.
@@ -50,6 +51,7 @@
     same_id: float = 0.0
     stuttering: float = 0.0
     crossing: float = 0.0
+    resuming: float = 0.0
 
 
 @dataclass(slots=True)
@@ -70,6 +72,8 @@
     size: SoakSize = field(default_factory=SoakSize)
     burst_per_s: float = 100.0
     version: int = 1
+    releases: int = 0
+    stack: contextlib.AsyncExitStack | None = None
 
     def relist(self, upstream: SoakUpstream, before: str) -> None:
         """Write the entry of an upstream that is back, at its address now."""
@@ -82,6 +86,60 @@
                     store.delete(f'servers/{before}')
             self._write_entry(store, links[key], upstream)
 
+    async def add_upstream(
+        self, service: str, number: int, version: str = 'v1'
+    ) -> SoakUpstream:
+        """Start an upstream of a software version and write its entry."""
+        name = f'i-{service}{number}'
+        upstream = SoakUpstream(
+            name,
+            records=self.records,
+            source=self.callers.source,
+            counts=self.counts,
+            slots=_SLOTS[service],
+            version=version,
+        )
+        self.calm(upstream)
+        await upstream.start()
+        self.stack.push_async_callback(upstream.stop)
+        self.upstreams.append(upstream)
+        self.services[name] = service
+        for links in self.links:
+            links[name] = Link(upstream.address)
+            await links[name].start()
+            self.stack.push_async_callback(links[name].stop)
+        self.relist(upstream, name)
+        return upstream
+
+    async def release(self, count: int) -> list[SoakUpstream]:
+        """Let engines of the next software version join."""
+        self.releases += 1
+        version = f'v{self.releases + 1}'
+        return [
+            await self.add_upstream('llm', len(self.services), version)
+            for _ in range(count)
+        ]
+
+    def is_engine(self, upstream: SoakUpstream) -> bool:
+        """Whether an upstream is an engine, which serves streams."""
+        key = upstream.instance.partition('.')[0]
+        return self.services[key] == 'llm'
+
+    async def retire(self, upstream: SoakUpstream, seconds: float) -> None:
+        """Let an upstream leave, some seconds after its entry is deleted.
+
+        One without which its service would have none stays.
+        """
+        key = upstream.instance.partition('.')[0]
+        rest = [each for each in self.upstreams if each is not upstream]
+        left = {self.services[each.instance.partition('.')[0]] for each in rest}
+        if self.services[key] not in left:
+            return
+        self.upstreams = rest
+        self.delist(upstream.instance)
+        await asyncio.sleep(seconds)
+        await upstream.stop()
+
     def calm(self, upstream: SoakUpstream) -> None:
         """Let an upstream refuse and copy as often as all upstreams do."""
         upstream.refusing = self.size.refusing
@@ -113,10 +171,13 @@
     def _write_entry(
         self, store: StoreStandIn, link: Link, upstream: SoakUpstream
     ) -> None:
+        if not any(each is upstream for each in self.upstreams):
+            return  # It has left.
         entry = build_server_entry(
             service=self.services[upstream.instance.partition('.')[0]],
             address=link.address,
             slots=upstream.slots,
+            version=upstream.version,
             born=int(time.time() * 1000),
         )
         store.put(f'servers/{upstream.instance}', entry)
@@ -155,11 +216,21 @@
             stack.push_async_callback(store.stop)
             store.put('op/config', _make_config(1))
             stores.append(store)
-        fleet = SoakFleet(stores, [{} for _ in stores], size=size)
-        await _add_upstreams(fleet, size, source, stack)
+        fleet = SoakFleet(stores, [{} for _ in stores], size=size, stack=stack)
         fleet.machines = _make_machines(fleet, size, folder, build_roots)
-        fleet.callers = Callers(fleet.machines, source, same_id=size.same_id)
+        fleet.callers = Callers(
+            fleet.machines,
+            source,
+            same_id=size.same_id,
+            resuming=size.resuming,
+        )
         stack.callback(fleet.callers.close)
+        for service, count in (
+            ('app', size.app_upstreams),
+            ('llm', size.engines),
+        ):
+            for number in range(count):
+                await fleet.add_upstream(service, number)
         for machine in fleet.machines:
             stack.push_async_callback(machine.close)
             machine.start()
@@ -169,37 +240,6 @@
         yield fleet
 
 
-async def _add_upstreams(
-    fleet: SoakFleet,
-    size: SoakSize,
-    source: random.Random,
-    stack: contextlib.AsyncExitStack,
-) -> None:
-    for service, count, slots in (
-        ('app', size.app_upstreams, _APP_SLOTS),
-        ('llm', size.engines, _ENGINE_SLOTS),
-    ):
-        for number in range(count):
-            name = f'i-{service}{number}'
-            upstream = SoakUpstream(
-                name,
-                records=fleet.records,
-                source=source,
-                counts=fleet.counts,
-                slots=slots,
-            )
-            fleet.calm(upstream)
-            await upstream.start()
-            stack.push_async_callback(upstream.stop)
-            fleet.upstreams.append(upstream)
-            fleet.services[name] = service
-            for links in fleet.links:
-                links[name] = Link(upstream.address)
-                await links[name].start()
-                stack.push_async_callback(links[name].stop)
-            fleet.relist(upstream, name)
-
-
 def _make_machines(
     fleet: SoakFleet,
     size: SoakSize,
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -6,9 +6,12 @@
 import signal
 import sys
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.soak import cutnode
+
 _PROBE_INTERVAL_S = 1.0
 _PROBE_TIMEOUT_S = 1.0
 _MISSES_OUT_OF_ROTATION = 2
@@ -22,7 +25,8 @@
 
     ``ended_alone`` holds the exit codes of processes that ended without a
     signal to end. ``in_rotation`` is whether it gets new connections.
-    ``build_root`` is the checkout whose program it runs.
+    ``build_root`` is the checkout whose program it runs. ``skews`` counts the
+    disturbances under way by which it is out of step.
     """
 
     name: str
@@ -35,6 +39,7 @@
     in_rotation: bool = False
     starts: int = 0
     last_signal_at: float = 0.0
+    skews: int = 0
     build_root: Path = _OWN_BUILD
     _process: asyncio.subprocess.Process | None = None
     _ending: bool = False
@@ -82,6 +87,17 @@
         if process is self._process:
             self.signal(signal.SIGCONT)
 
+    def cut_from(self, others: Iterable['Machine']) -> None:
+        """Drop the messages between this VM and others."""
+        words = [f'{each.name} {each.ip}' for each in others]
+        path = cutnode.name_cut_file(self.boot_path)
+        path.write_text('\n'.join(words), encoding='utf-8')
+
+    def mend(self) -> None:
+        """End the cut from other VMs."""
+        path = cutnode.name_cut_file(self.boot_path)
+        path.unlink(missing_ok=True)
+
     async def close(self) -> None:
         """End the process for good."""
         self._closed = True
@@ -98,7 +114,9 @@
             with self.log_path.open('ab') as log:
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
-                    'deploy/node.py',
+                    # Without the folder of the program among the modules.
+                    '-P',
+                    cutnode.__file__,
                     cwd=self.build_root,
                     env=env,
                     stdin=asyncio.subprocess.DEVNULL,
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -47,13 +47,17 @@
     """One run of a call: by which upstream, and from when to when it worked.
 
     Times are in seconds of the monotonic clock; ``ended_at`` is None while it
-    works. ``resumes`` is whether it goes on after an event.
+    works. ``resumes`` is whether it goes on after an event. ``first`` and
+    ``written`` are the numbers of its first and its last event so far.
     """
 
     req_id: str
     instance: str
     began_at: float
     resumes: bool
+    version: str = ''
+    first: int = 1
+    written: int = 0
     ended_at: float | None = None
 
 
@@ -67,7 +71,8 @@
     none, ``cut`` closes within the answer. ``refusing`` is the fraction of the
     calls that it refuses, ``late`` that of the refusals that come late, and
     ``copier`` sends copies of answers, ``stutterer`` two where one is due.
-    ``records`` and ``counts`` are shared by all.
+    ``records`` and ``counts`` are shared by all. ``version`` is that of its
+    software.
     """
 
     records: list[WorkRecord] = field(default_factory=list)
@@ -77,6 +82,7 @@
     refusing: float = 0.0
     late: float = 0.0
     slots: int = 6
+    version: str = 'v1'
     copier: Copier | None = None
     stutterer: Stutterer | None = None
     _free: asyncio.Semaphore | None = None
@@ -148,13 +154,18 @@
     async def _work(self, run: Run, writer: asyncio.StreamWriter) -> None:
         resumes = 'last-event-id' in run.headers
         record = WorkRecord(
-            run.req_id, self.instance, time.monotonic(), resumes
+            run.req_id,
+            self.instance,
+            time.monotonic(),
+            resumes,
+            self.version,
+            int(run.headers.get('last-event-id', 0)) + 1,
         )
         self.records.append(record)
         self.counts['resumed streams'] += resumes
         try:
             if run.target in STREAM_PATHS:
-                await self._write_events(run, writer)
+                await self._write_events(run, writer, record)
                 return
             await asyncio.sleep(self.source.uniform(*_WORK_S))
             await self._write_answer(run, writer)
@@ -195,11 +206,12 @@
             write_whole(writer, run, 200, make_body(run), _name(run, 200))
 
     async def _write_events(
-        self, run: Run, writer: asyncio.StreamWriter
+        self, run: Run, writer: asyncio.StreamWriter, record: WorkRecord
     ) -> None:
         fault = self._draw_fault()
-        first = int(run.headers.get('last-event-id', 0)) + 1
+        first = record.first
         if self.stutterer.draw():
+            record.written = EVENTS
             await self._stutter_events(run, writer, first)
             return
         recorder = Recorder()
@@ -211,6 +223,7 @@
             if fault and number == EVENTS // 2:
                 reset(writer)
                 return
+            record.written = number
             write_chunk(writer, make_event(run, number))
             write_chunk(recorder, make_event(run, number))
             await writer.drain()
--- a/tests/soak/verdict.py
+++ b/tests/soak/verdict.py
@@ -1,15 +1,18 @@
 """What a soak shows of broken promises."""
 
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from tests.soak.callers import Attempt
 from tests.soak.fleet import SoakFleet
+from tests.soak.streams import count_streams, group_runs, list_versions
 from tests.soak.upstreams import WorkRecord
 
 # An upstream may go on with a call for so long after it was cancelled.
 _CANCEL_TIME_S = 0.4
+# Streams that may hold events of two software versions.
+_MAX_MIXED = 2
 _ONCE_PATHS = frozenset(('/once/', '/stream/'))
 
 
@@ -23,6 +26,8 @@
     repeated: list[str] = field(default_factory=list)
     foreign: list[str] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
+    mixed_versions: list[str] = field(default_factory=list)
+    streams: Counter[str] = field(default_factory=Counter)
     outcomes: dict[str, int] = field(default_factory=dict)
 
     @property
@@ -34,15 +39,14 @@
             or self.side_by_side
             or self.foreign
             or self.ended
+            or len(self.mixed_versions) > _MAX_MIXED
         )
 
 
 def judge(fleet: SoakFleet) -> Verdict:
     """Return what a soak shows; calls must have ended."""
     verdict = Verdict()
-    runs: dict[str, list[WorkRecord]] = defaultdict(list)
-    for record in fleet.records:
-        runs[record.req_id].append(record)
+    runs = group_runs(fleet.records)
     by_call: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in fleet.callers.attempts:
         by_call[attempt.req_id.partition('.')[0]].append(attempt)
@@ -52,6 +56,7 @@
             verdict.foreign.append(f'{_describe(attempt)} {attempt.foreign}')
     for attempts in by_call.values():
         _judge_call(verdict, attempts, runs)
+    verdict.streams = count_streams(by_call.values())
     for machine in fleet.machines:
         if machine.ended_alone:
             verdict.ended.append(f'{machine.name}: {machine.ended_alone}')
@@ -75,6 +80,12 @@
     elif path == '/resume/':
         for req_id in ran:
             _judge_stream(verdict, attempts, runs[req_id])
+        if len(list_versions(attempts, runs)) > 1:
+            tries = ' / '.join(
+                f'{_describe(each)} {_list(runs[each.req_id])}'
+                for each in attempts
+            )
+            verdict.mixed_versions.append(tries)
 
 
 def _find_runs(
@@ -127,6 +138,7 @@
 
 def _list(runs: list[WorkRecord]) -> str:
     return ' '.join(
-        f'[{run.instance} {run.began_at:.3f}-{run.ended_at or 0:.3f}]'
+        f'[{run.instance} {run.version} from {run.first}'
+        f' {run.began_at:.3f}-{run.ended_at or 0:.3f}]'
         for run in runs
     )
