--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -125,6 +125,7 @@
         return
     before = upstream.instance
     upstream.instance = f'{before.partition(".")[0]}.{time.monotonic_ns()}'
+    upstream.born_s = time.time()
     await asyncio.sleep(disturber.source.uniform(0, 0.6))
     disturber.fleet.list_beside(upstream)
     await asyncio.sleep(disturber.source.uniform(0.1, 3))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -25,6 +25,9 @@
 from tests.soak.upstreams import SoakUpstream, WorkRecord
 
 _READY_TIMEOUT_S = 120.0
+_MS_PER_S = 1000
+# A new process takes no list for the truth while its upstreams are new too.
+_AGE_S = 3600.0
 _SLOTS = {'app': 6, 'llm': 16}
 
 
@@ -73,10 +76,12 @@
     burst_per_s: float = 100.0
     version: int = 1
     releases: int = 0
+    in_release: bool = False
     stack: contextlib.AsyncExitStack | None = None
 
     def relist(self, upstream: SoakUpstream, before: str) -> None:
         """Write the entry of an upstream that is back, at its address now."""
+        upstream.born_s = time.time()
         key = before.partition('.')[0]
         for links, store in zip(self.links, self.stores, strict=True):
             links[key].target = upstream.address
@@ -87,9 +92,16 @@
             self._write_entry(store, links[key], upstream)
 
     async def add_upstream(
-        self, service: str, number: int, version: str = 'v1'
+        self,
+        service: str,
+        number: int,
+        version: str = 'v1',
+        age_s: float = 0.0,
     ) -> SoakUpstream:
-        """Start an upstream of a software version and write its entry."""
+        """Start an upstream of a software version and write its entry.
+
+        It says that it began ``age_s`` ago.
+        """
         name = f'i-{service}{number}'
         upstream = SoakUpstream(
             name,
@@ -98,6 +110,7 @@
             counts=self.counts,
             slots=_SLOTS[service],
             version=version,
+            born_s=time.time() - age_s,
         )
         self.calm(upstream)
         await upstream.start()
@@ -108,12 +121,13 @@
             links[name] = Link(upstream.address)
             await links[name].start()
             self.stack.push_async_callback(links[name].stop)
-        self.relist(upstream, name)
+        self.list_beside(upstream)
         return upstream
 
     async def release(self, count: int) -> list[SoakUpstream]:
         """Let engines of the next software version join."""
         self.releases += 1
+        self.counts['releases'] += 1
         version = f'v{self.releases + 1}'
         return [
             await self.add_upstream('llm', len(self.services), version)
@@ -178,7 +192,7 @@
             address=link.address,
             slots=upstream.slots,
             version=upstream.version,
-            born=int(time.time() * 1000),
+            born=int(upstream.born_s * _MS_PER_S),
         )
         store.put(f'servers/{upstream.instance}', entry)
 
@@ -230,7 +244,7 @@
             ('llm', size.engines),
         ):
             for number in range(count):
-                await fleet.add_upstream(service, number)
+                await fleet.add_upstream(service, number, age_s=_AGE_S)
         for machine in fleet.machines:
             stack.push_async_callback(machine.close)
             machine.start()
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -72,7 +72,7 @@
     calls that it refuses, ``late`` that of the refusals that come late, and
     ``copier`` sends copies of answers, ``stutterer`` two where one is due.
     ``records`` and ``counts`` are shared by all. ``version`` is that of its
-    software.
+    software, ``born_s`` the Unix time of its begin in seconds.
     """
 
     records: list[WorkRecord] = field(default_factory=list)
@@ -83,6 +83,7 @@
     late: float = 0.0
     slots: int = 6
     version: str = 'v1'
+    born_s: float = 0.0
     copier: Copier | None = None
     stutterer: Stutterer | None = None
     _free: asyncio.Semaphore | None = None
