--- a/tests/functional/test_routed_releases_soak.py
+++ b/tests/functional/test_routed_releases_soak.py
@@ -45,7 +45,7 @@
     }
     attempts = make_attempts()
     assert list_versions(attempts, runs) == ['v1', 'v2']
-    assert count_streams([attempts])['gone on'] == 1
+    assert count_streams([attempts], runs, {})['gone on'] == 1
 
 
 def test_run_whose_events_nobody_has_is_of_no_version():
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -61,7 +61,8 @@
 class SoakFleet:
     """A running fleet; ``links`` are those of each data centre, by upstream.
 
-    ``records`` holds all runs of calls at upstreams, ``counts`` what they did.
+    ``records`` holds all runs of calls at upstreams, ``counts`` what they did,
+    ``left_at`` when the first engine of a software version left for good.
     """
 
     stores: list[StoreStandIn]
@@ -77,6 +78,7 @@
     version: int = 1
     releases: int = 0
     in_release: bool = False
+    left_at: dict[str, float] = field(default_factory=dict)
     stack: contextlib.AsyncExitStack | None = None
 
     def relist(self, upstream: SoakUpstream, before: str) -> None:
@@ -149,6 +151,7 @@
         left = {self.services[each.instance.partition('.')[0]] for each in rest}
         if self.services[key] not in left:
             return
+        self.left_at.setdefault(upstream.version, time.monotonic())
         self.upstreams = rest
         self.delist(upstream.instance)
         await asyncio.sleep(seconds)
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -2,7 +2,8 @@
 
 import itertools
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from math import inf
 
 from tests.soak.callers import Attempt
 from tests.soak.upstreams import WorkRecord
@@ -22,8 +23,16 @@
     return sorted(versions)
 
 
-def count_streams(calls: Iterable[list[Attempt]]) -> Counter[str]:
-    """Count streams, and tries to take them up, by what became of them."""
+def count_streams(
+    calls: Iterable[list[Attempt]],
+    runs: dict[str, list[WorkRecord]],
+    left_at: Mapping[str, float],
+) -> Counter[str]:
+    """Count streams, and tries to take them up, by what became of them.
+
+    ``left_at`` is from when a software version was not served by all of its
+    engines, in seconds of the monotonic clock.
+    """
     counts: Counter[str] = Counter()
     for attempts in calls:
         tries = [each for each in attempts if each.resumes]
@@ -36,8 +45,13 @@
                 counts[outcome] += 1
                 break
         for each in tries:
-            skewed = ' out of step' if each.skewed else ''
-            counts[f'tries at VMs{skewed}: {_tell_outcome(each)}'] += 1
+            place = 'out of step' if each.skewed else 'in step'
+            versions = list_versions(attempts[: attempts.index(each)], runs)
+            ends_at = min(
+                (left_at.get(name, inf) for name in versions), default=inf
+            )
+            state = 'leaving' if each.sent_at > ends_at else 'served'
+            counts[f'tries {place}, {state}: {_tell_outcome(each)}'] += 1
     return counts
 
 
--- a/tests/soak/verdict.py
+++ b/tests/soak/verdict.py
@@ -56,7 +56,7 @@
             verdict.foreign.append(f'{_describe(attempt)} {attempt.foreign}')
     for attempts in by_call.values():
         _judge_call(verdict, attempts, runs)
-    verdict.streams = count_streams(by_call.values())
+    verdict.streams = count_streams(by_call.values(), runs, fleet.left_at)
     for machine in fleet.machines:
         if machine.ended_alone:
             verdict.ended.append(f'{machine.name}: {machine.ended_alone}')
