--- a/src/bilberryspoke/_internal/utils/socketstate.py
+++ b/src/bilberryspoke/_internal/utils/socketstate.py
@@ -10,11 +10,17 @@
 
 
 def has_unsent(transport: asyncio.Transport) -> bool:
-    """Return whether the peer has yet to acknowledge what was written."""
+    """Return whether the peer has yet to acknowledge what was written.
+
+    False if the kernel does not tell.
+    """
     if transport.get_write_buffer_size():
         return True
     sock = transport.get_extra_info('socket')
-    raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return False
     return _INT.unpack(raw)[0] > 0
 
 
