--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -17,6 +17,8 @@
 _KILL_S = (0.7, 1.6)
 _STAY_S = (0.5, 4.0)
 _GO_ON_S = (0.3, 1.5)
+# By then all VMs know the engines that have joined.
+_KNOWN_S = 1.3
 # Fractions of the releases that are taken back, or end the old versions. A VM
 # that knows one version is the one to be deceived, so few stay side by side.
 _TAKEN_BACK = 0.35
@@ -75,6 +77,31 @@
     await _release_beside(disturber, 'cut from all', _LONG_CUT_S)
 
 
+@disturbance('withdrawn-release')
+async def withdraw_release(disturber: Disturber) -> None:
+    """A version joins and goes again; all VMs but one, cut off, restart.
+
+    Only the VM that is cut off knows at which version the streams began.
+    """
+    fleet = disturber.fleet
+    if fleet.in_release:
+        return
+    fleet.in_release = True
+    joined = await fleet.release(max(_JOINING))
+    await asyncio.sleep(_KNOWN_S)
+    left = disturber.source.choice(fleet.machines)
+    others = [each for each in fleet.machines if each is not left]
+    left.cut_from(others)
+    leaving = asyncio.gather(*(fleet.retire(each, 1.0) for each in joined))
+    await asyncio.sleep(min(_SKEW_S))
+    for machine in others:
+        machine.signal(signal.SIGKILL)
+    await leaving
+    await asyncio.sleep(max(_SKEW_S) - 1)
+    left.mend()
+    fleet.in_release = False
+
+
 async def _release_beside(
     disturber: Disturber, how: str, bounds_s: tuple[float, float]
 ) -> None:
