--- a/src/bilberryspoke/_internal/network/routing/storehistory.py
+++ b/src/bilberryspoke/_internal/network/routing/storehistory.py
@@ -8,7 +8,10 @@
     PlatformHistoryLostError,
     PlatformUnavailableError,
 )
-from bilberryspoke._internal.models.routing import StorePosition
+from bilberryspoke._internal.models.routing import (
+    NO_POSITION,
+    StorePosition,
+)
 from bilberryspoke._internal.network.routing.storewatch import SHORT_WAIT_S
 from bilberryspoke._internal.platform.store import (
     StoreClient,
@@ -18,13 +21,13 @@
 
 logger = structlog.get_logger()
 
-# Upstreams write their entries about once a second: so many changes of each
+# Upstreams write their entries once a second at most: so many changes of each
 # go back further than most streams.
 _CHANGES_PER_ENTRY = 16
 _MAX_CHANGES = 4096
 # If the history is shorter, fewer changes are asked for.
 _SHORTER_HISTORY_DIVISOR = 4
-_MAX_TRIES = 3
+_MAX_TRIES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +53,15 @@
     stopped to answer, or lately if that is 0.
     """
     revision = listed.position.revision
-    count = min(_MAX_CHANGES, _CHANGES_PER_ENTRY * len(listed.values))
+    count = min(
+        _MAX_CHANGES, _CHANGES_PER_ENTRY * len(listed.values), revision - 1
+    )
     for _ in range(_MAX_TRIES):
-        after = before.revision or max(1, revision - count)
+        after = before.revision or revision - count
         try:
             changes = await store.watch(prefix, after, SHORT_WAIT_S)
         except PlatformHistoryLostError:
-            before = StorePosition(0, 0)
+            before = NO_POSITION
             count //= _SHORTER_HISTORY_DIVISOR
             continue
         except PlatformUnavailableError as exc:
