--- a/src/bilberryspoke/_internal/core/__init__.py
+++ b/src/bilberryspoke/_internal/core/__init__.py
@@ -17,6 +17,7 @@
 from bilberryspoke._internal.core.routing import (
     discovery,
     lifecycle,
+    originanswers,
     peers,
     ratelimits,
 )
@@ -32,6 +33,7 @@
     'heartbeats',
     'immediate',
     'lifecycle',
+    'originanswers',
     'owner',
     'peers',
     'queued',
--- a/src/bilberryspoke/_internal/core/routing/originledger.py
+++ b/src/bilberryspoke/_internal/core/routing/originledger.py
@@ -32,7 +32,8 @@
     that wait for its origin. VMs that may know it have until ``asks_until`` to
     answer, and until ``ends_at`` one has to prove which version there was.
     ``asked_at`` is when the other VMs were last asked, ``denied_by`` are those
-    that do not know the stream, and ``proven_by`` holds what those say that
+    that do not know the stream, ``answered_by`` all that answered, and
+    ``proven_by`` holds what those say that
     have followed all changes of the window. ``verdicts`` are the last ones of
     other VMs on their lists, by VM.
     """
@@ -43,6 +44,7 @@
     asked_at: float = -1e9
     call_ids: list[str] = field(default_factory=list)
     denied_by: set[str] = field(default_factory=set)
+    answered_by: set[str] = field(default_factory=set)
     proven_by: dict[str, str] = field(default_factory=dict)
     verdicts: dict[str, str] = field(default_factory=dict)
 
--- a/src/bilberryspoke/_internal/core/routing/resumption.py
+++ b/src/bilberryspoke/_internal/core/routing/resumption.py
@@ -6,8 +6,6 @@
 call is refused. Times are in seconds of the boot-time clock.
 """
 
-import math
-
 from bilberryspoke._internal.core.reducer import on_message
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
 from bilberryspoke._internal.core.routing.completion import (
@@ -27,6 +25,9 @@
     list_witnesses,
 )
 from bilberryspoke._internal.core.routing.streamwindow import StreamWindow
+from bilberryspoke._internal.core.routing.upstreamrefresh import (
+    refresh_upstreams,
+)
 from bilberryspoke._internal.core.routing.versionproof import (
     Verdict,
     VersionProof,
@@ -36,14 +37,10 @@
 )
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
-from bilberryspoke._internal.models.routing_effects import (
-    LogDecision,
-    RefreshUpstreams,
-)
+from bilberryspoke._internal.models.routing_effects import LogDecision
 from bilberryspoke._internal.models.routing_messages import (
     OriginReply,
     OriginRequest,
-    StreamBegun,
 )
 
 # A message to a VM that was not connected is lost, so the question is repeated.
@@ -51,12 +48,11 @@
 _LOOKUP_TIMEOUT_S = 0.4
 # Time for the store to tell what has changed, here or to another VM.
 _PROOF_TIMEOUT_S = 1.0
-_REFRESH_INTERVAL_S = 0.1
 # A new process does not know all other VMs.
 _MEMBERSHIP_TIMEOUT_S = 1.0
-# What an origin rests on; otherwise the name of the VM that told of it.
+# What an origin rests on, if not on what other VMs say.
 _RECORDED = 'recorded'
-_ONLY_VERSION = 'only version'
+_OWN_LIST = 'own list'
 _NOTHING = ''
 
 
@@ -89,62 +85,6 @@
         _review_lookup(state, key, lookup, now)
 
 
-@on_message(StreamBegun)
-def keep_origin(
-    state: VmState, sender: str, message: StreamBegun, now: float
-) -> None:
-    """Keep the origin of a stream that began at another VM."""
-    origin = StreamOrigin(message.software_version)
-    state.routing.origins.record(message.key, origin, now)
-
-
-@on_message(OriginRequest)
-def answer_request(
-    state: VmState, sender: str, message: OriginRequest, now: float
-) -> None:
-    """Tell another VM what is known of a stream's origin."""
-    peer = state.routing.peers.get(sender)
-    if peer is None:
-        return
-    origin = state.routing.origins.find(message.key)
-    if origin is None:
-        proof = _judge_for_other(state, message, now)
-        reply = OriginReply(
-            message.key,
-            is_known=False,
-            only_version=proof.version,
-            verdict=proof.verdict,
-        )
-    else:
-        reply = OriginReply(
-            message.key,
-            is_known=True,
-            software_version=origin.software_version,
-        )
-    send_to_peer(state, peer, reply)
-
-
-def _judge_for_other(
-    state: VmState, message: OriginRequest, now: float
-) -> VersionProof:
-    """Judge which versions there were in the time that another VM asks about.
-
-    Ages of upstreams count only for one that could go by nothing else if it
-    read the store itself.
-    """
-    seconds = (message.call_age_s, message.window_s)
-    if not message.service or not all(0 <= each < math.inf for each in seconds):
-        return VersionProof(Verdict.unknown)
-    latest_at = now - message.call_age_s
-    window = StreamWindow(
-        message.service, latest_at - message.window_s, latest_at
-    )
-    proof = judge_versions(state, window, trusts_ages=message.trusts_ages)
-    if proof.verdict is Verdict.awaited:
-        _refresh_upstreams(state, now)
-    return proof
-
-
 @on_message(OriginReply)
 def apply_reply(
     state: VmState, sender: str, message: OriginReply, now: float
@@ -153,6 +93,7 @@
     lookup = state.routing.origins.lookups.get(message.key)
     if lookup is None:
         return
+    lookup.answered_by.add(sender)
     if not message.is_known:
         lookup.denied_by.add(sender)
         if message.only_version is not None:
@@ -162,7 +103,7 @@
         return
     origin = StreamOrigin(message.software_version)
     state.routing.origins.record(message.key, origin, now)
-    found = OriginFound(origin, sender, lookup)
+    found = OriginFound(origin, f'told by {sender}', lookup)
     for call_state in _end_lookup(state, message.key):
         _resume_at(state, call_state, found, now)
 
@@ -176,7 +117,7 @@
     names = set(list_askable_keepers(state, key, now)) - lookup.denied_by
     proof = judge_versions(state, window, trusts_ages=True)
     if proof.verdict is Verdict.awaited:
-        _refresh_upstreams(state, now)
+        refresh_upstreams(state, now)
     if proof.verdict in {Verdict.awaited, Verdict.unknown}:
         names.update(
             name
@@ -204,14 +145,6 @@
     )
 
 
-def _refresh_upstreams(state: VmState, now: float) -> None:
-    routing = state.routing
-    is_due = now - routing.refresh_asked_at >= _REFRESH_INTERVAL_S
-    if routing.reads_store and is_due:
-        routing.refresh_asked_at = now
-        state.emit(RefreshUpstreams())
-
-
 def _review_lookup(
     state: VmState, key: int, lookup: OriginLookup, now: float
 ) -> None:
@@ -222,11 +155,8 @@
         return
     proof = judge_versions(state, lookup.window, trusts_ages=True)
     found = _choose_origin(proof, lookup)
-    if (
-        not found.basis
-        and not _is_refuted(proof, lookup)
-        and (now < lookup.ends_at)
-    ):
+    may_be_proven = not _is_refuted(proof, lookup) and now < lookup.ends_at
+    if not found.basis and may_be_proven:
         return
     for call_state in _end_lookup(state, key):
         _resume_at(state, call_state, found, now)
@@ -243,11 +173,11 @@
         return OriginFound(StreamOrigin(None), _NOTHING, lookup)
     proven_by = dict(lookup.proven_by)
     if proof.version is not None:
-        proven_by[_ONLY_VERSION] = proof.version
+        proven_by[_OWN_LIST] = proof.version
     versions = set(proven_by.values())
     if len(versions) != 1:
         return OriginFound(StreamOrigin(None), _NOTHING, lookup)
-    basis = ', '.join(sorted(proven_by))
+    basis = f'proven by {", ".join(sorted(proven_by))}'
     return OriginFound(StreamOrigin(versions.pop()), basis, lookup)
 
 
@@ -298,5 +228,5 @@
         denied_by = found.lookup.denied_by
         keepers = set(list_askable_keepers(state, hash_stream(call), now))
         fields['denied_by'] = sorted(denied_by)
-        fields['silent'] = sorted(keepers - denied_by - {found.basis})
+        fields['silent'] = sorted(keepers - found.lookup.answered_by)
     return fields
