Read the store's history only for a stream that depends on it

It is read now when a stream without a record would go on by the ages of upstreams, together with the question for what has changed; the verdict waits for it. What was missed while the store did not answer is read with the next list, as before.

--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -122,8 +122,12 @@
     """Note the software versions that came and went before the last list."""
     routing = state.routing
     for entry in event.entries:
-        versions = routing.origins.withdrawn_versions
-        versions[entry.service, entry.software_version] = now
+        known = routing.upstreams.get(entry.instance)
+        version = entry.software_version
+        if known is None or known.listed.software_version != version:
+            versions = routing.origins.withdrawn_versions
+            versions[entry.service, version] = now
+    routing.coverage.history_read = True
     if event.is_complete:
         routing.coverage.close_gap()
 
--- a/src/bilberryspoke/_internal/core/routing/listcoverage.py
+++ b/src/bilberryspoke/_internal/core/routing/listcoverage.py
@@ -20,13 +20,15 @@
     tells at least what had happened as it was asked for. Both are -1e9 without
     a list of the store. ``lists`` counts the complete lists of this process
     before which changes were missed. ``since_before`` is the begin of the span
-    before that.
+    before that. ``history_read`` is whether the store was asked what had left
+    before the last list.
     """
 
     since: float = _NEVER
     until: float = _NEVER
     lists: int = 0
     since_before: float = _NEVER
+    history_read: bool = False
 
     @property
     def is_known(self) -> bool:
@@ -45,6 +47,7 @@
         self.since = asked_at
         self.until = asked_at
         self.lists += 1
+        self.history_read = False
 
     def extend(self, asked_at: float) -> None:
         """Go on, after all changes since the answer before were applied.
--- a/src/bilberryspoke/_internal/core/routing/versionproof.py
+++ b/src/bilberryspoke/_internal/core/routing/versionproof.py
@@ -76,11 +76,12 @@
     reaches_back = coverage.is_known and coverage.since <= window.earliest_at
     if not versions:
         return VersionProof(Verdict.unknown)
-    if not reaches_back and not (
-        trusts_ages and _has_old_upstreams_only(state, window)
-    ):
+    by_ages = trusts_ages and _has_old_upstreams_only(state, window)
+    if not reaches_back and not by_ages:
         return VersionProof(Verdict.unknown)
-    if coverage.until < window.latest_at:
+    # Old upstreams say nothing of others that came and went beside them.
+    lacks_history = not reaches_back and not coverage.history_read
+    if lacks_history or coverage.until < window.latest_at:
         return VersionProof(Verdict.awaited)
     return VersionProof(Verdict.only, versions.pop())
 
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -75,7 +75,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RefreshUpstreams:
-    """Ask the store at once for what has changed, if it is watched."""
+    """Ask the store at once for what has changed, if it is watched.
+
+    ``reads_history``: whether to ask as well what had left before the last
+    list; ``MissedUpstreamsRead`` follows.
+    """
+
+    reads_history: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -78,7 +78,8 @@
 class MissedUpstreamsRead:
     """Changes were read that happened before the last list of upstreams.
 
-    ``entries``: the last ones of upstreams that are not in that list.
+    ``entries``: the last one of each upstream that had one; none if nothing
+    is known.
     ``is_complete``: whether these are all since the store stopped to answer;
     else some lately.
     """
--- a/src/bilberryspoke/_internal/network/routing/discovery.py
+++ b/src/bilberryspoke/_internal/network/routing/discovery.py
@@ -14,6 +14,7 @@
     ListedUpstream,
     StorePosition,
 )
+from bilberryspoke._internal.models.routing_effects import RefreshUpstreams
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
     MissedUpstreamsRead,
@@ -25,6 +26,7 @@
 )
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.storehistory import (
+    HistoryWanted,
     read_missed_changes,
 )
 from bilberryspoke._internal.network.routing.storewatch import RefreshableWatch
@@ -72,14 +74,16 @@
         self._routing = runtime.core.state.routing
         # Number of sleeps so far, which gives each sleep another jitter.
         self._sleep_count = 0
+        self._reads_history = False
         # The last ones before the store stopped to answer.
         self._lost_positions = dict.fromkeys(_WATCHES, NO_POSITION)
         self._watches = {
             prefix: RefreshableWatch(store, prefix) for prefix in _WATCHES
         }
 
-    def refresh_upstreams(self) -> None:
+    def refresh_upstreams(self, effect: RefreshUpstreams) -> None:
         """Ask for changes of the upstreams at once, instead of in turn."""
+        self._reads_history |= effect.reads_history
         self._watches[UPSTREAM_PREFIX].refresh()
 
     async def watch_routes(self) -> None:
@@ -163,6 +167,8 @@
         if prefix == UPSTREAM_PREFIX:
             synced = DiscoverySynced(changes.position, answer.asked_at)
             self._runtime.submit(synced)
+            if self._reads_history:
+                await self._read_missed_changes(changes.position)
         return changes.position
 
     async def _read_current(self, prefix: str) -> StorePosition:
@@ -181,18 +187,20 @@
                 asked_at,
             ),
         )
-        await self._read_missed_changes(stored)
+        if self._lost_positions[UPSTREAM_PREFIX].revision:
+            await self._read_missed_changes(stored.position)
         return stored.position
 
-    async def _read_missed_changes(self, listed: StoredValues) -> None:
-        """Submit which upstreams came and went before a list."""
+    async def _read_missed_changes(self, position: StorePosition) -> None:
+        """Submit which upstreams had entries before a position."""
+        self._reads_history = False
         before = self._lost_positions[UPSTREAM_PREFIX]
         self._lost_positions[UPSTREAM_PREFIX] = NO_POSITION
         missed = await read_missed_changes(
-            self._store, UPSTREAM_PREFIX, before, listed
+            self._store,
+            UPSTREAM_PREFIX,
+            HistoryWanted(before, position, len(self._routing.upstreams)),
         )
-        if missed is None:
-            return
         entries = tuple(self._decode_upstreams(missed.values))
         self._runtime.submit(MissedUpstreamsRead(entries, missed.is_complete))
 
--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -46,7 +46,7 @@
 def refresh_upstreams(runtime: Runtime, effect: RefreshUpstreams) -> None:
     """Ask the store for changes; ``DiscoverySynced`` follows its answer."""
     if runtime.on_refresh is not None:
-        runtime.on_refresh()
+        runtime.on_refresh(effect)
 
 
 @handles_effect(CancelSend)
--- a/src/bilberryspoke/_internal/network/routing/storehistory.py
+++ b/src/bilberryspoke/_internal/network/routing/storehistory.py
@@ -26,60 +26,66 @@
 _MAX_TRIES = 6
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryWanted:
+    """Which part of the history is wanted.
+
+    It ends at ``position``, and begins at ``before``, where the store stopped
+    to answer. If that is 0 or not in the history any more, it is as long as the
+    history allows, for so many ``entries``.
+    """
+
+    before: StorePosition
+    position: StorePosition
+    entries: int
+
+
 @dataclass(frozen=True, slots=True)
 class MissedChanges:
-    """The last values of the keys that are not in a list any more.
+    """The last value of each key that had one.
 
     ``is_complete`` is whether all changes are known since the position before.
     """
 
-    values: tuple[StoredValue, ...]
-    is_complete: bool
+    values: tuple[StoredValue, ...] = ()
+    is_complete: bool = False
 
 
 async def read_missed_changes(
-    store: StoreClient,
-    prefix: str,
-    before: StorePosition,
-    listed: StoredValues,
-) -> MissedChanges | None:
-    """Return what came and went before a list, None if nothing is known of it.
-
-    It is what has changed since ``before``, the position at which the store
-    stopped to answer, or lately if that is 0 or the history is lost.
-    """
+    store: StoreClient, prefix: str, wanted: HistoryWanted
+) -> MissedChanges:
+    """Return what changed before; nothing if that is not known."""
     changes = None
     is_complete = False
     try:
-        if before.revision:
-            changes = await _read_since(store, prefix, before.revision)
-            is_complete = changes is not None and before.is_continued_by(
-                changes.position
+        if wanted.before.revision:
+            revision = wanted.before.revision
+            changes = await _read_since(store, prefix, revision)
+            is_complete = changes is not None and (
+                wanted.before.is_continued_by(changes.position)
             )
         if changes is None:
-            changes = await _read_lately(store, prefix, listed)
+            changes = await _read_lately(store, prefix, wanted)
     except PlatformUnavailableError as exc:
         logger.info('missed_changes_unknown', cause=str(exc))
     if changes is None:
-        return None
-    unlisted = _find_unlisted(changes, listed)
+        return MissedChanges()
+    last = {each.key: each for each in changes.values if each.raw is not None}
     logger.info(
         'missed_changes_read',
         changes=len(changes.values),
-        unlisted=len(unlisted),
+        keys=len(last),
         is_complete=is_complete,
     )
-    return MissedChanges(unlisted, is_complete)
+    return MissedChanges(tuple(last.values()), is_complete)
 
 
 async def _read_lately(
-    store: StoreClient, prefix: str, listed: StoredValues
+    store: StoreClient, prefix: str, wanted: HistoryWanted
 ) -> StoredValues | None:
     """Return many of the last changes, found by bisection of the history."""
-    revision = listed.position.revision
-    count = min(
-        _MAX_CHANGES, _CHANGES_PER_ENTRY * len(listed.values), revision - 1
-    )
+    revision = wanted.position.revision
+    count = min(_MAX_CHANGES, _CHANGES_PER_ENTRY * wanted.entries, revision - 1)
     found = None
     kept_count = 0
     lost_count = count + 1
@@ -104,12 +110,3 @@
         return await store.watch(prefix, revision, SHORT_WAIT_S)
     except PlatformHistoryLostError:
         return None
-
-
-def _find_unlisted(
-    changes: StoredValues, listed: StoredValues
-) -> tuple[StoredValue, ...]:
-    last = {each.key: each for each in changes.values if each.raw is not None}
-    for each in listed.values:
-        last.pop(each.key, None)
-    return tuple(last.values())
--- a/src/bilberryspoke/_internal/network/runtime.py
+++ b/src/bilberryspoke/_internal/network/runtime.py
@@ -34,7 +34,10 @@
 )
 from bilberryspoke._internal.models.messages import ConfigPush, Envelope
 from bilberryspoke._internal.models.requests import RequestRecord
-from bilberryspoke._internal.models.routing_effects import ProbeUpstream
+from bilberryspoke._internal.models.routing_effects import (
+    ProbeUpstream,
+    RefreshUpstreams,
+)
 from bilberryspoke._internal.network.answers import AnswerStore
 from bilberryspoke._internal.network.calls import Call, Command
 from bilberryspoke._internal.network.clock import read_boottime
@@ -80,7 +83,7 @@
     on_order: Callable[[OrderModelLoad], None] | None = None
     on_push: Callable[[ConfigPush], None] | None = None
     on_probe: Callable[[ProbeUpstream], None] | None = None
-    on_refresh: Callable[[], None] | None = None
+    on_refresh: Callable[[RefreshUpstreams], None] | None = None
     started_at: float = field(default_factory=read_boottime)
 
     decision_log: DecisionLog = field(init=False)
--- a/tests/lib/corefleet.py
+++ b/tests/lib/corefleet.py
@@ -20,6 +20,7 @@
 )
 from bilberryspoke._internal.models.routing_events import (
     DiscoverySynced,
+    MissedUpstreamsRead,
     RoutesOffered,
     SeedsConfigured,
     StoreReachReported,
@@ -209,9 +210,11 @@
                 True, StoreWatch.upstreams, position=_POSITION
             )
             synced = DiscoverySynced(_POSITION, self.now)
+            missed = MissedUpstreamsRead((), is_complete=False)
+            events = (answer, synced, missed)
             self._at(
                 self.now + STORE_DELAY_S,
-                lambda: self._handle_all(name, incarnation, answer, synced),
+                lambda: self._handle_all(name, incarnation, *events),
             )
 
     def _handle_all(self, name: str, incarnation: int, *events: object) -> None:
--- a/tests/lib/skewedcores.py
+++ b/tests/lib/skewedcores.py
@@ -64,6 +64,8 @@
         self._known: dict[str, int] = {}
         # What each VM knew when the store stopped to answer it.
         self._lost: dict[str, int] = {}
+        # The VMs that want to know the history as well.
+        self._reads_history: set[str] = set()
         # The last entry of each upstream that ever had one.
         self._written: dict[str, ListedUpstream] = {}
         # The number of the last question of each VM to the store.
@@ -133,11 +135,10 @@
             self._written.update(self._entries)
         self._lost.pop(name, None)
         self._known[name] = len(self._log) + 1
-        for missed in self._list_missed(name):
-            self.handle(name, missed)
         self._ask_later(name, WATCH_INTERVAL_S)
 
     def _refresh(self, name: str, incarnation: int) -> None:
+        self._reads_history.add(name)
         self._ask(name)
 
     def _ask_later(self, name: str, seconds: float) -> None:
@@ -188,34 +189,38 @@
         known = question.known
         if known:
             changes = [each for at, each in self._log if at > known]
-            events = (*changes, DiscoverySynced(position, question.asked_at))
+            synced = DiscoverySynced(position, question.asked_at)
+            events = (*changes, synced)
         else:
             entries = tuple(self._entries.values())
             listed = UpstreamsListed(entries, position, question.asked_at)
-            events = (listed, *self._list_missed(question.name))
+            events = (listed,)
         reached = StoreReachReported(
             True, StoreWatch.upstreams, position=position
         )
+        events = (reached, *events, *self._read_history(question.name))
         self._later_at(
             question,
             STORE_DELAY_S,
-            lambda _: self._receive(question.name, position, reached, *events),
+            lambda _: self._receive(question.name, position, *events),
         )
 
-    def _list_missed(self, name: str) -> Iterator[MissedUpstreamsRead]:
-        """Return what the store's history tells beside a complete list."""
+    def _read_history(self, name: str) -> Iterator[MissedUpstreamsRead]:
+        """Return what the store's history tells, if a VM wants to know."""
         known = self._lost.pop(name, 0)
-        if self.keeps_history:
-            changed = {
-                change.instance for at, change in self._log if at > known
-            }
-            gone = tuple(
-                each
-                for each in self._written.values()
-                if each.instance not in self._entries
-                and (each.instance in changed or not known)
-            )
-            yield MissedUpstreamsRead(gone, is_complete=known > 0)
+        if name not in self._reads_history and not known:
+            return
+        self._reads_history.discard(name)
+        if not self.keeps_history:
+            yield MissedUpstreamsRead((), is_complete=False)
+            return
+        changed = {change.instance for at, change in self._log if at > known}
+        written = tuple(
+            each
+            for each in self._written.values()
+            if each.instance in changed or not known
+        )
+        yield MissedUpstreamsRead(written, is_complete=known > 0)
 
     def _receive(
         self, name: str, position: StorePosition, *events: object
