--- a/src/bilberryspoke/_internal/core/routing/discovery.py
+++ b/src/bilberryspoke/_internal/core/routing/discovery.py
@@ -125,8 +125,7 @@
         known = routing.upstreams.get(entry.instance)
         version = entry.software_version
         if known is None or known.listed.software_version != version:
-            versions = routing.origins.withdrawn_versions
-            versions[entry.service, version] = now
+            routing.origins.note_withdrawn(entry, now)
     routing.coverage.history_read = True
     if event.is_complete:
         routing.coverage.close_gap()
@@ -259,8 +258,7 @@
     """Leave an entry out; VMs that know none of its upstream may use it."""
     state.emit(Count('upstream_entries_outdated'))
     if listed.software_version != known.software_version:
-        versions = state.routing.origins.withdrawn_versions
-        versions[listed.service, listed.software_version] = now
+        state.routing.origins.note_withdrawn(listed, now)
 
 
 def _is_of_other_writer(
@@ -293,8 +291,7 @@
     listed = upstream.listed
     if listed.software_version == successor:
         return
-    versions = state.routing.origins.withdrawn_versions
-    versions[listed.service, listed.software_version] = now
+    state.routing.origins.note_withdrawn(listed, now)
     doubt_origins(state, list(upstream.sends.values()), now)
 
 
@@ -351,8 +348,7 @@
     last_state = dropped.relist(dropped.listed)
     routing.removed[instance] = RemovedUpstream(last_state, now)
     toggle_entry(routing, dropped.listed)
-    version = dropped.listed.software_version
-    routing.origins.withdrawn_versions[dropped.listed.service, version] = now
+    routing.origins.note_withdrawn(dropped.listed, now)
     fields = {'upstream': instance, 'reason': reason}
     state.emit(LogDecision('upstream_dropped', fields))
 
--- a/src/bilberryspoke/_internal/core/routing/originledger.py
+++ b/src/bilberryspoke/_internal/core/routing/originledger.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from bilberryspoke._internal.core.routing.streamwindow import StreamWindow
+from bilberryspoke._internal.models.routing import ListedUpstream
 
 # An origin is forgotten so long after it was last recorded.
 _RETENTION_S = 600.0
@@ -33,9 +34,8 @@
     answer, and until ``ends_at`` one has to prove which version there was.
     ``asked_at`` is when the other VMs were last asked, ``denied_by`` are those
     that do not know the stream, ``answered_by`` all that answered, and
-    ``proven_by`` holds what those say that
-    have followed all changes of the window. ``verdicts`` are the last ones of
-    other VMs on their lists, by VM.
+    ``proven_by`` holds what those say that have followed all changes of the
+    window. ``verdicts`` are the last ones of other VMs on their lists, by VM.
     """
 
     window: StreamWindow
@@ -100,6 +100,11 @@
         self._origins[key] = (origin, now)
         self._forget_old(now)
 
+    def note_withdrawn(self, listed: ListedUpstream, now: float) -> None:
+        """Note that an upstream no longer runs the version of an entry."""
+        key = (listed.service, listed.software_version)
+        self.withdrawn_versions[key] = now
+
     def list_withdrawn(self, service: str, since: float) -> Iterator[str]:
         """Return the versions of upstreams that were removed since a time."""
         for (owner, version), at in self.withdrawn_versions.items():
