--- a/review/kit2.py
+++ b/review/kit2.py
@@ -450,7 +450,7 @@
         self.peak_kb = 0
         self.starts = 0
         self.ended_by_itself = 0
-        self.kills = []
+        self.hups = []
 
     @property
     def address(self):
