--- a/review/kit2.py
+++ b/review/kit2.py
@@ -351,15 +351,18 @@
 
 
 async def send(address, method, path, req_id, *, body=b'', deadline_ms=2500,
-               headers=None, timeout_s=None):
-    """Send one request on a new connection and return its answer."""
+               headers=None, timeout_s=None, events=None):
+    """Send one request on a new connection and return its answer.
+
+    With ``events``, break off once so many events of a stream have arrived.
+    """
     begun_at = time.monotonic()
     answer = Answer()
     try:
         async with asyncio.timeout(timeout_s or deadline_ms / 1000 + 1):
             await _exchange(
                 address, method, path, req_id, body, deadline_ms,
-                headers or {}, answer,
+                headers or {}, answer, events,
             )
     except TimeoutError:
         answer.cause = 'no answer in time'
@@ -370,7 +373,7 @@
 
 
 async def _exchange(address, method, path, req_id, body, deadline_ms, extra,
-                    answer):
+                    answer, events):
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(
         host, int(port), limit=8_388_608
@@ -407,6 +410,9 @@
                 if not size:
                     answer.whole = True
                     return
+                if events and answer.body.count(b'\n\n') >= events:
+                    answer.cause = 'broken off by the client'
+                    return
         else:
             answer.body = await reader.read(-1)
             answer.whole = True
