--- a/review/kit2.py
+++ b/review/kit2.py
@@ -643,7 +643,7 @@
     record.write('trouble', int(trouble))
     try:
         broken = asyncio.run(_run(record, judge, trouble))
-    except Exception as exc:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as exc:  # noqa: BLE001
         record.write('could not run:', type(exc).__name__, exc)
         raise SystemExit(2) from exc
     record.write('rule broken' if broken else 'rule held')
@@ -651,5 +651,10 @@
 
 
 async def _run(record, judge, trouble):
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # The case ends its processes then, too.
+        loop.add_signal_handler(number, task.cancel)
     async with asyncio.timeout(115):
         return await judge(record, trouble)
