--- a/review/kit2.py
+++ b/review/kit2.py
@@ -20,9 +20,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-HOST_NAME = 'ficu95.example'
-KEY = 'n2ctnfzs989anu6wsjnb'
-TENANT = 'hule930'
+HOST_NAME = 'calls.example'
+KEY = 'key-of-press'
+TENANT = 'press'
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 _BORN_MS = int(time.time() * 1000) - 3_600_000
 
