--- a/review/kit2.py
+++ b/review/kit2.py
@@ -505,7 +505,7 @@
             cwd=ROOT,
             env={
                 'PATH': os.environ.get('PATH', ''),
-                'HOME': os.environ.get('HOME', '/tmp'),
+                'HOME': os.environ.get('HOME', self.deployment.folder),
                 'LANG': os.environ.get('LANG', 'C'),
                 'BILBERRYSPOKE_BOOT': str(self.path),
                 'SSL_CERT_FILE': '/dev/null',
@@ -625,6 +625,11 @@
         """End all processes and servers."""
         for node in self.nodes:
             await node.stop()
+        for engine in self.engines:
+            ids = ' '.join(run.req_id for run in engine.runs)
+            self.record.write(
+                f'engine {engine.name}: ran {len(engine.runs)}: {ids}'
+            )
         for server in [*self.engines, self.store]:
             server.end()
         self._folder.cleanup()
