--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -10,6 +10,7 @@
 
 from bilberryspoke._internal.core.routing.originledger import StreamOrigin
 from bilberryspoke._internal.models.routing import (
+    Framing,
     ListedUpstream,
     RoutedCall,
     SendStatus,
@@ -56,6 +57,7 @@
     that did not serve it. ``ended_sends`` says of each send that ended but did
     not finish, for the log, where it went, how it ended, after how many seconds
     and on which connection. ``connection`` is that of the last ended send.
+    ``framing`` is what told the end of the answer to that send.
     ``counted`` is whether the call counts for a retry budget, here or, as far
     as this VM told it so, at its helper.
     """
@@ -89,6 +91,7 @@
     tried_helpers: list[str] = field(default_factory=list)
     ended_sends: list[str] = field(default_factory=list)
     connection: str = ''
+    framing: Framing | None = None
     counted: bool = False
 
     def begin_send(self, now: float) -> None:
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -163,6 +163,8 @@
                 'attempts': call_state.attempt,
                 'ended_sends': call_state.ended_sends,
                 'connection': call_state.connection,
+                'framing': call_state.framing,
+                'last_event_id': call_state.last_event_id,
                 'first_event_s': None
                 if first_event_s is None
                 else round(first_event_s, 3),
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -142,6 +142,7 @@
     if call_state is None or call_state.attempt != event.attempt:
         return
     call_state.connection = event.connection
+    call_state.framing = event.framing
     _record_send_end(state, call_state, event, now)
     if event.last_event_id is not None:
         call_state.last_event_id = event.last_event_id
@@ -263,6 +264,7 @@
         'calls': 0 if upstream is None else len(upstream.sends),
         **describe_content(call),
         'connection': event.connection,
+        'framing': event.framing,
         'connection_lost': event.connection_lost,
         'crashed': event.upstream_crashed,
         'detail': event.detail,
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -300,6 +300,18 @@
     cancelled = 'cancelled'
 
 
+class Framing(StrEnum):
+    """What tells where the body of an answer ends.
+
+    ``length``, ``chunks``: the answer itself. ``connection``: nothing but the
+    end of its connection.
+    """
+
+    length = 'length'
+    chunks = 'chunks'
+    connection = 'connection'
+
+
 # Statuses of sends whose call the intended upstream did not receive.
 NOT_RECEIVED_SEND_STATUSES = frozenset(
     (SendStatus.unsent, SendStatus.misdirected)
--- a/src/bilberryspoke/_internal/models/routing_events.py
+++ b/src/bilberryspoke/_internal/models/routing_events.py
@@ -10,6 +10,7 @@
 from bilberryspoke._internal.models.helperends import EndCause
 from bilberryspoke._internal.models.routetable import RouteTable
 from bilberryspoke._internal.models.routing import (
+    Framing,
     ListedUpstream,
     RoutedCall,
     SendStatus,
@@ -226,6 +227,8 @@
     ``connection``: the connection of the send and which of its calls it was,
     for the log; empty if none was opened.
     ``cause``: what another VM that the call was handed off to says of its end.
+    ``framing``: what tells where the answer's body ends; None if its head did
+    not arrive.
     """
 
     call_id: str
@@ -238,6 +241,7 @@
     upstream_crashed: bool = False
     connection: str = ''
     cause: EndCause = EndCause.unstated
+    framing: Framing | None = None
 
 
 RoutingEvent = (
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bilberryspoke._internal.models.routing import Framing
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.callprotocol import CallProtocol
 from bilberryspoke._internal.platform.headerfields import get_sent_req_id
@@ -28,19 +29,21 @@
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CallConnection:
     """Connection that carries a call.
 
     ``position`` is which of the connection's calls it is, from 1 on.
     ``close_future`` is done when the connection closes. It has an exception
     unless the upstream closed the connection cleanly. It is None if the
-    connection was already closed.
+    connection was already closed. ``framing`` is that of the call's answer,
+    None before its head.
     """
 
     protocol: CallProtocol
     position: int
     close_future: asyncio.Future[None] | None
+    framing: Framing | None = None
 
     def close(self) -> None:
         """Close it, unless another call is sent on it by now."""
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -151,6 +151,7 @@
             upstream_crashed=crashed,
             connection=connection.describe() if connection else '',
             cause=result.cause,
+            framing=connection.framing if connection else None,
         )
 
     async def _send_request(
@@ -197,6 +198,7 @@
     ) -> SendResult:
         headers = parse_response_headers(resp.status, resp.raw_headers)
         connection = get_answer_connection()
+        connection.framing = headers.framing
         self.connector.record_keep_alive(
             connection.protocol, headers.keep_alive_s
         )
--- a/src/bilberryspoke/_internal/platform/responseheaders.py
+++ b/src/bilberryspoke/_internal/platform/responseheaders.py
@@ -1,9 +1,10 @@
 """Headers of the responses of upstreams."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from bilberryspoke._internal.models.routing import Framing
 from bilberryspoke._internal.platform.headerfields import (
     HOP_BY_HOP,
     KEEP_ALIVE,
@@ -26,6 +27,7 @@
 _RETRY_AFTER = b'retry-after'
 _CONTENT_ENCODING = b'content-encoding'
 _CONTENT_LENGTH = b'content-length'
+_TRANSFER_ENCODING = b'transfer-encoding'
 
 # Answers with them end with their head, whatever it says of a body.
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
@@ -50,8 +52,7 @@
     status alone.
     ``has_seal`` is whether the upstream marked the response as its own,
     ``has_content_encoding`` whether the body is encoded, for instance
-    compressed. ``has_length`` is whether the end of the body is known from its
-    length or its chunks, not only from the end of the connection.
+    compressed. ``framing`` is what tells where the body ends.
     ``keep_alive_s`` is how long the upstream keeps the connection open while
     idle, in seconds, or None if it does not say. ``names_rate_limit`` is
     whether the upstream limits the requests that it takes from all VMs
@@ -69,7 +70,7 @@
     looks_not_run: bool
     has_seal: bool
     has_content_encoding: bool
-    has_length: bool
+    framing: Framing
     keep_alive_s: float | None
     names_rate_limit: bool
     rate_limit_per_s: float | None
@@ -78,6 +79,11 @@
     pause_s: float | None
     forwarded: RawHeaders
 
+    @property
+    def has_length(self) -> bool:
+        """Whether more than the end of the connection ends the body."""
+        return self.framing is not Framing.connection
+
 
 def parse_response_headers(
     status: int,
@@ -98,8 +104,7 @@
         looks_not_run=status in _PROMISE_STATUSES,
         has_seal=_RESPONSE_SEAL in by_name,
         has_content_encoding=_CONTENT_ENCODING in by_name,
-        has_length=_CONTENT_LENGTH in by_name
-        or b'transfer-encoding' in by_name,
+        framing=_find_framing(by_name),
         keep_alive_s=_parse_keep_alive(by_name.get(KEEP_ALIVE, b'')),
         names_rate_limit=_RATE_LIMIT in by_name,
         rate_limit_per_s=parse_decimal(
@@ -112,6 +117,14 @@
     )
 
 
+def _find_framing(by_name: Mapping[bytes, bytes]) -> Framing:
+    if _TRANSFER_ENCODING in by_name:
+        return Framing.chunks
+    if _CONTENT_LENGTH in by_name:
+        return Framing.length
+    return Framing.connection
+
+
 def _parse_pause(status: int, raw: bytes | None) -> float | None:
     """Parse the delay that a refusal names, in seconds.
 
