--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -2,7 +2,8 @@
 
 It speaks HTTP/1.1 on raw connections, so that it can truncate, reset, corrupt
 or duplicate its answers. Each answer is a function registered under a name:
-see fakes/scripts.py and, for model engines, fakes/modelengine.py.
+see fakes/scripts.py, fakes/unframedstreams.py and, for model engines,
+fakes/modelengine.py.
 """
 
 import asyncio
@@ -149,6 +150,18 @@
         for writer in list(self._writers):
             reset(writer)
 
+    def end_process(self) -> None:
+        """Do what the kernel does when a process ends; it does not restart."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.close_connections()
+
+    def close_connections(self) -> None:
+        """Close all connections with a FIN."""
+        for writer in list(self._writers):
+            writer.close()
+
     @property
     def refusals(self) -> int:
         """Number of calls refused unexecuted."""
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -15,7 +15,10 @@
 from yarl import URL
 
 from demo.processes import find_free_ports
-from fakes import scripts as scripts  # Registers the scripted answers.
+
+# These register the scripted answers.
+from fakes import scripts as scripts
+from fakes import unframedstreams as unframedstreams
 from fakes.addresses import LOOPBACK_NET as LOOPBACK_NET
 from fakes.modelengine import ModelEngine
 from fakes.store import StoreStandIn
