Tell streams that were cut between events from whole ones

Cause: an answer without a length and chunks ends with its connection, and the end of the connection was taken for that of the answer, unless it was a reset. The kernel closes the connections of a process that ends with a FIN. The VM then wrote a last chunk, which no upstream had. Now one place (answerend.py) judges the end of streams and plain bodies: cut if the upstream no longer accepts connections, or if other connections to it broke within 0.1 s; otherwise unproven. An unproven stream that may be resumed is not finished: another upstream is asked for what follows its last event, within half of the retry budget and while no call waits. A stream that may run once goes by the evidence of the upstream alone. An answer without length, chunks and events is no stream.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -58,6 +58,8 @@
     not finish, for the log, where it went, how it ended, after how many seconds
     and on which connection. ``connection`` is that of the last ended send.
     ``framing`` is what told the end of the answer to that send.
+    ``is_unproven`` is whether the caller may have the whole stream, as its last
+    answer ended between two events without saying that this was its end.
     ``counted`` is whether the call counts for a retry budget, here or, as far
     as this VM told it so, at its helper.
     """
@@ -92,6 +94,7 @@
     ended_sends: list[str] = field(default_factory=list)
     connection: str = ''
     framing: Framing | None = None
+    is_unproven: bool = False
     counted: bool = False
 
     def begin_send(self, now: float) -> None:
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -20,6 +20,7 @@
 from bilberryspoke._internal.models.routing import SendStatus
 from bilberryspoke._internal.models.routing_effects import (
     CancelSend,
+    FinishStream,
     LogDecision,
     RecordDurations,
     RefuseCall,
@@ -40,8 +41,12 @@
 ) -> None:
     """End a call that is not retried after its last send ended with ``event``.
 
-    The failure that the upstream answered with is relayed, if there is one.
+    The failure that the upstream answered with is relayed, if there is one. A
+    stream that may be whole ends as one that is.
     """
+    if call_state.is_unproven:
+        finish_stream(state, call_state, now)
+        return
     if event.status is SendStatus.failed:
         state.emit(RelayFailure(call_state.call.call_id))
         close_call(state, call_state, 'upstream_failed', now)
@@ -50,6 +55,12 @@
     refuse_call(state, call_state, refusal, now)
 
 
+def finish_stream(state: VmState, call_state: CallState, now: float) -> None:
+    """End a stream that may be whole as one that is."""
+    state.emit(FinishStream(call_state.call.call_id))
+    close_call(state, call_state, FINISHED, now)
+
+
 def time_out_call(state: VmState, call_state: CallState, now: float) -> None:
     """End a call whose deadline has passed and cancel its send."""
     if call_state.stage is CallStage.sent:
@@ -84,8 +95,12 @@
     """Answer a call without an upstream's answer and log the refusal.
 
     The answer states that the call did not run, and when to retry, only if it
-    is certain that it did not run.
+    is certain that it did not run. A stream that may be whole ends as one that
+    is.
     """
+    if call_state.is_unproven:
+        finish_stream(state, call_state, now)
+        return
     call = call_state.call
     not_run = not call_state.may_have_run
     retry_after_s = refusal.retry_after_s
@@ -165,6 +180,7 @@
                 'connection': call_state.connection,
                 'framing': call_state.framing,
                 'last_event_id': call_state.last_event_id,
+                'is_unproven': call_state.is_unproven,
                 'first_event_s': None
                 if first_event_s is None
                 else round(first_event_s, 3),
--- a/src/bilberryspoke/_internal/core/routing/handoff.py
+++ b/src/bilberryspoke/_internal/core/routing/handoff.py
@@ -210,6 +210,7 @@
 def _says_that_upstream_is_reached(event: SendEnded) -> bool:
     return event.cause is EndCause.upstream or event.status in {
         SendStatus.finished,
+        SendStatus.unproven,
         SendStatus.failed,
     }
 
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -36,11 +36,15 @@
 from bilberryspoke._internal.core.routing.peers import publish_backlog_change
 from bilberryspoke._internal.core.routing.resumption import resume_stream
 from bilberryspoke._internal.core.routing.retries import may_retry
+from bilberryspoke._internal.core.routing.unprovenends import (
+    end_unproven_answer,
+)
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.effects import Count
 from bilberryspoke._internal.models.requests import ROUTER_FAULT
 from bilberryspoke._internal.models.routing import (
+    ANSWERED_SEND_STATUSES,
     NOT_RECEIVED_SEND_STATUSES,
     NOT_RUN_SEND_STATUSES,
     SendStatus,
@@ -131,6 +135,7 @@
         record_stream_begin(state, call_state, now)
     if event.last_event_id is not None:
         call_state.last_event_id = event.last_event_id
+        call_state.is_unproven = False
     if is_first and state.routing.waiting:
         dispatch_waiting(state, now)
 
@@ -151,6 +156,10 @@
         _use_free_slot(state, call_state, now)
         return
     call_state.note_send_end(event.status, now)
+    if event.status is SendStatus.unproven:
+        end_unproven_answer(state, call_state, event, now)
+        _use_free_slot(state, call_state, now)
+        return
     if event.status not in NOT_RUN_SEND_STATUSES:
         call_state.may_have_run = True
     if _acquire_retry(state, call_state, event, now):
@@ -226,7 +235,7 @@
     if event.status is SendStatus.misdirected:
         health.record_misdirected(now)
     elif event.status is not SendStatus.cancelled:
-        succeeded = event.status is SendStatus.finished
+        succeeded = event.status in ANSWERED_SEND_STATUSES
         health.record_outcome(now, succeeded=succeeded)
 
 
--- a/src/bilberryspoke/_internal/core/routing/retrybudget.py
+++ b/src/bilberryspoke/_internal/core/routing/retrybudget.py
@@ -26,15 +26,21 @@
         self.first_sends.append(now)
         self._discard_expired(now)
 
-    def allows(self, now: float) -> bool:
-        """Return whether the budget allows one more retry."""
+    def allows(self, now: float, *, used_fraction: float = 1) -> bool:
+        """Return whether the budget allows one more retry.
+
+        At most ``used_fraction`` of it is used.
+        """
         self._discard_expired(now)
         allowed = self.share * len(self.first_sends) + self.reserve
-        return len(self.repeats) + 1 <= allowed
+        return len(self.repeats) + 1 <= used_fraction * allowed
+
+    def try_consume(self, now: float, *, used_fraction: float = 1) -> bool:
+        """Consume one retry and return whether the budget allowed it.
 
-    def try_consume(self, now: float) -> bool:
-        """Consume one retry and return whether the budget allowed it."""
-        if not self.allows(now):
+        At most ``used_fraction`` of it is used.
+        """
+        if not self.allows(now, used_fraction=used_fraction):
             return False
         self.repeats.append(now)
         return True
--- a/src/bilberryspoke/_internal/models/routing.py
+++ b/src/bilberryspoke/_internal/models/routing.py
@@ -283,6 +283,8 @@
     """How one send to an upstream ended.
 
     ``finished``: the answer is complete.
+    ``unproven``: all events of the answer were relayed, and the upstream
+    lives; the answer did not say that this was its end.
     ``failed``: the upstream answered completely with a failure.
     ``refused``: did not run; the upstream said so.
     ``unsent``: did not run; no byte left this VM.
@@ -292,6 +294,7 @@
     """
 
     finished = 'finished'
+    unproven = 'unproven'
     failed = 'failed'
     refused = 'refused'
     unsent = 'unsent'
@@ -312,6 +315,8 @@
     connection = 'connection'
 
 
+# Statuses of sends whose upstream answered the call.
+ANSWERED_SEND_STATUSES = frozenset((SendStatus.finished, SendStatus.unproven))
 # Statuses of sends whose call the intended upstream did not receive.
 NOT_RECEIVED_SEND_STATUSES = frozenset(
     (SendStatus.unsent, SendStatus.misdirected)
--- a/src/bilberryspoke/_internal/models/routing_effects.py
+++ b/src/bilberryspoke/_internal/models/routing_effects.py
@@ -99,6 +99,13 @@
     call_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class FinishStream:
+    """Tell the caller that its stream is whole, if no more events came."""
+
+    call_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
     """Refuse a call that has no answer from an upstream.
@@ -174,6 +181,7 @@
     | RefreshUpstreams
     | CancelSend
     | RelayFailure
+    | FinishStream
     | RefuseCall
     | LogDecision
     | RecordDurations
--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -48,15 +48,19 @@
         )
         self._connection = connection
 
-    def is_complete(self) -> bool:
-        """Return whether a body that has been read to its end is complete.
+    @property
+    def says_its_end(self) -> bool:
+        """Whether the end of the body is not just that of its connection.
 
-        A body without a length ends when its connection does. It is complete
-        only if the connection was closed cleanly, not reset. An answer that
-        has no body in any case ends with its head.
+        An answer that has no body in any case ends with its head.
+        """
+        return self.headers.has_length or _has_no_body(self.resp)
+
+    def is_closed_cleanly(self) -> bool:
+        """Return whether the upstream closed the connection, without a reset.
+
+        The body has been read to its end.
         """
-        if self.headers.has_length or _has_no_body(self.resp):
-            return True
         close_future = self._connection.close_future
         if close_future is None or not close_future.done():
             return False
--- /dev/null
+++ b/src/bilberryspoke/_internal/network/routing/answerend.py
@@ -0,0 +1,60 @@
+"""Whether an answer that has been read to its end is whole.
+
+An answer with a length or chunks says so itself. One that ends with its
+connection looks the same if its upstream broke it off by closing the
+connection, as the kernel does for a process that ends. What else becomes of
+the upstream at that moment tells some of the two apart, and the rest stay
+unproven.
+"""
+
+from enum import StrEnum
+
+from bilberryspoke._internal.network.clock import read_boottime
+from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
+from bilberryspoke._internal.network.routing.answerbody import AnswerBody
+from bilberryspoke._internal.network.routing.connections import (
+    KeepAliveConnector,
+)
+
+# The connections of a process that ends close within this time.
+_SAME_MOMENT_S = 0.1
+
+
+class AnswerEnd(StrEnum):
+    """What the end of an answer says of it.
+
+    ``whole``: the answer says that this is its end. ``cut``: it was broken
+    off. ``unproven``: it may be either; its upstream has closed the connection
+    and lives.
+    """
+
+    whole = 'whole'
+    cut = 'cut'
+    unproven = 'unproven'
+
+
+class EndJudge:
+    """Judges the ends of answers to calls."""
+
+    def __init__(self, connector: KeepAliveConnector) -> None:
+        """Create a judge of answers on the connections of ``connector``."""
+        self.check = ListenCheck()
+        self._connector = connector
+
+    async def judge(self, body: AnswerBody, address: str) -> AnswerEnd:
+        """Return what the end of a body says that was read to its end.
+
+        ``address`` (``host:port``) is where its request was sent. Whether
+        something listens there is found out only if the body ends with its
+        connection.
+        """
+        if body.says_its_end:
+            return AnswerEnd.whole
+        if not body.is_closed_cleanly():
+            return AnswerEnd.cut
+        ended_at = read_boottime()
+        if await self.check.check(address) is not Reach.accepted:
+            return AnswerEnd.cut
+        if self._connector.lost_at(address) >= ended_at - _SAME_MOMENT_S:
+            return AnswerEnd.cut
+        return AnswerEnd.unproven
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Any
 
+from bilberryspoke._internal.models.routing import Framing
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.joinedanswers import (
     is_joined_head,
 )
 from bilberryspoke._internal.platform.headerfields import find_req_id
+from bilberryspoke._internal.platform.responseheaders import find_framing
+from bilberryspoke._internal.utils.answerstatus import is_interim
 from bilberryspoke._internal.utils.boundedprotocol import BoundedProtocol
 from bilberryspoke._internal.utils.boundedreads import skip_body
 
@@ -31,7 +35,9 @@
     ``number`` tells the connections of a VM apart; 0 before the first call.
     ``calls`` counts those that it carried, ``surplus`` the answers that were
     passed over for the last one. No call is sent on it from ``reusable_until``
-    on, in seconds of the boot-time clock.
+    on, in seconds of the boot-time clock. ``on_break`` is called with the
+    address at the other end when the connection is reset, or closed there
+    though neither an answer nor the keep-alive time was over.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -41,10 +47,39 @@
         self.calls = 0
         self.surplus = 0
         self.reusable_until = math.inf
+        self.on_break: Callable[[str], None] = _ignore
+        self._address = ''
+        self._ends_with_answer = False
         self._req_id = ''
         # Hashes, as callers choose ids of any length.
         self._earlier_ids: set[int] = set()
 
+    def connection_made(self, transport: Any) -> None:
+        """Note the address at the other end."""
+        super().connection_made(transport)
+        self._address = self.get_peer_address()
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Note whether an answer ends with the connection."""
+        message, _ = data
+        if not is_interim(message.code):
+            headers = {name.lower(): text for name, text in message.raw_headers}
+            framing = find_framing(headers)
+            self._ends_with_answer = framing is Framing.connection
+        super().feed_data(data, size)
+
+    def eof_received(self) -> bool:
+        """Take the end of what the server sends; note if it is too early."""
+        if self._ends_early():
+            self.on_break(self._address)
+        return super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note a reset."""
+        if exc is not None:
+            self.on_break(self._address)
+        super().connection_lost(exc)
+
     def may_carry(self, req_id: str) -> bool:
         """Return whether a call with this request id may be sent on it."""
         if not self.calls:
@@ -70,6 +105,7 @@
         self._req_id = req_id
         self.surplus = 0
         self.calls += 1
+        self._ends_with_answer = False
 
     def set_response_params(self, **params: Any) -> None:
         """Note that a request is sent on it, and keep its parser if it has one.
@@ -103,6 +139,14 @@
             body, max_bytes=_MAX_SURPLUS_BYTES, timeout_s=_SURPLUS_TIMEOUT_S
         )
 
+    def _ends_early(self) -> bool:
+        """Return whether the server has no reason to close it by now."""
+        if self._ends_with_answer:
+            return False
+        if self._payload is not None and not self._payload.is_eof():
+            return True
+        return not self._should_close and read_boottime() < self.reusable_until
+
     def _answers_earlier_call(self, message: Any) -> bool:
         if is_joined_head(message.reason, message.raw_headers):
             return False
@@ -110,3 +154,7 @@
         if req_id is None or req_id == self._req_id:
             return False
         return hash(req_id) in self._earlier_ids
+
+
+def _ignore(address: str) -> None:
+    """Do nothing when a connection breaks that carries no call yet."""
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -4,6 +4,7 @@
 import math
 import socket
 import struct
+from collections import OrderedDict
 from collections.abc import Iterator
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -24,6 +25,8 @@
 # The kernel closes a connection whose sent bytes stay unacknowledged for this
 # long.
 _TCP_USER_TIMEOUT_MS = 1500
+# Addresses of which is kept when a connection last broke.
+_MAX_BREAKS = 1024
 # SO_LINGER on with 0 s: closing resets the connection. Otherwise the kernel
 # would go on to deliver a call whose caller has left, once a cut is over.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
@@ -98,6 +101,17 @@
             socket_factory=_make_socket,
         )
         self._opened_connections = 0
+        # When a connection to an address last broke, of the last such ones.
+        self._lost_at: OrderedDict[str, float] = OrderedDict()
+
+    def lost_at(self, address: str) -> float:
+        """Return when a connection to ``address`` last broke.
+
+        That is one which was reset, or closed without need: within an answer
+        that was to go on, or long before its keep-alive time was over. In
+        seconds of the boot-time clock; minus infinity if none is known.
+        """
+        return self._lost_at.get(address, -math.inf)
 
     async def connect(
         self,
@@ -159,11 +173,18 @@
         close_future = protocol.closed
         if close_future is not None:
             close_future.add_done_callback(_retrieve_exception)
+        protocol.on_break = self._note_break
         protocol.begin_call(req_id)
         call_connection.set(
             CallConnection(protocol, protocol.calls, close_future)
         )
 
+    def _note_break(self, address: str) -> None:
+        self._lost_at[address] = read_boottime()
+        self._lost_at.move_to_end(address)
+        if len(self._lost_at) > _MAX_BREAKS:
+            self._lost_at.popitem(last=False)
+
     def _list_protocols(self) -> Iterator[CallProtocol]:
         """Yield all open connections, in use and pooled."""
         for acquired in self._acquired:
--- a/src/bilberryspoke/_internal/network/routing/effects.py
+++ b/src/bilberryspoke/_internal/network/routing/effects.py
@@ -4,6 +4,7 @@
     CancelSend,
     ConnectPeer,
     DecodeRoutes,
+    FinishStream,
     HandOff,
     LogDecision,
     ProbeUpstream,
@@ -14,6 +15,7 @@
     Send,
 )
 from bilberryspoke._internal.models.routing_events import RoutesOffered
+from bilberryspoke._internal.network.routing.exchange import Command
 from bilberryspoke._internal.network.runtime import Runtime, handles_effect
 from bilberryspoke._internal.platform.records import decode_route_table
 from bilberryspoke._internal.utils.compression import decompress
@@ -23,9 +25,8 @@
 @handles_effect(HandOff)
 @handles_effect(RelayFailure)
 @handles_effect(RefuseCall)
-def queue_command(
-    runtime: Runtime, effect: Send | HandOff | RelayFailure | RefuseCall
-) -> None:
+@handles_effect(FinishStream)
+def queue_command(runtime: Runtime, effect: Command) -> None:
     """Queue a command for the task that serves the call.
 
     Ignored if the call has ended.
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -6,6 +6,7 @@
 
 from bilberryspoke._internal.models.routing import RoutedCall
 from bilberryspoke._internal.models.routing_effects import (
+    FinishStream,
     HandOff,
     RefuseCall,
     RelayFailure,
@@ -15,7 +16,7 @@
 
 _CONNECTION_CLOSE = (b'connection', b'close')
 
-Command = Send | HandOff | RelayFailure | RefuseCall
+Command = Send | HandOff | RelayFailure | RefuseCall | FinishStream
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,8 @@
     upstream, ``cancelled_attempt`` the last one that was cancelled.
     ``held`` is the last failure response of an upstream, kept in case the core
     relays it. ``last_event_id`` is the id of the last event of the caller.
+    ``may_be_whole`` is true while the caller has all events of an answer that
+    ended between two events, but did not say that this was its end.
     ``started`` is true once the status line was sent, ``complete`` once the
     whole response was.
     """
@@ -58,6 +61,7 @@
     cancelled_attempt: int = 0
     held: BufferedResponse | None = None
     last_event_id: int | None = None
+    may_be_whole: bool = False
     started: bool = False
     complete: bool = False
 
@@ -94,6 +98,11 @@
         await self.send({'type': 'http.response.body', 'body': raw})
         self.complete = True
 
+    async def finish_if_whole(self) -> None:
+        """End the body unless the stream has gone on since it seemed whole."""
+        if self.may_be_whole:
+            await self.finish()
+
     async def send_response(self, response: BufferedResponse) -> None:
         """Send a complete response to the caller."""
         await self.start(response.status, response.headers)
--- a/src/bilberryspoke/_internal/network/routing/ingress.py
+++ b/src/bilberryspoke/_internal/network/routing/ingress.py
@@ -20,6 +20,7 @@
     RoutedCall,
 )
 from bilberryspoke._internal.models.routing_effects import (
+    FinishStream,
     HandOff,
     RefuseCall,
     RelayFailure,
@@ -247,14 +248,23 @@
                 if await self._run_send(exchange, command):
                     return
                 continue
-            if isinstance(command, RelayFailure) and exchange.held is not None:
-                await exchange.send_response(exchange.held)
-            elif isinstance(command, RefuseCall) and not exchange.started:
-                await self._send_refusal(exchange, command)
-            # Otherwise the response stays incomplete. The server then closes
-            # the connection, by which the caller notices.
+            await self._end_response(exchange, command)
             return
 
+    async def _end_response(
+        self,
+        exchange: Exchange,
+        command: RelayFailure | RefuseCall | FinishStream,
+    ) -> None:
+        if isinstance(command, RelayFailure) and exchange.held is not None:
+            await exchange.send_response(exchange.held)
+        elif isinstance(command, RefuseCall) and not exchange.started:
+            await self._send_refusal(exchange, command)
+        elif isinstance(command, FinishStream):
+            await exchange.finish_if_whole()
+        # Otherwise the response stays incomplete. The server then closes
+        # the connection, by which the caller notices.
+
     async def _run_send(
         self, exchange: Exchange, effect: Send | HandOff
     ) -> bool:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -18,12 +18,16 @@
     SendProgressed,
     UpstreamProbed,
 )
-from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
+from bilberryspoke._internal.network.listencheck import Reach
 from bilberryspoke._internal.network.routing.answerbody import (
     FILLED_UP,
     HEAD_WITHIN_BODY,
     AnswerBody,
 )
+from bilberryspoke._internal.network.routing.answerend import (
+    AnswerEnd,
+    EndJudge,
+)
 from bilberryspoke._internal.network.routing.answerheads import (
     AnswerHead,
     SendResult,
@@ -61,6 +65,9 @@
 )
 from bilberryspoke._internal.utils.answerstatus import AnswerStatusError
 
+# Detail of sends that end as broken, for the log.
+STREAM_CUT = 'stream ended before it was complete'
+
 _CONNECT_TIMEOUT_S = 0.4
 _CONTENT_LENGTH = b'content-length'
 # Answers to it are framed in another way than those before and after them.
@@ -87,7 +94,7 @@
         self.connector = KeepAliveConnector()
         self._submit = submit
         self.prober = LinkProber(submit, self.connector.expire_connections)
-        self._check = ListenCheck()
+        self._judge = EndJudge(self.connector)
         self._drains = BodyDrains()
         self.held = HeldBytes()
         timeout = aiohttp.ClientTimeout(
@@ -136,7 +143,7 @@
         crashed = (
             result.connection_lost
             and isinstance(effect, Send)
-            and await self._check.check(effect.address) is Reach.refused
+            and await self._judge.check.check(effect.address) is Reach.refused
         )
         self.held.hold(exchange, 0)
         connection = call_connection.get()
@@ -247,7 +254,8 @@
             await exchange.write(part)
             # A caller that reads slowly takes it by the next write.
             self.held.hold(exchange, len(part) + len(held))
-        if not body.is_complete():
+        end = await self._judge.judge(body, effect.address)
+        if end is AnswerEnd.cut:
             return SendResult(
                 SendStatus.broken,
                 'response ended before it was complete',
@@ -287,6 +295,7 @@
                 )
             if not complete_events:
                 continue
+            exchange.may_be_whole = False
             if not exchange.started:
                 await exchange.start(200, _drop_content_length(body.headers))
             await exchange.write(complete_events)
@@ -298,21 +307,47 @@
                     effect.call_id, effect.attempt, splitter.last_id
                 ),
             )
-        if splitter.expects_next:
+        end = await self._judge.judge(body, effect.address)
+        if splitter.remainder:
             return SendResult(
-                SendStatus.broken, 'no event to go on with in the answer'
+                SendStatus.broken, STREAM_CUT, connection_lost=True
             )
-        if splitter.remainder or not body.is_complete():
+        if splitter.expects_next:
+            return await self._end_continued(exchange, end)
+        return await self._end_stream(exchange, body, end)
+
+    async def _end_stream(
+        self, exchange: Exchange, body: AnswerBody, end: AnswerEnd
+    ) -> SendResult:
+        """End a stream that has been relayed up to the end of an answer."""
+        if end is not AnswerEnd.whole:
+            exchange.may_be_whole = exchange.started
+            if end is AnswerEnd.unproven and exchange.started:
+                return SendResult(SendStatus.unproven, 'status 200')
             return SendResult(
                 SendStatus.broken,
-                'stream ended before it was complete',
-                connection_lost=True,
+                STREAM_CUT,
+                connection_lost=end is AnswerEnd.cut,
             )
         if not exchange.started:
             await exchange.start(200, _drop_content_length(body.headers))
         await exchange.finish()
         return SendResult(SendStatus.finished, 'status 200')
 
+    async def _end_continued(
+        self, exchange: Exchange, end: AnswerEnd
+    ) -> SendResult:
+        """End a stream that an answer without events was to go on with.
+
+        If the stream may be whole, a whole answer without events says so.
+        """
+        if end is AnswerEnd.whole and exchange.may_be_whole:
+            await exchange.finish()
+            return SendResult(SendStatus.finished, 'status 200, no event')
+        return SendResult(
+            SendStatus.broken, 'no event to go on with in the answer'
+        )
+
 
 def _close_connection(resp: aiohttp.ClientResponse) -> None:
     """Close the connection of a response, also if it is in the pool.
--- a/src/bilberryspoke/_internal/platform/responseheaders.py
+++ b/src/bilberryspoke/_internal/platform/responseheaders.py
@@ -104,7 +104,7 @@
         looks_not_run=status in _PROMISE_STATUSES,
         has_seal=_RESPONSE_SEAL in by_name,
         has_content_encoding=_CONTENT_ENCODING in by_name,
-        framing=_find_framing(by_name),
+        framing=find_framing(by_name),
         keep_alive_s=_parse_keep_alive(by_name.get(KEEP_ALIVE, b'')),
         names_rate_limit=_RATE_LIMIT in by_name,
         rate_limit_per_s=parse_decimal(
@@ -117,7 +117,11 @@
     )
 
 
-def _find_framing(by_name: Mapping[bytes, bytes]) -> Framing:
+def find_framing(by_name: Mapping[bytes, bytes]) -> Framing:
+    """Return what tells the end of an answer's body.
+
+    ``by_name`` has its headers by their names in lower case.
+    """
     if _TRANSFER_ENCODING in by_name:
         return Framing.chunks
     if _CONTENT_LENGTH in by_name:
--- a/tests/functional/test_routed_cut_streams.py
+++ b/tests/functional/test_routed_cut_streams.py
@@ -8,7 +8,10 @@
 from fakes.upstream import make_stream
 from tests.lib.routedfleet import run_routed_fleet
 
-is_known_red = pytest.mark.xfail(reason='issue 58, KNOWN-RED.txt 66')
+IDENTITY_RESET = pytest.param(
+    'stream_identity_reset',
+    marks=pytest.mark.xfail(reason='KNOWN-RED.txt, 66', strict=True),
+)
 
 
 def call_stream(path, first, *, default='stream', reserve=56, **headers):
@@ -34,7 +37,6 @@
     return asyncio.run(run())
 
 
-@is_known_red
 @pytest.mark.parametrize('default', ['stream', 'stream_unframed'])
 @pytest.mark.parametrize(
     'first',
@@ -42,7 +44,7 @@
         'stream_unframed_closed',
         'stream_unframed_crash',
         'stream_unframed_restart',
-        'stream_identity_reset',
+        IDENTITY_RESET,
     ],
 )
 def test_stream_cut_between_events_goes_on_elsewhere(first, default):
@@ -53,17 +55,13 @@
     assert runs in {2, 3}
 
 
-@is_known_red
-@pytest.mark.parametrize(
-    'first', ['stream_unframed_crash', 'stream_identity_reset']
-)
+@pytest.mark.parametrize('first', ['stream_unframed_crash', IDENTITY_RESET])
 def test_cut_stream_that_may_run_once_does_not_look_complete(first):
     answer, runs = call_stream('/stream/', first)
     assert (answer.status, answer.whole, runs) == (200, False, 1)
     assert answer.body == make_stream('c1')[: len(answer.body)]
 
 
-@is_known_red
 def test_streams_of_a_restart_do_not_look_complete():
     # The upstream listens on, but all its connections end at one moment.
     async def run():
@@ -102,7 +100,6 @@
     assert answer.body == make_stream('c1')
 
 
-@is_known_red
 def test_empty_answer_does_not_end_a_stream_that_is_taken_up():
     answer, _ = call_stream(
         '/resume/',
@@ -114,13 +111,11 @@
     assert answer.body == make_stream('c1', CUT_AFTER + 1)
 
 
-@is_known_red
 def test_empty_answer_is_no_stream():
     answer, _ = call_stream('/stream/', 'stream_unframed_empty')
     assert answer.status == 502
 
 
-@is_known_red
 @pytest.mark.parametrize(
     ('path', 'status', 'runs'), [('/once/', 502, 1), ('/safe/', 200, 2)]
 )
