Look at an upstream's other connections after they can have closed

The judge now waits 0.05 s, which a whole stream has and which delays a plain body without a length. The stand-in closes the others first.

--- a/fakes/unframedstreams.py
+++ b/fakes/unframedstreams.py
@@ -126,7 +126,9 @@
 ) -> None:
     """Close all connections after the third event, but listen on."""
     await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
-    upstream.close_connections()
+    upstream.close_connections(but=writer)
+    await asyncio.sleep(0)
+    writer.close()
 
 
 @register_script('stream_identity_reset')
--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -157,10 +157,13 @@
             self._server = None
         self.close_connections()
 
-    def close_connections(self) -> None:
-        """Close all connections with a FIN."""
+    def close_connections(
+        self, but: asyncio.StreamWriter | None = None
+    ) -> None:
+        """Close all connections, or all but one, with a FIN."""
         for writer in list(self._writers):
-            writer.close()
+            if writer is not but:
+                writer.close()
 
     @property
     def refusals(self) -> int:
--- a/src/bilberryspoke/_internal/network/routing/answerend.py
+++ b/src/bilberryspoke/_internal/network/routing/answerend.py
@@ -7,6 +7,7 @@
 unproven.
 """
 
+import asyncio
 from enum import StrEnum
 
 from bilberryspoke._internal.network.clock import read_boottime
@@ -17,7 +18,7 @@
 )
 
 # The connections of a process that ends close within this time.
-_SAME_MOMENT_S = 0.1
+_SAME_MOMENT_S = 0.05
 
 
 class AnswerEnd(StrEnum):
@@ -55,6 +56,7 @@
         ended_at = read_boottime()
         if await self.check.check(address) is not Reach.accepted:
             return AnswerEnd.cut
+        await asyncio.sleep(_SAME_MOMENT_S)
         if self._connector.lost_at(address) >= ended_at - _SAME_MOMENT_S:
             return AnswerEnd.cut
         return AnswerEnd.unproven
