Take no body without a length for whole if its upstream is gone, own interface

What callers saw (test_own_interface_resets.py, two cases that failed before): a half or empty body as a whole answer, recorded under its operation key as well, if the upstream's process ended within it. A connection is opened after each body without a length and framing.

--- a/src/bilberryspoke/_internal/network/answerchecks.py
+++ b/src/bilberryspoke/_internal/network/answerchecks.py
@@ -9,10 +9,16 @@
 import aiohttp
 
 from bilberryspoke._internal.exceptions import BilberryspokeError
+from bilberryspoke._internal.models.routing import Framing
+from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.routing.joinedanswers import (
     is_joined_head,
 )
 from bilberryspoke._internal.platform.headerfields import find_malformed
+from bilberryspoke._internal.platform.responseheaders import (
+    STATUSES_WITHOUT_BODY,
+    find_framing,
+)
 
 # Within a body a status line counts with its end only: text may speak of HTTP.
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?: [^\r\n]*)?\r\n')
@@ -52,6 +58,14 @@
         return f'a control character in the header {self.name}'
 
 
+class CutAnswerError(BilberryspokeError, aiohttp.ClientError):
+    """The upstream was gone as a body ended that ends with its connection."""
+
+    def __str__(self) -> str:
+        """Return the message."""
+        return 'the answer ended with its upstream'
+
+
 async def refuse_joined_heads(
     req: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -66,6 +80,20 @@
     return resp
 
 
+async def check_end(
+    resp: aiohttp.ClientResponse, listen_check: ListenCheck
+) -> None:
+    """Raise CutAnswerError if the end of a body may be that of its upstream.
+
+    The kernel closes the connections of a process that ends. That looks like
+    the end of a body which ends with its connection.
+    """
+    if _has_end(resp):
+        return
+    if await listen_check.check(resp.url.authority) is not Reach.accepted:
+        raise CutAnswerError
+
+
 def check_headers(resp: aiohttp.ClientResponse) -> None:
     """Raise MalformedHeaderError for a header that no caller may get."""
     name = find_malformed(resp.raw_headers)
@@ -103,5 +131,6 @@
 
     Otherwise it ends with its connection.
     """
-    encoding = resp.headers.get('transfer-encoding', '')
-    return 'content-length' in resp.headers or 'chunked' in encoding.lower()
+    has_no_body = resp.method == 'HEAD' or resp.status in STATUSES_WITHOUT_BODY
+    headers = {name.lower(): text for name, text in resp.raw_headers}
+    return has_no_body or find_framing(headers) is not Framing.connection
--- a/src/bilberryspoke/_internal/network/relaying.py
+++ b/src/bilberryspoke/_internal/network/relaying.py
@@ -7,6 +7,7 @@
 from bilberryspoke._internal.models.requests import AttemptStatus
 from bilberryspoke._internal.network.answerchecks import (
     check_body,
+    check_end,
     check_events,
     check_headers,
 )
@@ -15,6 +16,7 @@
     RecordedAnswer,
 )
 from bilberryspoke._internal.network.calls import Call
+from bilberryspoke._internal.network.listencheck import ListenCheck
 from bilberryspoke._internal.network.responses import (
     REQUEST_ID_HEADER,
     encode_headers,
@@ -151,13 +153,16 @@
 async def relay_response(
     call: Call,
     resp: aiohttp.ClientResponse,
+    listen_check: ListenCheck,
     answers: AnswerStore | None = None,
 ) -> AttemptResult:
     """Relay a response after reading its body completely.
 
     Raises ``AnswerTooLargeError`` if it has over ``_MAX_ANSWER_BYTES``,
-    ``JoinedAnswerError`` if it has bytes of several answers, and
-    ``MalformedHeaderError`` if a header has a control character.
+    ``JoinedAnswerError`` if it has bytes of several answers,
+    ``MalformedHeaderError`` if a header has a control character, and
+    ``CutAnswerError`` if the body may have ended with its upstream, as
+    ``listen_check`` shows.
 
     An operation's answer is stored in ``answers`` before it is sent, so that
     a retry with the same key gets it even if the caller has gone.
@@ -166,6 +171,7 @@
     check_headers(resp)
     body = await read_body(resp, _MAX_ANSWER_BYTES)
     check_body(resp, body)
+    await check_end(resp, listen_check)
     headers = {
         name.lower(): text
         for name, text in resp.headers.items()
--- a/src/bilberryspoke/_internal/network/upstreams.py
+++ b/src/bilberryspoke/_internal/network/upstreams.py
@@ -143,7 +143,7 @@
                 headers=headers,
                 allow_redirects=False,
             ) as resp:
-                return await relay_response(call, resp)
+                return await relay_response(call, resp, self._check)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             return AttemptResult(AttemptStatus.broken, str(exc))
 
@@ -211,7 +211,7 @@
             if call.started:
                 detail = f'status {resp.status} to a resume'
                 return AttemptResult(AttemptStatus.broken, detail)
-            return await relay_response(call, resp, self._answers)
+            return await relay_response(call, resp, self._check, self._answers)
 
 
 class LoadReport(msgspec.Struct):
--- a/tests/functional/test_own_interface_resets.py
+++ b/tests/functional/test_own_interface_resets.py
@@ -55,3 +55,21 @@
         assert answered.body == b'whole'
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('body', [b'', b'half of'])
+def test_answer_without_length_is_not_whole_after_a_crash(body):
+    # The kernel closes the connections of a process that ends.
+    async def run():
+        async def answer(received, writer):
+            writer.write(_HEAD + body)
+            await asyncio.sleep(PAUSE_S)
+            upstream.stop_listening()
+            writer.close()
+
+        async with ScriptedUpstream(answer) as upstream, run_client() as client:
+            answered = await run_call(client, upstream.url, 'r1')
+        assert answered.result.status is AttemptStatus.broken
+        assert not answered.status
+
+    asyncio.run(run())
--- a/tests/lib/ownupstream.py
+++ b/tests/lib/ownupstream.py
@@ -60,6 +60,10 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop to listen."""
+        self.stop_listening()
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
         self._server.close()
 
     async def _serve(
