--- a/src/bilberryspoke/_internal/network/routing/answerend.py
+++ b/src/bilberryspoke/_internal/network/routing/answerend.py
@@ -11,11 +11,11 @@
 from enum import StrEnum
 
 from bilberryspoke._internal.network.clock import read_boottime
-from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.routing.answerbody import AnswerBody
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
 )
+from bilberryspoke._internal.network.routing.linkprobes import LinkProber
 
 # The connections of a process that ends close within this time.
 _SAME_MOMENT_S = 0.05
@@ -26,7 +26,7 @@
 
     ``whole``: the answer says that this is its end. ``cut``: it was broken
     off. ``unproven``: it may be either; its upstream has closed the connection
-    and lives.
+    and still answers.
     """
 
     whole = 'whole'
@@ -37,24 +37,28 @@
 class EndJudge:
     """Judges the ends of answers to calls."""
 
-    def __init__(self, connector: KeepAliveConnector) -> None:
-        """Create a judge of answers on the connections of ``connector``."""
-        self.check = ListenCheck()
+    def __init__(
+        self, connector: KeepAliveConnector, prober: LinkProber
+    ) -> None:
+        """Create a judge of answers on the connections of ``connector``.
+
+        ``prober`` finds out whether upstreams still answer.
+        """
         self._connector = connector
+        self._prober = prober
 
     async def judge(self, body: AnswerBody, address: str) -> AnswerEnd:
         """Return what the end of a body says that was read to its end.
 
-        ``address`` (``host:port``) is where its request was sent. Whether
-        something listens there is found out only if the body ends with its
-        connection.
+        ``address`` (``host:port``) is where its request was sent. A probe is
+        sent there only if the body ends with its connection.
         """
         if body.says_its_end:
             return AnswerEnd.whole
         if not body.is_closed_cleanly():
             return AnswerEnd.cut
         ended_at = read_boottime()
-        if await self.check.check(address) is not Reach.accepted:
+        if not await self._prober.answers(address):
             return AnswerEnd.cut
         await asyncio.sleep(_SAME_MOMENT_S)
         if self._connector.lost_at(address) >= ended_at - _SAME_MOMENT_S:
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -35,6 +35,7 @@
         self._submit = submit
         self._expire_connections = expire_connections
         self._tasks: set[asyncio.Task[None]] = set()
+        self._questions: dict[str, asyncio.Task[bool]] = {}
         self._session = aiohttp.ClientSession(
             connector=BoundedConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
@@ -52,15 +53,29 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def answers(self, address: str) -> bool:
+        """Return whether an upstream answers at ``address`` (``host:port``).
+
+        Questions of one address that overlap are asked once.
+        """
+        task = self._questions.get(address)
+        if task is None:
+            task = asyncio.create_task(self._ask(address))
+            self._questions[address] = task
+            task.add_done_callback(
+                lambda done: self._questions.pop(address, None)
+            )
+        return await asyncio.shield(task)
+
     async def _probe(self, effect: ProbeUpstream) -> None:
-        accepts = await self._answers(effect.address)
+        accepts = await self._ask(effect.address)
         if not accepts:
             self._expire_connections(effect.address)
         self._submit(
             UpstreamProbed(effect.instance, effect.created_ms, accepts)
         )
 
-    async def _answers(self, address: str) -> bool:
+    async def _ask(self, address: str) -> bool:
         """Return whether any answer comes; its status does not matter."""
         url = f'http://{address}{PROBE_PATH}'
         try:
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -18,7 +18,7 @@
     SendProgressed,
     UpstreamProbed,
 )
-from bilberryspoke._internal.network.listencheck import Reach
+from bilberryspoke._internal.network.listencheck import ListenCheck, Reach
 from bilberryspoke._internal.network.routing.answerbody import (
     FILLED_UP,
     HEAD_WITHIN_BODY,
@@ -94,7 +94,8 @@
         self.connector = KeepAliveConnector()
         self._submit = submit
         self.prober = LinkProber(submit, self.connector.expire_connections)
-        self._judge = EndJudge(self.connector)
+        self._check = ListenCheck()
+        self._judge = EndJudge(self.connector, self.prober)
         self._drains = BodyDrains()
         self.held = HeldBytes()
         timeout = aiohttp.ClientTimeout(
@@ -143,7 +144,7 @@
         crashed = (
             result.connection_lost
             and isinstance(effect, Send)
-            and await self._judge.check.check(effect.address) is Reach.refused
+            and await self._check.check(effect.address) is Reach.refused
         )
         self.held.hold(exchange, 0)
         connection = call_connection.get()
