--- a/fakes/unframedstreams.py
+++ b/fakes/unframedstreams.py
@@ -131,6 +131,18 @@
     writer.close()
 
 
+@register_script('stream_unframed_renamed')
+async def answer_stream_unframed_renamed(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Take another id and close the connection after the third event."""
+    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    upstream.instance += '-next'
+    writer.close()
+
+
 @register_script('stream_identity_reset')
 async def answer_stream_identity_reset(
     upstream: UpstreamStandIn,
--- a/src/bilberryspoke/_internal/network/routing/answerend.py
+++ b/src/bilberryspoke/_internal/network/routing/answerend.py
@@ -10,6 +10,7 @@
 import asyncio
 from enum import StrEnum
 
+from bilberryspoke._internal.models.routing_effects import HandOff, Send
 from bilberryspoke._internal.network.clock import read_boottime
 from bilberryspoke._internal.network.routing.answerbody import AnswerBody
 from bilberryspoke._internal.network.routing.connections import (
@@ -47,20 +48,22 @@
         self._connector = connector
         self._prober = prober
 
-    async def judge(self, body: AnswerBody, address: str) -> AnswerEnd:
+    async def judge(
+        self, body: AnswerBody, effect: Send | HandOff
+    ) -> AnswerEnd:
         """Return what the end of a body says that was read to its end.
 
-        ``address`` (``host:port``) is where its request was sent. A probe is
-        sent there only if the body ends with its connection.
+        ``effect`` is the send that it answers. A probe is sent only if the body
+        ends with its connection. Other VMs send no such bodies.
         """
         if body.says_its_end:
             return AnswerEnd.whole
-        if not body.is_closed_cleanly():
+        if isinstance(effect, HandOff) or not body.is_closed_cleanly():
             return AnswerEnd.cut
         ended_at = read_boottime()
-        if not await self._prober.answers(address):
+        if not await self._prober.serves(effect.address, effect.instance):
             return AnswerEnd.cut
         await asyncio.sleep(_SAME_MOMENT_S)
-        if self._connector.lost_at(address) >= ended_at - _SAME_MOMENT_S:
+        if self._connector.lost_at(effect.address) >= ended_at - _SAME_MOMENT_S:
             return AnswerEnd.cut
         return AnswerEnd.unproven
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -7,7 +7,11 @@
 
 from bilberryspoke._internal.models.routing_effects import ProbeUpstream
 from bilberryspoke._internal.models.routing_events import UpstreamProbed
-from bilberryspoke._internal.platform.requestheaders import PROBE_PATH
+from bilberryspoke._internal.platform.requestheaders import (
+    PROBE_PATH,
+    make_probe_headers,
+)
+from bilberryspoke._internal.platform.responseheaders import STATUS_MISDIRECTED
 from bilberryspoke._internal.utils.boundedprotocol import BoundedConnector
 from bilberryspoke._internal.utils.resending import forbid_resending
 
@@ -35,7 +39,7 @@
         self._submit = submit
         self._expire_connections = expire_connections
         self._tasks: set[asyncio.Task[None]] = set()
-        self._questions: dict[str, asyncio.Task[bool]] = {}
+        self._questions: dict[tuple[str, str], asyncio.Task[int | None]] = {}
         self._session = aiohttp.ClientSession(
             connector=BoundedConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
@@ -53,33 +57,40 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def answers(self, address: str) -> bool:
+    async def serves(self, address: str, instance: str) -> bool:
         """Return whether an upstream answers at ``address`` (``host:port``).
 
-        Questions of one address that overlap are asked once.
+        ``instance`` is its id; one with another id does not count. Questions
+        that overlap are asked once.
         """
-        task = self._questions.get(address)
+        question = (address, instance)
+        task = self._questions.get(question)
         if task is None:
-            task = asyncio.create_task(self._ask(address))
-            self._questions[address] = task
+            headers = make_probe_headers(instance)
+            task = asyncio.create_task(self._ask(address, headers))
+            self._questions[question] = task
             task.add_done_callback(
-                lambda done: self._questions.pop(address, None)
+                lambda done: self._questions.pop(question, None)
             )
-        return await asyncio.shield(task)
+        status = await asyncio.shield(task)
+        return status not in {None, STATUS_MISDIRECTED}
 
     async def _probe(self, effect: ProbeUpstream) -> None:
-        accepts = await self._ask(effect.address)
+        # Any answer counts, whatever its status.
+        accepts = await self._ask(effect.address, {}) is not None
         if not accepts:
             self._expire_connections(effect.address)
         self._submit(
             UpstreamProbed(effect.instance, effect.created_ms, accepts)
         )
 
-    async def _ask(self, address: str) -> bool:
-        """Return whether any answer comes; its status does not matter."""
+    async def _ask(self, address: str, headers: dict[str, str]) -> int | None:
+        """Return the status of an answer, None if none comes."""
         url = f'http://{address}{PROBE_PATH}'
         try:
-            async with self._session.get(url, allow_redirects=False):
-                return True
+            async with self._session.get(
+                url, headers=headers, allow_redirects=False
+            ) as resp:
+                return resp.status
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
-            return False
+            return None
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -255,7 +255,7 @@
             await exchange.write(part)
             # A caller that reads slowly takes it by the next write.
             self.held.hold(exchange, len(part) + len(held))
-        end = await self._judge.judge(body, effect.address)
+        end = await self._judge.judge(body, effect)
         if end is AnswerEnd.cut:
             return SendResult(
                 SendStatus.broken,
@@ -308,7 +308,7 @@
                     effect.call_id, effect.attempt, splitter.last_id
                 ),
             )
-        end = await self._judge.judge(body, effect.address)
+        end = await self._judge.judge(body, effect)
         if splitter.remainder:
             return SendResult(
                 SendStatus.broken, STREAM_CUT, connection_lost=True
--- a/src/bilberryspoke/_internal/platform/requestheaders.py
+++ b/src/bilberryspoke/_internal/platform/requestheaders.py
@@ -180,6 +180,11 @@
     return headers
 
 
+def make_probe_headers(instance: str) -> dict[str, str]:
+    """Return the headers of a probe of an upstream's incarnation."""
+    return {_EXPECTED_INSTANCE.decode(): instance}
+
+
 def make_handoff_headers(
     forwarded: RawHeaders, added: HandoffHeaders
 ) -> RawHeaders:
--- a/src/bilberryspoke/_internal/platform/responseheaders.py
+++ b/src/bilberryspoke/_internal/platform/responseheaders.py
@@ -31,10 +31,10 @@
 
 # Answers with them end with their head, whatever it says of a body.
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
-_STATUS_MISDIRECTED = 421
+STATUS_MISDIRECTED = 421
 _STATUS_UNAVAILABLE = 503
 # Callers take these as a promise that the call did not run and never will.
-_PROMISE_STATUSES = frozenset((408, _STATUS_MISDIRECTED, 429, 503))
+_PROMISE_STATUSES = frozenset((408, STATUS_MISDIRECTED, 429, 503))
 _MAX_RATE_PER_S = 1e6
 _MAX_PAUSE_S = 3600.0
 
@@ -96,7 +96,7 @@
     if status in STATUSES_WITHOUT_BODY:
         # It may be that of a body that is not sent, as a 304 may say.
         dropped |= {_CONTENT_LENGTH}
-    misdirected = status == _STATUS_MISDIRECTED
+    misdirected = status == STATUS_MISDIRECTED
     return ResponseHeaders(
         req_id=find_req_id(pairs),
         not_run=misdirected or _NOT_EXECUTED in by_name,
--- a/tests/functional/test_routed_cut_streams.py
+++ b/tests/functional/test_routed_cut_streams.py
@@ -127,3 +127,19 @@
             assert status != 200 or answer.body == b'answer to c1'
 
     asyncio.run(run())
+
+
+def test_stream_does_not_look_complete_if_another_took_the_address():
+    # The VM stood still while its upstream ended and another one started.
+    async def run():
+        async with run_routed_fleet(
+            app_upstreams=0, scripted_engines=1
+        ) as fleet:
+            [upstream] = fleet.upstreams.values()
+            upstream.default = 'stream_unframed_renamed'
+            answer = await fleet.call(
+                '/stream/', 'c1', method='POST', body=b'p'
+            )
+            assert (answer.status, answer.whole) == (200, False)
+
+    asyncio.run(run())
--- a/tests/functional/test_routed_soak.py
+++ b/tests/functional/test_routed_soak.py
@@ -83,6 +83,18 @@
     assert fleet.counts['copy of 421, due, other call'] > 0
 
 
+def test_soak_of_streams_without_chunks_shows_no_end_that_is_none():
+    # Streams whose upstream ended between two events looked complete.
+    size = SoakSize(
+        machines=3, app_upstreams=1, engines=4, resuming=0.4, unframed=0.7
+    )
+    disturbances = ('end', 'faults', 'stop', 'freeze')
+    fleet, verdict = asyncio.run(run_soak(1, size, disturbances, 6.0, 0.4))
+    assert_no_rule_broken(fleet, verdict)
+    assert fleet.counts['unframed'] > 0
+    assert fleet.counts['upstreams that ended'] > 0
+
+
 def test_soak_of_upstreams_that_stutter_shows_no_part_of_another_answer():
     # Bodies, heads and streams joined two answers.
     size = SoakSize(
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -44,6 +44,7 @@
         stuttering=args.stuttering,
         crossing=args.crossing,
         resuming=args.resuming,
+        unframed=args.unframed,
     )
     folder = Path(args.logs) if args.logs else None
     if folder is not None:
@@ -116,6 +117,7 @@
         'stuttering',
         'crossing',
         'resuming',
+        'unframed',
     ):
         parser.add_argument(
             f'--{name}', type=float, default=0, help='fraction, see SoakSize'
--- a/tests/soak/belonging.py
+++ b/tests/soak/belonging.py
@@ -7,7 +7,8 @@
 from fakes.upstream import Run, make_body, make_event
 
 EVENTS = 12
-STREAM_PATHS = frozenset(('/stream/', '/resume/'))
+RESUMED_PATH = '/resume/'
+STREAM_PATHS = frozenset(('/stream/', RESUMED_PATH))
 # Header in which upstreams of the soak name status and id of an answer.
 ANSWER_HEADER = 'X-Answer'
 _SEAL = 'x-response-seal'
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,7 +7,11 @@
 import time
 from dataclasses import dataclass, field
 
-from tests.soak.belonging import ReceivedAnswer, find_foreign_part
+from tests.soak.belonging import (
+    RESUMED_PATH,
+    ReceivedAnswer,
+    find_foreign_part,
+)
 from tests.soak.machines import Machine
 
 # Statuses that promise that the call did not run and never will.
@@ -18,7 +22,6 @@
 # Fraction of the streams that are taken up at a VM that is out of step.
 _AT_SKEWED = 0.6
 _STATUS_OK = 200
-_RESUMED_PATH = '/resume/'
 _EVENT = re.compile(rb'id: (\d+)\n[^\n]*\n\n')
 _MAX_IDLE_S = 12.0
 # Path, method and the caller's patience in seconds of each kind of call.
@@ -177,7 +180,7 @@
             attempt.foreign = find_foreign_part(
                 attempt.path, attempt.req_id, answer, attempt.resumes_after
             )
-            if attempt.path == _RESUMED_PATH and answer.status == _STATUS_OK:
+            if attempt.path == RESUMED_PATH and answer.status == _STATUS_OK:
                 for each in _EVENT.findall(answer.body):
                     attempt.last_event_id = int(each)
         connection.writer.transport.abort()
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -114,6 +114,21 @@
     disturber.fleet.relist(upstream, before)
 
 
+@disturbance('end')
+async def end(disturber: Disturber) -> None:
+    """The process of an upstream ends, and another takes its place."""
+    upstream = disturber.draw_upstream()
+    if upstream.is_down:
+        return
+    disturber.fleet.counts['upstreams that ended'] += 1
+    upstream.end_process()
+    await asyncio.sleep(disturber.source.uniform(0.3, 2))
+    before = upstream.instance
+    upstream.instance = f'{before.partition(".")[0]}.{time.monotonic_ns()}'
+    await upstream.start()
+    disturber.fleet.relist(upstream, before)
+
+
 @disturbance('rename')
 async def rename(disturber: Disturber) -> None:
     """An upstream takes a new id; its process and connections live on.
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -41,7 +41,8 @@
     take up again, in addition to those of the usual mix.
     ``same_id`` is the fraction of the repeated calls that keep their id,
     ``stuttering`` that of the answers that stutter, ``crossing`` that of these
-    whose second one is an earlier answer of any connection.
+    whose second one is an earlier answer of any connection, ``unframed`` that
+    of the streams that end with their connection.
     """
 
     machines: int = 6
@@ -55,6 +56,7 @@
     stuttering: float = 0.0
     crossing: float = 0.0
     resuming: float = 0.0
+    unframed: float = 0.0
 
 
 @dataclass(slots=True)
@@ -161,6 +163,7 @@
         """Let an upstream refuse and copy as often as all upstreams do."""
         upstream.refusing = self.size.refusing
         upstream.late = self.size.late
+        upstream.unframed = self.size.unframed
         upstream.copier.fraction = self.size.copying
         upstream.copier.stuttering = self.size.stuttering
         upstream.stutterer.fraction = self.size.stuttering
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -68,7 +68,8 @@
     ``faults`` maps a fault to the fraction of the answers that have it:
     ``lose`` resets the connection after the run, ``fail`` and ``shed`` answer
     500 and 503 after the run, ``extra`` sends the answer twice, ``mute`` sends
-    none, ``cut`` closes within the answer. ``refusing`` is the fraction of the
+    none, ``cut`` closes within the answer. ``unframed`` is the fraction of the
+    streams that end with their connection. ``refusing`` is the fraction of the
     calls that it refuses, ``late`` that of the refusals that come late, and
     ``copier`` sends copies of answers, ``stutterer`` two where one is due.
     ``records`` and ``counts`` are shared by all. ``version`` is that of its
@@ -81,6 +82,7 @@
     faults: dict[str, float] = field(default_factory=dict)
     refusing: float = 0.0
     late: float = 0.0
+    unframed: float = 0.0
     slots: int = 6
     version: str = 'v1'
     born_s: float = 0.0
@@ -115,6 +117,9 @@
     async def _answer_probe(
         self, run: Run, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_misdirected(run):
+            write_whole(writer, run, 421, b'', sealed=False)
+            return
         reply = Reply(run, 200, [b'{}'], {}, sealed=False)
         if self.stutterer.draw():
             await self.stutterer.send(reply, writer)
@@ -123,8 +128,7 @@
 
     def _choose_refusal(self, run: Run) -> int | None:
         """Return the status of a refusal, None if the call runs."""
-        expected = run.headers.get('x-expect-instance', self.instance)
-        if expected != self.instance:
+        if self._is_misdirected(run):
             return 421
         if self._accepted >= 2 * self.slots:
             return 503
@@ -132,6 +136,10 @@
             return self.source.choice(_REFUSALS)
         return None
 
+    def _is_misdirected(self, run: Run) -> bool:
+        expected = run.headers.get('x-expect-instance', self.instance)
+        return expected != self.instance
+
     async def _refuse(
         self, run: Run, writer: asyncio.StreamWriter, status: int
     ) -> None:
@@ -215,6 +223,9 @@
             record.written = EVENTS
             await self._stutter_events(run, writer, first)
             return
+        if self.source.random() < self.unframed:
+            await self._write_unframed(run, writer, record)
+            return
         recorder = Recorder()
         self.copier.begin_answer(writer)
         write_head(recorder, run, 200, {**STREAM_HEADERS, **_name(run, 200)})
@@ -235,6 +246,22 @@
         self.stutterer.note(writer, answer)
         self.copier.end_answer(writer, answer)
 
+    async def _write_unframed(
+        self,
+        run: Run,
+        writer: asyncio.StreamWriter,
+        record: WorkRecord,
+    ) -> None:
+        headers = {'Content-Type': 'text/event-stream', **_name(run, 200)}
+        write_head(writer, run, 200, headers)
+        for number in range(record.first, EVENTS + 1):
+            await asyncio.sleep(_EVENT_INTERVAL_S)
+            record.written = number
+            writer.write(make_event(run, number))
+            await writer.drain()
+        self.counts['unframed'] += 1
+        writer.close()
+
     async def _stutter_events(
         self, run: Run, writer: asyncio.StreamWriter, first: int
     ) -> None:
