--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from yarl import URL
@@ -244,6 +245,7 @@
     retry_window_s: float = 0.5,
     seeds: int | None = None,
     stores: Sequence[StoreStandIn] = (),
+    limits: dict[str, int] | None = None,
 ) -> AsyncIterator[RoutedFleet]:
     """Run a store, upstreams and ready routing processes.
 
@@ -253,7 +255,8 @@
     as batching model engines. ``retry_reserve`` and ``retry_window_s`` are as
     in ``build_boot_settings``. The settings of each process name the first
     ``seeds`` processes, or all of them if it is None. Each process reads its
-    own one of ``stores``, which run already, if there are any.
+    own one of ``stores``, which run already, if there are any. ``limits`` are
+    those of a machine, as the settings name them.
     """
     store = StoreStandIn()
     await store.start()
@@ -286,6 +289,7 @@
             seeds,
             retry_reserve=retry_reserve,
             retry_window_s=retry_window_s,
+            **({} if limits is None else {'limits': limits}),
         )
         for node in fleet.nodes:
             stack.push_async_callback(node.stop)
@@ -308,7 +312,7 @@
     stores: Sequence[StoreStandIn],
     folder: Path,
     seeds: int | None,
-    **bounds: float,
+    **changes: Any,
 ) -> list[RouterProcess]:
     ips = [f'{LOOPBACK_NET}.{number + 1}' for number in range(len(stores))]
     ports = find_ports(ips)
@@ -320,7 +324,7 @@
             ports=ports,
             seeds=ips[:seeds],
             store=stores[number].address,
-            **bounds,
+            **changes,
         )
         path = folder / f'settings-{number}.yaml'
         path.write_text(json.dumps(boot), encoding='utf-8')
