Judge the end of an unproven stream by what proves it, and ask within bounds

Now: 'born' in the report tells a new start; the parser, not the head, tells what ended a body; only breaks within an answer count; a probe without an answer proves nothing while another connection lives. A question is asked once, is not queued, has a second, and is no failure if nothing follows; the line of a stream that stays unproven is an important one (finished_unproven).

--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -29,6 +29,8 @@
 from bilberryspoke._internal.models.routing_events import SendEnded
 
 FINISHED = 'finished'
+# The caller's stream was ended as whole, though nothing shows that it was.
+_FINISHED_UNPROVEN = 'finished_unproven'
 # Outcomes whose log lines are left out first when there are too many lines.
 _ROUTINE_OUTCOMES = frozenset((FINISHED, 'caller_gone'))
 
@@ -58,7 +60,7 @@
 def finish_stream(state: VmState, call_state: CallState, now: float) -> None:
     """End a stream that may be whole as one that is."""
     state.emit(FinishStream(call_state.call.call_id))
-    close_call(state, call_state, FINISHED, now)
+    close_call(state, call_state, _FINISHED_UNPROVEN, now)
 
 
 def time_out_call(state: VmState, call_state: CallState, now: float) -> None:
@@ -180,7 +182,6 @@
                 'connection': call_state.connection,
                 'framing': call_state.framing,
                 'last_event_id': call_state.last_event_id,
-                'is_unproven': call_state.is_unproven,
                 'first_event_s': None
                 if first_event_s is None
                 else round(first_event_s, 3),
--- a/src/bilberryspoke/_internal/core/routing/lifecycle.py
+++ b/src/bilberryspoke/_internal/core/routing/lifecycle.py
@@ -162,6 +162,10 @@
         return
     if event.status not in NOT_RUN_SEND_STATUSES:
         call_state.may_have_run = True
+    if call_state.is_unproven:
+        # A question that failed is not repeated.
+        fail_call(state, call_state, event, now)
+        return
     if _acquire_retry(state, call_state, event, now):
         state.emit(Count('repeats', call_state.call.service))
         dispatch_or_queue(state, call_state, now, event)
--- a/src/bilberryspoke/_internal/core/routing/maintenance.py
+++ b/src/bilberryspoke/_internal/core/routing/maintenance.py
@@ -37,6 +37,9 @@
     is_stalled,
     record_review,
 )
+from bilberryspoke._internal.core.routing.unprovenends import (
+    finish_slow_questions,
+)
 from bilberryspoke._internal.core.routing.upstreamstate import UpstreamState
 from bilberryspoke._internal.core.state import VmState
 from bilberryspoke._internal.models.routing import SendStatus
@@ -57,6 +60,7 @@
     review_crashes(state, now)
     review_keepers(state, now)
     review_lookups(state, now)
+    finish_slow_questions(state, now)
     _retry_stalled_calls(state, now)
     for call_state in list(state.routing.calls.values()):
         if now >= call_state.call.deadline_at:
--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -52,8 +52,11 @@
     def says_its_end(self) -> bool:
         """Whether the end of the body is not just that of its connection.
 
-        An answer that has no body in any case ends with its head.
+        An answer that has no body in any case ends with its head. The parser
+        may read a body to the end of its connection whose head says otherwise.
         """
+        if self._connection.protocol.ended_within_answer:
+            return False
         return self.headers.has_length or _has_no_body(self.resp)
 
     def is_closed_cleanly(self) -> bool:
--- a/src/bilberryspoke/_internal/network/routing/answerend.py
+++ b/src/bilberryspoke/_internal/network/routing/answerend.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 from enum import StrEnum
 
 from bilberryspoke._internal.models.routing_effects import HandOff, Send
@@ -16,10 +17,17 @@
 from bilberryspoke._internal.network.routing.connections import (
     KeepAliveConnector,
 )
-from bilberryspoke._internal.network.routing.linkprobes import LinkProber
+from bilberryspoke._internal.network.routing.linkprobes import (
+    LinkProber,
+    ProbedState,
+)
 
 # The connections of a process that ends close within this time.
 _SAME_MOMENT_S = 0.05
+# So many answers that end at one moment, and leave no connection, were cut.
+_MIN_COMMON_ENDS = 3
+# Callers wait for the end of their answers meanwhile.
+_MAX_PROBE_S = 0.3
 
 
 class AnswerEnd(StrEnum):
@@ -61,9 +69,25 @@
         if isinstance(effect, HandOff) or not body.is_closed_cleanly():
             return AnswerEnd.cut
         ended_at = read_boottime()
-        if not await self._prober.serves(effect.address, effect.instance):
-            return AnswerEnd.cut
-        await asyncio.sleep(_SAME_MOMENT_S)
-        if self._connector.lost_at(effect.address) >= ended_at - _SAME_MOMENT_S:
+        self._connector.note_end(effect.address)
+        if await self._is_upstream_gone(effect, ended_at):
             return AnswerEnd.cut
         return AnswerEnd.unproven
+
+    async def _is_upstream_gone(self, effect: Send, ended_at: float) -> bool:
+        """Return whether what else ended shows that the upstream did."""
+        # An upstream that is slow to answer has accepted the question.
+        state = ProbedState.lives
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_PROBE_S):
+                state = await self._prober.find_state(effect)
+        if state is ProbedState.gone:
+            return True
+        await asyncio.sleep(_SAME_MOMENT_S)
+        since = ended_at - _SAME_MOMENT_S
+        if self._connector.lost_at(effect.address) >= since:
+            return True
+        if self._connector.has_open(effect.address):
+            return False
+        ends = self._connector.count_ends(effect.address, since)
+        return state is ProbedState.unknown or ends >= _MIN_COMMON_ENDS
--- a/src/bilberryspoke/_internal/network/routing/callprotocol.py
+++ b/src/bilberryspoke/_internal/network/routing/callprotocol.py
@@ -35,9 +35,11 @@
     ``number`` tells the connections of a VM apart; 0 before the first call.
     ``calls`` counts those that it carried, ``surplus`` the answers that were
     passed over for the last one. No call is sent on it from ``reusable_until``
-    on, in seconds of the boot-time clock. ``on_break`` is called with the
-    address at the other end when the connection is reset, or closed there
-    though neither an answer nor the keep-alive time was over.
+    on, in seconds of the boot-time clock. ``ended_within_answer`` is whether
+    the connection ended before the parser saw the end of the last answer.
+    ``on_break`` is called with the
+    address at the other end when the connection ends within an answer, unless
+    that is how the answer ends.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -48,6 +50,7 @@
         self.surplus = 0
         self.reusable_until = math.inf
         self.on_break: Callable[[str], None] = _ignore
+        self.ended_within_answer = False
         self._address = ''
         self._ends_with_answer = False
         self._req_id = ''
@@ -69,14 +72,17 @@
         super().feed_data(data, size)
 
     def eof_received(self) -> bool:
-        """Take the end of what the server sends; note if it is too early."""
-        if self._ends_early():
-            self.on_break(self._address)
+        """Take the end of what the server sends; note if it cuts an answer."""
+        if self._is_within_answer():
+            self.ended_within_answer = True
+            if not self._ends_with_answer:
+                self.on_break(self._address)
         return super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Note a reset."""
-        if exc is not None:
+        """Note a reset that cuts an answer."""
+        if exc is not None and self._is_within_answer():
+            self.ended_within_answer = True
             self.on_break(self._address)
         super().connection_lost(exc)
 
@@ -105,6 +111,7 @@
         self._req_id = req_id
         self.surplus = 0
         self.calls += 1
+        self.ended_within_answer = False
         self._ends_with_answer = False
 
     def set_response_params(self, **params: Any) -> None:
@@ -139,13 +146,9 @@
             body, max_bytes=_MAX_SURPLUS_BYTES, timeout_s=_SURPLUS_TIMEOUT_S
         )
 
-    def _ends_early(self) -> bool:
-        """Return whether the server has no reason to close it by now."""
-        if self._ends_with_answer:
-            return False
-        if self._payload is not None and not self._payload.is_eof():
-            return True
-        return not self._should_close and read_boottime() < self.reusable_until
+    def _is_within_answer(self) -> bool:
+        """Return whether an answer has begun and has not ended."""
+        return self._payload is not None and not self._payload.is_eof()
 
     def _answers_earlier_call(self, message: Any) -> bool:
         if is_joined_head(message.reason, message.raw_headers):
--- a/src/bilberryspoke/_internal/network/routing/connections.py
+++ b/src/bilberryspoke/_internal/network/routing/connections.py
@@ -4,7 +4,7 @@
 import math
 import socket
 import struct
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterator
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -27,6 +27,7 @@
 _TCP_USER_TIMEOUT_MS = 1500
 # Addresses of which is kept when a connection last broke.
 _MAX_BREAKS = 1024
+_MAX_ENDS = 256
 # SO_LINGER on with 0 s: closing resets the connection. Otherwise the kernel
 # would go on to deliver a call whose caller has left, once a cut is over.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
@@ -103,16 +104,40 @@
         self._opened_connections = 0
         # When a connection to an address last broke, of the last such ones.
         self._lost_at: OrderedDict[str, float] = OrderedDict()
+        # The last answers that ended with their connection: when, and where.
+        self._ends: deque[tuple[float, str]] = deque(maxlen=_MAX_ENDS)
 
     def lost_at(self, address: str) -> float:
         """Return when a connection to ``address`` last broke.
 
-        That is one which was reset, or closed without need: within an answer
-        that was to go on, or long before its keep-alive time was over. In
-        seconds of the boot-time clock; minus infinity if none is known.
+        That is one which was reset within an answer, or closed within one that
+        was to go on. In seconds of the boot-time clock; minus infinity if none
+        is known.
         """
         return self._lost_at.get(address, -math.inf)
 
+    def note_end(self, address: str) -> None:
+        """Note that an answer from ``address`` ended with its connection."""
+        self._ends.append((read_boottime(), address))
+
+    def count_ends(self, address: str, since: float) -> int:
+        """Return how many answers ended with their connection.
+
+        ``since`` is in seconds of the boot-time clock.
+        """
+        return sum(
+            ended_at >= since and each == address
+            for ended_at, each in self._ends
+        )
+
+    def has_open(self, address: str) -> bool:
+        """Return whether a connection to ``address`` is open."""
+        return any(
+            each.get_peer_address() == address
+            and not each.transport.is_closing()
+            for each in self._list_protocols()
+        )
+
     async def connect(
         self,
         req: Any,
--- a/src/bilberryspoke/_internal/network/routing/exchange.py
+++ b/src/bilberryspoke/_internal/network/routing/exchange.py
@@ -42,6 +42,7 @@
     relays it. ``last_event_id`` is the id of the last event of the caller.
     ``may_be_whole`` is true while the caller has all events of an answer that
     ended between two events, but did not say that this was its end.
+    ``unsent_headers`` are those of that answer, if it had no event.
     ``started`` is true once the status line was sent, ``complete`` once the
     whole response was.
     """
@@ -62,6 +63,7 @@
     held: BufferedResponse | None = None
     last_event_id: int | None = None
     may_be_whole: bool = False
+    unsent_headers: RawHeaders = field(default_factory=list)
     started: bool = False
     complete: bool = False
 
@@ -100,8 +102,11 @@
 
     async def finish_if_whole(self) -> None:
         """End the body unless the stream has gone on since it seemed whole."""
-        if self.may_be_whole:
-            await self.finish()
+        if not self.may_be_whole:
+            return
+        if not self.started:
+            await self.start(200, self.unsent_headers)
+        await self.finish()
 
     async def send_response(self, response: BufferedResponse) -> None:
         """Send a complete response to the caller."""
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -2,21 +2,37 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import StrEnum
 
 import aiohttp
 
-from bilberryspoke._internal.models.routing_effects import ProbeUpstream
+from bilberryspoke._internal.models.routing_effects import ProbeUpstream, Send
 from bilberryspoke._internal.models.routing_events import UpstreamProbed
+from bilberryspoke._internal.platform.reports import parse_created_ms
 from bilberryspoke._internal.platform.requestheaders import (
     PROBE_PATH,
     make_probe_headers,
 )
 from bilberryspoke._internal.platform.responseheaders import STATUS_MISDIRECTED
 from bilberryspoke._internal.utils.boundedprotocol import BoundedConnector
+from bilberryspoke._internal.utils.boundedreads import read_body
 from bilberryspoke._internal.utils.resending import forbid_resending
 
 # From the first packet of a probe to the head of its answer.
 _TIMEOUT_S = 1.0
+_MAX_REPORT_BYTES = 262_144
+
+
+class ProbedState(StrEnum):
+    """What a probe shows of an upstream.
+
+    ``gone``: nothing listens at its address, or another one answers there.
+    ``unknown``: no whole answer came.
+    """
+
+    lives = 'lives'
+    gone = 'gone'
+    unknown = 'unknown'
 
 
 class LinkProber:
@@ -57,40 +73,42 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def serves(self, address: str, instance: str) -> bool:
-        """Return whether an upstream answers at ``address`` (``host:port``).
+    async def find_state(self, effect: Send) -> ProbedState:
+        """Return whether the upstream of a send still answers.
 
-        ``instance`` is its id; one with another id does not count. Questions
-        that overlap are asked once.
+        One with another id, or that was started anew, is another one.
         """
-        question = (address, instance)
-        task = self._questions.get(question)
-        if task is None:
-            headers = make_probe_headers(instance)
-            task = asyncio.create_task(self._ask(address, headers))
-            self._questions[question] = task
-            task.add_done_callback(
-                lambda done: self._questions.pop(question, None)
-            )
-        status = await asyncio.shield(task)
-        return status not in {None, STATUS_MISDIRECTED}
+        headers = make_probe_headers(effect.instance)
+        url = f'http://{effect.address}{PROBE_PATH}'
+        try:
+            async with self._session.get(
+                url, headers=headers, allow_redirects=False
+            ) as resp:
+                if resp.status == STATUS_MISDIRECTED:
+                    return ProbedState.gone
+                raw = await read_body(resp, _MAX_REPORT_BYTES)
+        except aiohttp.ClientConnectorError:
+            return ProbedState.gone
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+            return ProbedState.unknown
+        created_ms = parse_created_ms(raw) or effect.created_ms
+        if effect.created_ms and created_ms != effect.created_ms:
+            return ProbedState.gone
+        return ProbedState.lives
 
     async def _probe(self, effect: ProbeUpstream) -> None:
-        # Any answer counts, whatever its status.
-        accepts = await self._ask(effect.address, {}) is not None
+        accepts = await self._answers(effect.address)
         if not accepts:
             self._expire_connections(effect.address)
         self._submit(
             UpstreamProbed(effect.instance, effect.created_ms, accepts)
         )
 
-    async def _ask(self, address: str, headers: dict[str, str]) -> int | None:
-        """Return the status of an answer, None if none comes."""
+    async def _answers(self, address: str) -> bool:
+        """Return whether any answer comes; its status does not matter."""
         url = f'http://{address}{PROBE_PATH}'
         try:
-            async with self._session.get(
-                url, headers=headers, allow_redirects=False
-            ) as resp:
-                return resp.status
+            async with self._session.get(url, allow_redirects=False):
+                return True
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
-            return None
+            return False
--- a/src/bilberryspoke/_internal/network/routing/sending.py
+++ b/src/bilberryspoke/_internal/network/routing/sending.py
@@ -308,11 +308,14 @@
                     effect.call_id, effect.attempt, splitter.last_id
                 ),
             )
-        end = await self._judge.judge(body, effect)
         if splitter.remainder:
             return SendResult(
                 SendStatus.broken, STREAM_CUT, connection_lost=True
             )
+        if not splitter.expects_next and not body.says_its_end:
+            # Also if the send is cancelled while its end is judged.
+            exchange.may_be_whole = exchange.started
+        end = await self._judge.judge(body, effect)
         if splitter.expects_next:
             return await self._end_continued(exchange, end)
         return await self._end_stream(exchange, body, end)
@@ -321,15 +324,16 @@
         self, exchange: Exchange, body: AnswerBody, end: AnswerEnd
     ) -> SendResult:
         """End a stream that has been relayed up to the end of an answer."""
-        if end is not AnswerEnd.whole:
-            exchange.may_be_whole = exchange.started
-            if end is AnswerEnd.unproven and exchange.started:
-                return SendResult(SendStatus.unproven, 'status 200')
+        if end is AnswerEnd.cut:
             return SendResult(
-                SendStatus.broken,
-                STREAM_CUT,
-                connection_lost=end is AnswerEnd.cut,
+                SendStatus.broken, STREAM_CUT, connection_lost=True
             )
+        if end is AnswerEnd.unproven:
+            if not exchange.started and exchange.last_event_id is None:
+                return SendResult(SendStatus.broken, 'no event in a stream')
+            exchange.may_be_whole = True
+            exchange.unsent_headers = _drop_content_length(body.headers)
+            return SendResult(SendStatus.unproven, 'status 200')
         if not exchange.started:
             await exchange.start(200, _drop_content_length(body.headers))
         await exchange.finish()
@@ -342,7 +346,9 @@
 
         If the stream may be whole, a whole answer without events says so.
         """
-        if end is AnswerEnd.whole and exchange.may_be_whole:
+        if exchange.may_be_whole and end is AnswerEnd.unproven:
+            return SendResult(SendStatus.unproven, 'status 200, no event')
+        if exchange.may_be_whole and end is AnswerEnd.whole:
             await exchange.finish()
             return SendResult(SendStatus.finished, 'status 200, no event')
         return SendResult(
