--- a/fakes/unframedstreams.py
+++ b/fakes/unframedstreams.py
@@ -31,6 +31,20 @@
     writer.close()
 
 
+@register_script('stream_unframed_hold')
+async def answer_stream_unframed_hold(
+    upstream: UpstreamStandIn,
+    run: Run,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Pause after the third event of such a stream until ``release``."""
+    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    await upstream.release.wait()
+    for number in range(CUT_AFTER + 1, STREAM_EVENT_COUNT + 1):
+        writer.write(make_event(run, number))
+    writer.close()
+
+
 @register_script('stream_unframed_cut')
 async def answer_stream_unframed_cut(
     upstream: UpstreamStandIn,
--- a/tests/lib/platformdata.py
+++ b/tests/lib/platformdata.py
@@ -100,6 +100,7 @@
     store: str = '127.0.0.1:1',
     retry_reserve: int = 56,
     retry_window_s: float = 10,
+    grace_s: float = 8,
     **changes: Any,
 ) -> dict[str, Any]:
     """Return the start-up settings of a routing process.
@@ -108,6 +109,7 @@
     first and last port of the range that VMs may use between them.
     ``retry_reserve`` is the number of retries that all VMs together may make in
     addition to a fraction of their calls within ``retry_window_s``.
+    ``grace_s`` is the time that a stopping process has.
     ``a-field-of-later`` stands for a field of a later version, which must be
     ignored.
     """
@@ -128,7 +130,7 @@
         'limits': {'memory-mb': 150, 'max-fds': 4100, 'unknown-limit': 1},
         'bounds': {
             'drain-ms': 2000,
-            'grace-s': 8,
+            'grace-s': grace_s,
             'retry-budget-ratio': 0.2,
             'retry-budget-slack': retry_reserve,
             'budget-window-s': retry_window_s,
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -150,13 +150,15 @@
         method: str = 'GET',
         key: str | None = 'key-1',
         body: bytes | None = None,
+        received: bytearray | None = None,
         **headers: str,
     ) -> CallerResponse:
         """Send a call to a routing process and return the response.
 
         ``key`` is the API key, or None for none; underscores in the names of
-        ``headers`` become dashes. ``whole`` of the response is False if the
-        connection broke within the body.
+        ``headers`` become dashes. ``received`` gets the body as it arrives.
+        ``whole`` of the response is False if the connection broke within the
+        body.
         """
         req_headers = {
             'Host': 'calls.example',
@@ -174,7 +176,7 @@
             data=body,
             headers=req_headers,
         ) as resp:
-            received = bytearray()
+            received = bytearray() if received is None else received
             resp_headers = {
                 name.lower(): text for name, text in resp.headers.items()
             }
@@ -242,6 +244,7 @@
     models: int = 0,
     retry_reserve: int = 56,
     retry_window_s: float = 0.5,
+    grace_s: float = 8,
     seeds: int | None = None,
     stores: Sequence[StoreStandIn] = (),
 ) -> AsyncIterator[RoutedFleet]:
@@ -250,10 +253,11 @@
     ``nodes`` is the number of routing processes, ``app_upstreams`` that of
     scripted upstreams of the service ``app``. The service ``llm`` gets
     ``scripted_engines``, which answer by script, and ``models``, which behave
-    as batching model engines. ``retry_reserve`` and ``retry_window_s`` are as
-    in ``build_boot_settings``. The settings of each process name the first
-    ``seeds`` processes, or all of them if it is None. Each process reads its
-    own one of ``stores``, which run already, if there are any.
+    as batching model engines. ``retry_reserve``, ``retry_window_s`` and
+    ``grace_s`` are as in ``build_boot_settings``. The settings of each process
+    name the first ``seeds`` processes, or all of them if it is None. Each
+    process reads its own one of ``stores``, which run already, if there are
+    any.
     """
     store = StoreStandIn()
     await store.start()
@@ -286,6 +290,7 @@
             seeds,
             retry_reserve=retry_reserve,
             retry_window_s=retry_window_s,
+            grace_s=grace_s,
         )
         for node in fleet.nodes:
             stack.push_async_callback(node.stop)
