--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -62,8 +62,11 @@
     def is_closed_cleanly(self) -> bool:
         """Return whether the upstream closed the connection, without a reset.
 
-        The body has been read to its end.
+        The body has been read to its end. This process closes connections too,
+        as it stops.
         """
+        if not self._connection.protocol.ended_within_answer:
+            return False
         close_future = self._connection.close_future
         if close_future is None or not close_future.done():
             return False
