Count the calls that a stop aborts before their connections are closed

The exit code of a stopped process was 0 for an aborted stream without chunks in one run of test_routed_stream_ends.py, as the call ended while the connections were closed.

--- a/src/bilberryspoke/_internal/network/routing/daemon.py
+++ b/src/bilberryspoke/_internal/network/routing/daemon.py
@@ -114,8 +114,7 @@
             cpu_s=round(time.process_time(), 3),
         )
         await self._stop.wait()
-        await self._drain(components, server_tasks)
-        aborted = len(components.runtime.calls)
+        aborted = await self._drain(components, server_tasks)
         logger.info('stopped', calls_aborted=aborted)
         return self._background_tasks.choose_exit_code(aborted=aborted)
 
@@ -217,8 +216,11 @@
         self,
         components: _Components,
         server_tasks: list[asyncio.Task[Any]],
-    ) -> None:
-        """Serve open and new calls until the servers stop or time runs out."""
+    ) -> int:
+        """Serve open and new calls until the servers stop or time runs out.
+
+        Returns how many calls were aborted.
+        """
         limit_s = self._settings.bounds.stop_timeout_s * DRAIN_TIMEOUT_FRACTION
         deadline_at = time.monotonic() + limit_s
         logger.info('stopping', calls_open=len(components.runtime.calls))
@@ -232,10 +234,13 @@
             server.should_exit = True
         remaining_s = max(0, deadline_at - time.monotonic())
         await asyncio.wait(server_tasks, timeout=remaining_s)
+        # Those whose connections are closed now end before this returns.
+        aborted = len(components.runtime.calls)
         await self._background_tasks.cancel()
         components.runtime.peers.close()
         await components.sender.close()
         await components.store.close()
+        return aborted
 
     async def _tick(self, runtime: Runtime) -> None:
         while True:
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -255,16 +255,11 @@
     ``nodes`` is the number of routing processes, ``app_upstreams`` that of
     scripted upstreams of the service ``app``. The service ``llm`` gets
     ``scripted_engines``, which answer by script, and ``models``, which behave
-    as batching model engines. ``retry_reserve`` and ``retry_window_s`` are as
-    in ``build_boot_settings``. The settings of each process name the first
-    ``seeds`` processes, or all of them if it is None. Each process reads its
-    own one of ``stores``, which run already, if there are any. ``limits`` are
-    those of a machine, as the settings name them.
     as batching model engines. ``retry_reserve``, ``retry_window_s`` and
     ``grace_s`` are as in ``build_boot_settings``. The settings of each process
     name the first ``seeds`` processes, or all of them if it is None. Each
     process reads its own one of ``stores``, which run already, if there are
-    any.
+    any. ``limits`` are those of a machine, as the settings name them.
     """
     store = StoreStandIn()
     await store.start()
