--- a/tests/functional/test_routed_unproven_ends.py
+++ b/tests/functional/test_routed_unproven_ends.py
@@ -185,3 +185,21 @@
         assert not (answer.status == 200 and answer.whole)
 
     run_one(test)
+
+
+@pytest.mark.xfail(reason='KNOWN-RED.txt, 71', strict=True)
+@pytest.mark.parametrize(
+    ('path', 'default'), [('/stream/', 'stream'), ('/resume/', 'error')]
+)
+def test_stream_that_a_living_upstream_closes_does_not_look_complete(
+    path, default
+):
+    async def test(fleet, upstreams):
+        first_answer = ['stream_unframed_closed']
+        for upstream in upstreams:
+            upstream.answers = first_answer
+            upstream.default = default
+        answer = await post(fleet, path, 'c1')
+        assert answer.body == make_stream('c1') or not answer.whole
+
+    run_one(test, count=2)
