Let a refused caller read its response before the connection closes

The rest is now read and dropped for up to a second. test_refused_body_gets_its_response_while_it_is_sent holds each refusal against its response.

--- a/src/bilberryspoke/_internal/network/intake.py
+++ b/src/bilberryspoke/_internal/network/intake.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-_NO_MEMORY = 'no_memory'
 # Requests up to this cost are refused last.
 _SMALL_COST_BYTES = 65_536
 # Large requests leave the rest of the memory to small ones.
@@ -56,7 +55,10 @@
         """Whether no request is open on it."""
 
     def refuse(self) -> None:
-        """Refuse the request that is arriving, and close the connection."""
+        """Refuse the request that is arriving; close the connection then."""
+
+    def close_early(self) -> None:
+        """Close the connection at once."""
 
 
 class Intake:
@@ -88,7 +90,8 @@
         closed = next(
             each for each in self._costs if each.is_idle or each.is_receiving
         )
-        self._refuse(closed, 'too_many_connections')
+        self._forget(closed, 'too_many_connections')
+        closed.close_early()
 
     def remove(self, connection: IntakeConnection) -> None:
         """Forget a connection that is closed."""
@@ -119,7 +122,7 @@
             largest = self._find_largest()
             if largest is None:
                 return
-            self._refuse(largest, _NO_MEMORY)
+            self._refuse(largest)
 
     def admits(self, connection: IntakeConnection, alone: int) -> bool:
         """Return whether there is room for a request that has arrived.
@@ -131,7 +134,7 @@
         room = max(alone, int(self._bounds.memory_bytes * fraction))
         if self._total <= room:
             return True
-        self._refuse(connection, _NO_MEMORY)
+        self._refuse(connection)
         return False
 
     def _find_largest(self) -> IntakeConnection | None:
@@ -145,7 +148,11 @@
             return None
         return largest
 
-    def _refuse(self, connection: IntakeConnection, reason: str) -> None:
+    def _refuse(self, connection: IntakeConnection) -> None:
+        self._forget(connection, 'no_memory')
+        connection.refuse()
+
+    def _forget(self, connection: IntakeConnection, reason: str) -> None:
         overload = Overload(
             reason,
             cost_bytes=self._costs.get(connection, 0),
@@ -154,4 +161,3 @@
         )
         self._report(overload)
         self.remove(connection)
-        connection.refuse()
--- a/src/bilberryspoke/_internal/network/intakeprotocol.py
+++ b/src/bilberryspoke/_internal/network/intakeprotocol.py
@@ -12,6 +12,7 @@
 )
 
 _NO_ROOM = EMPTY_RESPONSE % b'503 Service Unavailable\r\nretry-after: 0.5'
+_LINGER_TIMEOUT_S = 1.0
 # Memory of a header besides its bytes: two objects, their pair and its places
 # in lists, again when it is sent on.
 _HEADER_COST_BYTES = 400
@@ -45,20 +46,26 @@
         # Cost of what was parsed since the intake was last told, in bytes.
         self._uncharged = 0
 
-    def refuse(self) -> None:
-        """Refuse the request that is arriving, and close the connection.
-
-        It is never passed on: the application does not get its end.
-        """
-        self._is_refused = True
+    def close_early(self) -> None:
+        """Close the connection, which is idle or has a request arriving."""
         if self.is_idle:
             self.transport.close()
             return
+        self._drop_arriving()
         self._respond_and_close(_NO_ROOM)
-        self.headers.clear()
-        if self.cycle is not None and not self._reading_header:
-            self.cycle.disconnected = True
-            self.cycle.body = bytearray()
+
+    def refuse(self) -> None:
+        """Refuse the request that is arriving, and soon close the connection.
+
+        It is never passed on: the application does not get its end. The rest of
+        it is read and dropped for a while, as an early close would reset the
+        connection before the caller reads the response.
+        """
+        self._drop_arriving()
+        if self._may_respond():
+            self.transport.write(_NO_ROOM)
+        self.flow.resume_reading()
+        self.loop.call_later(_LINGER_TIMEOUT_S, self.transport.close)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection."""
@@ -76,6 +83,8 @@
 
     def data_received(self, raw: bytes) -> None:
         """Parse received bytes and count what they cost."""
+        if self._is_refused:
+            return
         super().data_received(raw)
         self._charge()
 
@@ -109,7 +118,7 @@
         if self._is_refused:
             return
         if self.is_receiving and not self._intake.admits(
-            self, self._get_alone_cost()
+            self, _estimate_largest(self._get_limits())
         ):
             return
         super().on_message_complete()
@@ -127,18 +136,21 @@
 
         super()._start_asgi_task(cycle, serve)
 
+    def _drop_arriving(self) -> None:
+        self._is_refused = True
+        self.headers.clear()
+        if self.cycle is not None and not self._reading_header:
+            self.cycle.disconnected = True
+            self.cycle.body = bytearray()
+            self.cycle.message_event.set()
+
     def _charge(self) -> None:
         cost = self._uncharged
         self._uncharged = 0
         if cost:
-            self._intake.charge(self, cost, self._get_alone_cost())
-
-    def _get_alone_cost(self) -> int:
-        """Return what one request within the limits costs at most."""
-        limits = self._get_limits()
-        header_lines = limits.header_bytes // _MIN_HEADER_BYTES
-        header_cost = limits.header_bytes + header_lines * _HEADER_COST_BYTES
-        return header_cost + _BODY_COPIES * limits.body_bytes
+            self._intake.charge(
+                self, cost, _estimate_largest(self._get_limits())
+            )
 
     def _release_if_idle(self) -> None:
         """Free the last request, which the connection would keep."""
@@ -150,3 +162,10 @@
         if self.cycle is not None:
             self.cycle.scope = {}
             self.cycle.body = bytearray()
+
+
+def _estimate_largest(limits: IngressLimits) -> int:
+    """Return what one request within the limits costs at most, in bytes."""
+    header_lines = limits.header_bytes // _MIN_HEADER_BYTES
+    header_cost = limits.header_bytes + header_lines * _HEADER_COST_BYTES
+    return header_cost + _BODY_COPIES * limits.body_bytes
--- a/src/bilberryspoke/_internal/network/protocol.py
+++ b/src/bilberryspoke/_internal/network/protocol.py
@@ -64,7 +64,7 @@
             parsed = raw[start : start + _PARSED_BYTES]
             self._has_progressed = False
             super().data_received(parsed)
-            if self.transport.is_closing():
+            if self._is_refused or self.transport.is_closing():
                 return
             self._check_size(len(parsed))
 
@@ -138,6 +138,8 @@
             self._framing_bytes += count
 
     def _end_slow_headers(self) -> None:
+        if self._is_refused:
+            return
         if self._held:
             # The rest may be among the bytes that are not parsed yet.
             self._header_timer.start(
--- a/tests/functional/test_routed_bad_clients.py
+++ b/tests/functional/test_routed_bad_clients.py
@@ -100,3 +100,28 @@
 
 def test_idle_connections_do_not_use_up_the_descriptors():
     press([b'' for _ in range(LARGE_CROWD)])
+
+
+def test_refused_body_gets_its_response_while_it_is_sent():
+    # The reset of an early close took the promise that it did not run along.
+    async def run():
+        async with run_routed_fleet(
+            scripted_engines=0, limits={'memory-mb': 32}
+        ) as fleet:
+            node = fleet.nodes[0]
+            fleet.store.put('op/config', build_config(2, limits=LIMITS))
+            await wait_until(lambda: 2 in list_adopted_versions(node))
+            crowd = Crowd(node.ip, node.entry_port)
+            await crowd.send_all(
+                [make_body_request(f'c{n}', 1) for n in range(8)]
+            )
+            await wait_until(lambda: node.list_events('request_refused'))
+            heads = await crowd.read_heads()
+            refused = [each for each in heads if each.startswith(b'HTTP/1.1')]
+            lines = node.list_events('request_refused')
+            assert len(refused) == len(lines) > 0
+            assert all(b' 503 ' in each for each in refused)
+            crowd.leave()
+            assert fleet.count_runs('c0') == 0
+
+    asyncio.run(run())
--- a/tests/lib/badclients.py
+++ b/tests/lib/badclients.py
@@ -7,7 +7,7 @@
 
 BODY_BYTES = 1_000_000
 HEADER_BYTES = 16_384
-_PIECE_BYTES = 65_536
+_READ_TIMEOUT_S = 1.5
 
 
 @dataclass(slots=True)
@@ -16,6 +16,7 @@
 
     ip: str
     port: int
+    _readers: list[asyncio.StreamReader] = field(default_factory=list)
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def send(self, raw: bytes, piece: int = 0) -> None:
@@ -24,7 +25,8 @@
         Whatever the process does with it is no failure of the client's.
         """
         with contextlib.suppress(OSError):
-            _, writer = await asyncio.open_connection(self.ip, self.port)
+            reader, writer = await asyncio.open_connection(self.ip, self.port)
+            self._readers.append(reader)
             self._writers.append(writer)
             size = piece or max(1, len(raw))
             for start in range(0, len(raw), size):
@@ -35,6 +37,13 @@
         """Send each of several requests on a connection of its own."""
         await asyncio.gather(*(self.send(each, piece) for each in requests))
 
+    async def read_heads(self) -> list[bytes]:
+        """Return the first bytes of each response that arrives in 1.5 s.
+
+        They are empty for a connection that gets none.
+        """
+        return await asyncio.gather(*map(_read_some, self._readers))
+
     def leave(self) -> None:
         """Reset all connections."""
         for writer in self._writers:
@@ -90,3 +99,10 @@
 def count_descriptors(pid: int) -> int:
     """Return how many descriptors a process has open."""
     return len(list(Path(f'/proc/{pid}/fd').iterdir()))
+
+
+async def _read_some(reader: asyncio.StreamReader) -> bytes:
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            return await reader.read(1024)
+    return b''
