--- a/src/bilberryspoke/_internal/network/routing/answerbody.py
+++ b/src/bilberryspoke/_internal/network/routing/answerbody.py
@@ -52,15 +52,21 @@
     def says_its_end(self) -> bool:
         """Whether the end of the body is not just that of its connection.
 
-        An answer that has no body in any case ends with its head.
+        An answer that has no body in any case ends with its head. The parser
+        may read a body to the end of its connection whose head says otherwise.
         """
+        if self._connection.protocol.ended_within_answer:
+            return False
         return self.headers.has_length or _has_no_body(self.resp)
 
     def is_closed_cleanly(self) -> bool:
         """Return whether the upstream closed the connection, without a reset.
 
-        The body has been read to its end.
+        The body has been read to its end. This process closes connections too,
+        as it stops.
         """
+        if not self._connection.protocol.ended_within_answer:
+            return False
         close_future = self._connection.close_future
         if close_future is None or not close_future.done():
             return False
--- a/tests/lib/routedfleet.py
+++ b/tests/lib/routedfleet.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from yarl import URL
@@ -150,13 +151,15 @@
         method: str = 'GET',
         key: str | None = 'key-1',
         body: bytes | None = None,
+        received: bytearray | None = None,
         **headers: str,
     ) -> CallerResponse:
         """Send a call to a routing process and return the response.
 
         ``key`` is the API key, or None for none; underscores in the names of
-        ``headers`` become dashes. ``whole`` of the response is False if the
-        connection broke within the body.
+        ``headers`` become dashes. ``received`` gets the body as it arrives.
+        ``whole`` of the response is False if the connection broke within the
+        body.
         """
         req_headers = {
             'Host': 'calls.example',
@@ -174,7 +177,7 @@
             data=body,
             headers=req_headers,
         ) as resp:
-            received = bytearray()
+            received = bytearray() if received is None else received
             resp_headers = {
                 name.lower(): text for name, text in resp.headers.items()
             }
@@ -242,18 +245,21 @@
     models: int = 0,
     retry_reserve: int = 56,
     retry_window_s: float = 0.5,
+    grace_s: float = 8,
     seeds: int | None = None,
     stores: Sequence[StoreStandIn] = (),
+    limits: dict[str, int] | None = None,
 ) -> AsyncIterator[RoutedFleet]:
     """Run a store, upstreams and ready routing processes.
 
     ``nodes`` is the number of routing processes, ``app_upstreams`` that of
     scripted upstreams of the service ``app``. The service ``llm`` gets
     ``scripted_engines``, which answer by script, and ``models``, which behave
-    as batching model engines. ``retry_reserve`` and ``retry_window_s`` are as
-    in ``build_boot_settings``. The settings of each process name the first
-    ``seeds`` processes, or all of them if it is None. Each process reads its
-    own one of ``stores``, which run already, if there are any.
+    as batching model engines. ``retry_reserve``, ``retry_window_s`` and
+    ``grace_s`` are as in ``build_boot_settings``. The settings of each process
+    name the first ``seeds`` processes, or all of them if it is None. Each
+    process reads its own one of ``stores``, which run already, if there are
+    any. ``limits`` are those of a machine, as the settings name them.
     """
     store = StoreStandIn()
     await store.start()
@@ -286,6 +292,8 @@
             seeds,
             retry_reserve=retry_reserve,
             retry_window_s=retry_window_s,
+            grace_s=grace_s,
+            **({} if limits is None else {'limits': limits}),
         )
         for node in fleet.nodes:
             stack.push_async_callback(node.stop)
@@ -308,7 +316,7 @@
     stores: Sequence[StoreStandIn],
     folder: Path,
     seeds: int | None,
-    **bounds: float,
+    **changes: Any,
 ) -> list[RouterProcess]:
     ips = [f'{LOOPBACK_NET}.{number + 1}' for number in range(len(stores))]
     ports = find_ports(ips)
@@ -320,7 +328,7 @@
             ports=ports,
             seeds=ips[:seeds],
             store=stores[number].address,
-            **bounds,
+            **changes,
         )
         path = folder / f'settings-{number}.yaml'
         path.write_text(json.dumps(boot), encoding='utf-8')
