Let one empty answer without chunks not end a stream that is taken up

What a caller would see (reading the diff): it takes a stream up after event 3, an upstream closes the connection behind the head, the one that is asked fails, and the caller gets a whole stream without the rest. Such an end now needs a second upstream that says the same; otherwise the call fails.

--- a/src/bilberryspoke/_internal/core/routing/callstate.py
+++ b/src/bilberryspoke/_internal/core/routing/callstate.py
@@ -97,6 +97,14 @@
     is_unproven: bool = False
     counted: bool = False
 
+    @property
+    def may_be_whole(self) -> bool:
+        """Whether the caller got events here that may be the whole stream.
+
+        That a stream has ended where its caller takes it up needs a proof.
+        """
+        return self.is_unproven and self.first_event_at is not None
+
     def begin_send(self, now: float) -> None:
         """Start to count a send, after the call may have waited for it."""
         self.stage = CallStage.sent
--- a/src/bilberryspoke/_internal/core/routing/completion.py
+++ b/src/bilberryspoke/_internal/core/routing/completion.py
@@ -46,7 +46,7 @@
     The failure that the upstream answered with is relayed, if there is one. A
     stream that may be whole ends as one that is.
     """
-    if call_state.is_unproven:
+    if call_state.may_be_whole:
         finish_stream(state, call_state, now)
         return
     if event.status is SendStatus.failed:
@@ -100,7 +100,7 @@
     is certain that it did not run. A stream that may be whole ends as one that
     is.
     """
-    if call_state.is_unproven:
+    if call_state.may_be_whole:
         finish_stream(state, call_state, now)
         return
     call = call_state.call
--- a/src/bilberryspoke/_internal/core/routing/unprovenends.py
+++ b/src/bilberryspoke/_internal/core/routing/unprovenends.py
@@ -8,7 +8,10 @@
 """
 
 from bilberryspoke._internal.core.routing.callstate import CallStage, CallState
-from bilberryspoke._internal.core.routing.completion import finish_stream
+from bilberryspoke._internal.core.routing.completion import (
+    fail_call,
+    finish_stream,
+)
 from bilberryspoke._internal.core.routing.dispatch import (
     dispatch_or_queue,
     ensure_budget,
@@ -37,12 +40,15 @@
     call_state.is_unproven = True
     service = call_state.call.service
     state.emit(Count('unproven_ends', service))
-    if was_asked or not _may_ask(state, call_state, event, now):
+    if was_asked:
         finish_stream(state, call_state, now)
         return
+    if not _may_ask(state, call_state, event, now):
+        fail_call(state, call_state, event, now)
+        return
     state.emit(Count('repeats', service))
     dispatch_or_queue(state, call_state, now, event)
-    if call_state.stage is CallStage.waiting and call_state.is_unproven:
+    if call_state.stage is CallStage.waiting and call_state.may_be_whole:
         _finish_if_open(state, call_state, now)
 
 
@@ -50,7 +56,7 @@
     """Finish the streams whose question nobody has answered in time."""
     for call_state in list(state.routing.calls.values()):
         is_asking = (
-            call_state.is_unproven and call_state.stage is CallStage.sent
+            call_state.may_be_whole and call_state.stage is CallStage.sent
         )
         if is_asking and now >= call_state.sent_at + _MAX_ANSWER_S:
             call_id = call_state.call.call_id
--- a/tests/functional/test_routed_unproven_ends.py
+++ b/tests/functional/test_routed_unproven_ends.py
@@ -187,6 +187,21 @@
     run_one(test)
 
 
+@pytest.mark.parametrize('default', ['error', 'no_answer'])
+def test_empty_answer_alone_does_not_end_a_stream_that_is_taken_up(default):
+    async def test(fleet, upstreams):
+        first_answer = ['stream_unframed_empty']
+        for upstream in upstreams:
+            upstream.answers = first_answer
+            upstream.default = default
+        answer = await post(
+            fleet, '/resume/', 'c1', Last_Event_Id='3', Resumes='c0'
+        )
+        assert answer.status in {500, 502, 504}
+
+    run_one(test, count=2)
+
+
 @pytest.mark.xfail(reason='KNOWN-RED.txt, 71', strict=True)
 @pytest.mark.parametrize(
     ('path', 'default'), [('/stream/', 'stream'), ('/resume/', 'error')]
