--- a/fakes/unframedstreams.py
+++ b/fakes/unframedstreams.py
@@ -27,7 +27,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """Answer with a stream that ends with its connection."""
-    await _write_unframed_events(run, writer, b'')
+    await write_unframed_events(run, writer, b'')
     writer.close()
 
 
@@ -38,7 +38,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """Pause after the third event of such a stream until ``release``."""
-    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    await write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
     await upstream.release.wait()
     for number in range(CUT_AFTER + 1, STREAM_EVENT_COUNT + 1):
         writer.write(make_event(run, number))
@@ -53,7 +53,7 @@
 ) -> None:
     """Close the connection within the fourth event of such a stream."""
     rest = make_event(run, 4)[:-1]
-    await _write_unframed_events(run, writer, rest, last_number=3)
+    await write_unframed_events(run, writer, rest, last_number=3)
     writer.close()
 
 
@@ -64,17 +64,18 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """Reset the connection after the third event of such a stream."""
-    await _write_unframed_events(run, writer, b'', last_number=3)
+    await write_unframed_events(run, writer, b'', last_number=3)
     reset(writer)
 
 
-async def _write_unframed_events(
+async def write_unframed_events(
     run: Run,
     writer: asyncio.StreamWriter,
     rest: bytes,
     *,
     last_number: int = STREAM_EVENT_COUNT,
 ) -> None:
+    """Write the head and events of a stream, and ``rest`` behind them."""
     write_head(writer, run, 200, {'Content-Type': 'text/event-stream'})
     first_number = int(run.headers.get('last-event-id', 0)) + 1
     for number in range(first_number, last_number + 1):
@@ -93,7 +94,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """Close the connection of such a stream after the third event."""
-    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    await write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
     writer.close()
 
 
@@ -104,7 +105,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """End the process after the third event of such a stream."""
-    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    await write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
     upstream.end_process()
 
 
@@ -115,7 +116,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """End the process right behind the last event of such a stream."""
-    await _write_unframed_events(run, writer, b'')
+    await write_unframed_events(run, writer, b'')
     upstream.end_process()
 
 
@@ -139,7 +140,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """Close all connections after the third event, but listen on."""
-    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    await write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
     upstream.close_connections(but=writer)
     await asyncio.sleep(0)
     writer.close()
@@ -152,7 +153,7 @@
     writer: asyncio.StreamWriter,
 ) -> None:
     """Take another id and close the connection after the third event."""
-    await _write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
+    await write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
     upstream.instance += '-next'
     writer.close()
 
--- a/fakes/unprovenends.py
+++ b/fakes/unprovenends.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from fakes.unframedstreams import CUT_AFTER, write_unframed_events
 from fakes.upstream import (
     PROBE_PATH,
     Run,
     UpstreamStandIn,
+    make_event,
     make_stream,
     register_script,
     reset,
@@ -41,11 +43,7 @@
     upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
 ) -> None:
     """End after three events and start again under the same id."""
-    write_head(writer, run, 200, {'Content-Type': 'text/event-stream'})
-    for line in make_stream(run.req_id).split(b'\n\n')[:3]:
-        writer.write(line + b'\n\n')
-    await writer.drain()
-    await asyncio.sleep(PAUSE_S)
+    await write_unframed_events(run, writer, b'', last_number=CUT_AFTER)
     upstream.born += 1000
     writer.close()
 
@@ -62,19 +60,6 @@
     writer.close()
 
 
-@register_script('held_unframed')
-async def answer_held_unframed(
-    upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
-) -> None:
-    """Send three events; the end comes when the test closes all."""
-    write_head(writer, run, 200, {'Content-Type': 'text/event-stream'})
-    for line in make_stream(run.req_id).split(b'\n\n')[:3]:
-        writer.write(line + b'\n\n')
-    await writer.drain()
-    await upstream.release.wait()
-    writer.close()
-
-
 @register_script('reset_at_release')
 async def answer_reset(
     upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
@@ -142,8 +127,8 @@
 async def _write_three_and_crash(
     upstream: UpstreamStandIn, run: Run, writer: asyncio.StreamWriter
 ) -> None:
-    for line in make_stream(run.req_id).split(b'\n\n')[:3]:
-        writer.write(line + b'\n\n')
+    for number in range(1, CUT_AFTER + 1):
+        writer.write(make_event(run, number))
     await writer.drain()
     await asyncio.sleep(PAUSE_S)
     upstream.end_process()
--- a/src/bilberryspoke/_internal/network/routing/linkprobes.py
+++ b/src/bilberryspoke/_internal/network/routing/linkprobes.py
@@ -55,7 +55,6 @@
         self._submit = submit
         self._expire_connections = expire_connections
         self._tasks: set[asyncio.Task[None]] = set()
-        self._questions: dict[tuple[str, str], asyncio.Task[int | None]] = {}
         self._session = aiohttp.ClientSession(
             connector=BoundedConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
--- a/tests/functional/test_routed_unproven_ends.py
+++ b/tests/functional/test_routed_unproven_ends.py
@@ -38,7 +38,7 @@
 
 def test_streams_without_chunks_that_end_at_one_moment_are_not_complete():
     async def test(fleet, upstreams):
-        upstreams[0].default = 'held_unframed'
+        upstreams[0].default = 'stream_unframed_hold'
         tasks = [
             asyncio.create_task(post(fleet, '/stream/', f'c{number}'))
             for number in range(3)
--- a/tests/lib/routedcore.py
+++ b/tests/lib/routedcore.py
@@ -227,6 +227,23 @@
         return self.handle(progressed, now=now)
 
 
+def end_unproven(
+    core: RoutedCore, send: Send, *, now: float, event: int = 5
+) -> list[object]:
+    """Deliver an event, and end the send without a proof that it is the last.
+
+    Returns the effects of the end.
+    """
+    core.progress(send, now=now - 0.005, event=event)
+    return core.end(
+        send,
+        SendStatus.unproven,
+        now=now,
+        delivered=True,
+        last_event_id=event,
+    )
+
+
 def find_decision(effects: list[object]) -> Send | RefuseCall | None:
     """Return the first send or refusal among effects, or None."""
     found = [each for each in effects if isinstance(each, Send | RefuseCall)]
--- a/tests/unit/test_routed_unproven_ends.py
+++ b/tests/unit/test_routed_unproven_ends.py
@@ -18,6 +18,7 @@
     RoutedCore,
     build_call,
     build_route,
+    end_unproven,
     fill_engines,
     list_sends,
 )
@@ -25,18 +26,6 @@
 THREE_SENDS_ROUTE = build_route(max_attempts=3)
 
 
-def end_unproven(core, send, *, now, event=5):
-    """End a send behind an event of its stream; return the effects."""
-    core.progress(send, now=now - 0.1, event=event)
-    return core.end(
-        send,
-        SendStatus.unproven,
-        now=now,
-        delivered=True,
-        last_event_id=event,
-    )
-
-
 def list_kinds(effects):
     """Return the kinds of the effects that concern a caller or an upstream."""
     kinds = (Send, FinishStream, RefuseCall, CancelSend)
--- a/tests/unit/test_routed_unproven_questions.py
+++ b/tests/unit/test_routed_unproven_questions.py
@@ -10,23 +10,13 @@
     RoutedCore,
     build_call,
     build_route,
+    end_unproven,
     list_sends,
 )
 
 THREE_SENDS_ROUTE = build_route(max_attempts=3)
 
 
-def end_unproven(core, send, *, now, event=5):
-    core.progress(send, now=now - 0.005, event=event)
-    return core.end(
-        send,
-        SendStatus.unproven,
-        now=now,
-        delivered=True,
-        last_event_id=event,
-    )
-
-
 def end_without_event(core, send, *, now, **changes):
     """End a question as the sender does if its answer has no event."""
     return core.end(
